--- a/src/coordination/peer_network.hpp
+++ b/src/coordination/peer_network.hpp
@@ -37,14 +37,14 @@
 /// Calls to other daemons. The network may lose, delay or repeat a call. An
 /// error says nothing about whether the peer carried the call out, except
 /// `kFailedPrecondition`: the call was not sent. `host` is a name from the
-/// settings; `address` is IP:port.
+/// settings, which say at which address this daemon reaches it.
 class peer_network
 {
 public:
     virtual ~peer_network() = default;
 
     /// Sends a message without waiting for the result.
-    virtual void deliver(const std::string& address,
+    virtual void deliver(const std::string& host,
                          const wire::consensus_message& message) = 0;
     virtual void push(const std::string& host,
                       const wire::soft_state_delta& delta) = 0;
@@ -53,7 +53,7 @@
     exchange(const std::string& host, const wire::soft_state_digest& digest,
              milliseconds timeout) = 0;
     virtual absl::StatusOr<wire::command_outcome>
-    propose(const std::string& address, const wire::control_command& command,
+    propose(const std::string& host, const wire::control_command& command,
             milliseconds timeout) = 0;
     virtual absl::StatusOr<wire::config_response>
     read_config(const std::string& host, const wire::config_request& request,
--- /dev/null
+++ b/src/transport/operator_api.cpp
@@ -0,0 +1,117 @@
+#include "transport/operator_api.hpp"
+
+#include "protocol/json_codec.hpp"
+#include "transport/operator_answer.hpp"
+
+#include <httplib.h>
+
+#include <memory>
+
+namespace limpetstack
+{
+namespace
+{
+
+using httplib::Request;
+using httplib::Response;
+using nlohmann::json;
+using handlers_ptr = std::shared_ptr<const operator_handlers>;
+
+void write(const operator_answer& answer, Response& response)
+{
+    response.status = answer.status;
+    response.set_content(answer.body.dump(), "application/json");
+}
+
+void handle_change(const operator_handlers& given, const Request& request,
+                   Response& response)
+{
+    const auto change = parse_config_change(request.body);
+    if (!change.ok())
+    {
+        set_error(response, 400, std::string(change.status().message()));
+        return;
+    }
+    write(given.change_config(*change), response);
+}
+
+void add_list(httplib::Server& server, const handlers_ptr& given,
+              const std::string& name,
+              std::function<json()> operator_handlers::*list)
+{
+    server.Get("/v1/" + name,
+               [given, name, list](const Request&, Response& response)
+               {
+                   write({200, json{{name, ((*given).*list)()}}}, response);
+               });
+}
+
+void add_answer(httplib::Server& server, const handlers_ptr& given,
+                const std::string& path,
+                std::function<operator_answer()> operator_handlers::*handler)
+{
+    server.Get(path,
+               [given, handler](const Request&, Response& response)
+               {
+                   write(((*given).*handler)(), response);
+               });
+}
+
+void add_health(httplib::Server& server, const handlers_ptr& given)
+{
+    server.Get("/metrics",
+               [given](const Request&, Response& response)
+               {
+                   response.set_content(given->metrics(),
+                                        "text/plain; version=0.0.4");
+               });
+    server.Get("/health/live",
+               [](const Request&, Response& response)
+               {
+                   response.set_content("live\n", "text/plain");
+               });
+    server.Get("/health/ready",
+               [given](const Request&, Response& response)
+               {
+                   const auto reason = given->not_ready();
+                   response.status = reason.empty() ? 200 : 503;
+                   response.set_content((reason.empty() ? "ready" : reason) +
+                                            "\n",
+                                        "text/plain");
+               });
+}
+
+void add_routes(httplib::Server& server, const handlers_ptr& given)
+{
+    add_answer(server, given, "/v1/config", &operator_handlers::config);
+    add_answer(server, given, "/v1/members", &operator_handlers::members);
+    add_answer(server, given, "/v1/audit", &operator_handlers::audit);
+    add_list(server, given, "accounts", &operator_handlers::accounts);
+    add_list(server, given, "upstreams", &operator_handlers::upstreams);
+    add_list(server, given, "workers", &operator_handlers::workers);
+    add_list(server, given, "jobs", &operator_handlers::jobs);
+    add_list(server, given, "hosts", &operator_handlers::hosts);
+    server.Post("/v1/config",
+                [given](const Request& request, Response& response)
+                {
+                    handle_change(*given, request, response);
+                });
+    add_health(server, given);
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<http_listener>>
+open_operator_api(const std::string& address,
+                  const http_listener_options& options,
+                  const operator_handlers& handlers)
+{
+    const auto given = std::make_shared<const operator_handlers>(handlers);
+    return http_listener::open(address, options,
+                               [given](httplib::Server& server)
+                               {
+                                   add_routes(server, given);
+                               });
+}
+
+} // namespace limpetstack
--- /dev/null
+++ b/src/transport/operator_api.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "transport/http_listener.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <functional>
+#include <string>
+
+namespace limpetstack
+{
+
+struct config_change;
+
+/// Status and body of a response to an operator.
+struct operator_answer;
+
+/// What the daemon does for operators. Calls come from several threads; each
+/// may block.
+struct operator_handlers
+{
+    std::function<operator_answer()> config;
+    std::function<operator_answer(const config_change&)> change_config;
+    std::function<nlohmann::json()> accounts;
+    std::function<nlohmann::json()> upstreams;
+    std::function<nlohmann::json()> workers;
+    std::function<nlohmann::json()> jobs;
+    std::function<nlohmann::json()> hosts;
+    std::function<operator_answer()> members;
+    std::function<operator_answer()> audit;
+    std::function<std::string()> metrics;
+    std::function<std::string()> not_ready; // Empty when ready, else why not.
+};
+
+/// Opens the listener for operators: JSON for limpetctl, metrics and health.
+absl::StatusOr<std::unique_ptr<http_listener>>
+open_operator_api(const std::string& address,
+                  const http_listener_options& options,
+                  const operator_handlers& handlers);
+
+} // namespace limpetstack
