--- a/src/coordination/control_client.cpp
+++ b/src/coordination/control_client.cpp
@@ -79,7 +79,7 @@
             return leader_;
         }
     }
-    const auto found = leader_host(members(timeout));
+    auto found = leader_host(members(timeout));
     if (std::find(voters_.begin(), voters_.end(), found) == voters_.end())
     {
         return "";
--- a/test/support/relay.cpp
+++ b/test/support/relay.cpp
@@ -48,6 +48,11 @@
     return socket;
 }
 
+short wanted(link_state state)
+{
+    return state == link_state::black_hole ? 0 : POLLIN;
+}
+
 } // namespace
 
 relay::relay(std::string target)
@@ -124,6 +129,10 @@
 bool relay::move(int from, int to, std::string& pending, link_state state,
                  short from_events, short to_events)
 {
+    if (state == link_state::black_hole)
+    {
+        return true;
+    }
     if ((from_events & (POLLIN | POLLHUP | POLLERR)) != 0 &&
         pending.size() < pending_limit)
     {
@@ -133,7 +142,7 @@
         {
             return false;
         }
-        if (count > 0 && state == link_state::open)
+        if (count > 0)
         {
             pending.append(buffer, static_cast<std::size_t>(count));
         }
@@ -173,8 +182,8 @@
         std::vector<pollfd> watched = {{listener_, POLLIN, 0}};
         for (const auto& open : connections_)
         {
-            watched.push_back({open.client, POLLIN, 0});
-            watched.push_back({open.server, POLLIN, 0});
+            watched.push_back({open.client, wanted(forward_), 0});
+            watched.push_back({open.server, wanted(backward_), 0});
         }
         ::poll(watched.data(), watched.size(), poll_interval_ms);
         std::vector<connection> kept;
--- a/test/support/relay.hpp
+++ b/test/support/relay.hpp
@@ -13,7 +13,7 @@
 enum class link_state
 {
     open,
-    black_hole, // Bytes are read and thrown away; connections stay.
+    black_hole, // Nothing passes; bytes wait and arrive once the link is open.
     closed      // Connections are closed, new ones are refused.
 };
 
