--- /dev/null
+++ b/src/coordination/replicated_log.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "state/stored_log.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace limpetstack
+{
+
+/// The in-memory form of a replica's log: a snapshot, the entries after the
+/// base and the memberships in them. The membership in use is the latest one,
+/// committed or not.
+class replicated_log
+{
+public:
+    explicit replicated_log(const stored_log& stored);
+
+    std::uint64_t base_index() const { return base_index_; }
+    std::uint64_t last_index() const { return base_index_ + entries_.size(); }
+    std::uint64_t last_term() const;
+    const log_snapshot& snapshot() const { return snapshot_; }
+
+    /// Returns the term of an entry, or nothing outside base and end.
+    std::optional<std::uint64_t> term(std::uint64_t index) const;
+
+    /// Returns the entry at `index`, which must lie after the base.
+    const wire::log_entry& at(std::uint64_t index) const;
+
+    const wire::membership& members() const { return members_.back().second; }
+
+    /// Returns the index at which the membership in use was appended.
+    std::uint64_t members_index() const { return members_.back().first; }
+
+    /// Returns the membership in use at `index`, not before the snapshot.
+    const wire::membership& members_at(std::uint64_t index) const;
+
+    /// Appends an entry whose index is `last_index() + 1`.
+    void append(const wire::log_entry& entry);
+
+    /// Removes the entries from `first` on.
+    void truncate(std::uint64_t first);
+
+    /// Replaces everything by a snapshot.
+    void install(const log_snapshot& snapshot);
+
+    /// Takes a snapshot of applied entries and drops those before
+    /// `first_kept`.
+    void compact(const log_snapshot& snapshot, std::uint64_t first_kept);
+
+private:
+    log_snapshot snapshot_;
+    std::uint64_t base_index_ = 0;
+    std::uint64_t base_term_ = 0;
+    std::deque<wire::log_entry> entries_;
+    std::vector<std::pair<std::uint64_t, wire::membership>> members_;
+};
+
+} // namespace limpetstack
--- /dev/null
+++ b/src/state/log_storage.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace limpetstack::wire
+{
+class log_entry;
+} // namespace limpetstack::wire
+
+namespace limpetstack
+{
+
+struct hard_state;
+struct log_snapshot;
+
+/// Durable storage of one replica's log. A call that returns OK has made its
+/// change durable; after an error nothing may be assumed and every further
+/// change is refused.
+class log_storage
+{
+public:
+    virtual ~log_storage() = default;
+
+    virtual absl::Status save_hard_state(const hard_state& state) = 0;
+
+    /// Appends consecutive entries. Entries from the first one's index on are
+    /// replaced.
+    virtual absl::Status
+    append(const std::vector<wire::log_entry>& entries) = 0;
+
+    /// Replaces everything by a snapshot received from the leader.
+    virtual absl::Status install(const log_snapshot& snapshot) = 0;
+
+    /// Saves a snapshot of this replica's own state and drops the entries
+    /// before `first_kept`, which is at most the snapshot's index + 1.
+    virtual absl::Status compact(const log_snapshot& snapshot,
+                                 std::uint64_t first_kept) = 0;
+};
+
+} // namespace limpetstack
--- /dev/null
+++ b/src/state/stored_log.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "peer.pb.h"
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace limpetstack
+{
+
+/// The newest term a replica has seen and its vote in it; 0 when it has not
+/// voted.
+struct hard_state
+{
+    std::uint64_t term = 0;
+    std::uint64_t vote = 0;
+};
+
+inline bool operator==(const hard_state& a, const hard_state& b)
+{
+    return std::tie(a.term, a.vote) == std::tie(b.term, b.vote);
+}
+
+inline bool operator!=(const hard_state& a, const hard_state& b)
+{
+    return !(a == b);
+}
+
+/// The replicated state after the entry at `index`; index 0 means none.
+struct log_snapshot
+{
+    std::uint64_t index = 0;
+    std::uint64_t term = 0;
+    wire::membership members;
+    std::string state;
+};
+
+/// What a replica keeps on disk. `entries` follow `base_index`, which is at
+/// most the snapshot's index: some entries before the snapshot are kept for
+/// replicas that lag a little.
+struct stored_log
+{
+    hard_state hard;
+    log_snapshot snapshot;
+    std::uint64_t base_index = 0;
+    std::uint64_t base_term = 0;
+    std::vector<wire::log_entry> entries;
+};
+
+/// Returns true when nothing was ever stored.
+inline bool empty(const stored_log& log)
+{
+    return log.hard == hard_state() && log.snapshot.index == 0 &&
+           log.entries.empty();
+}
+
+} // namespace limpetstack
