--- a/include/limpetstack/placement.hpp
+++ b/include/limpetstack/placement.hpp
@@ -113,6 +113,10 @@
     /// Returns what is free on a worker; nothing when it is unknown.
     std::optional<resources> free(const std::string& worker) const;
 
+    /// Returns true when more is taken on the worker than it has, which
+    /// happens while gangs stop for another one.
+    bool overcommitted(const std::string& worker) const;
+
     /// Returns the worker's rack, or an empty string.
     std::string rack_of(const std::string& worker) const;
 
@@ -120,6 +124,9 @@
     std::uint32_t largest_rack_gang(const std::string& data_centre,
                                     const resources& each) const;
 
+    /// Returns the resources of all enabled workers together.
+    resources total() const;
+
     std::size_t size() const { return ids_.size(); }
 
 private:
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <numeric>
 
 namespace limpetstack
 {
@@ -454,6 +453,33 @@
     return free_of(workers_[found->second]);
 }
 
+bool worker_index::overcommitted(const std::string& worker) const
+{
+    const auto found = ids_.find(worker);
+    if (found == ids_.end())
+    {
+        return false;
+    }
+    const auto& w = workers_[found->second];
+    return w.taken.accelerators > w.total.accelerators ||
+           w.taken.cores > w.total.cores ||
+           w.taken.memory_mib > w.total.memory_mib;
+}
+
+resources worker_index::total() const
+{
+    resources sum;
+    for (const auto& entry : ids_)
+    {
+        const auto& w = workers_[entry.second];
+        if (w.present && w.enabled)
+        {
+            sum = sum + w.total;
+        }
+    }
+    return sum;
+}
+
 std::string worker_index::rack_of(const std::string& worker) const
 {
     const auto found = ids_.find(worker);
--- a/src/coordination/reclaim.cpp
+++ b/src/coordination/reclaim.cpp
@@ -267,10 +267,22 @@
 choose_reclaim(const reclaim_view& view, const gang_shape& shape,
                const std::function<bool(const gang_placement&)>& accept)
 {
+    // Half of the racks compared are those with the most room at present, the
+    // others those with the least guaranteed work.
+    auto one = shape;
+    one.members = 1;
+    auto racks = view.all.roomy_racks(view.data_centre, one, reclaim_racks / 2);
+    const auto others =
+        view.guaranteed.roomy_racks(view.data_centre, shape, reclaim_racks / 2);
+    racks.insert(racks.end(), others.begin(), others.end());
     std::vector<reclaim_choice> choices;
-    for (const auto& rack :
-         view.guaranteed.roomy_racks(view.data_centre, shape, reclaim_racks))
+    std::set<std::string> seen;
+    for (const auto& rack : racks)
     {
+        if (!seen.insert(rack).second)
+        {
+            continue;
+        }
         auto choice =
             choose_on(view, shape, view.all.workers(view.data_centre, rack));
         if (choice)
