--- /dev/null
+++ b/src/daemon/operator_service.cpp
@@ -0,0 +1,213 @@
+#include "daemon/operator_service.hpp"
+
+#include "base/metrics.hpp"
+#include "coordination/guarantee.hpp"
+#include "coordination/membership.hpp"
+#include "daemon/control_service.hpp"
+#include "daemon/work_service.hpp"
+#include "protocol/document_command.hpp"
+#include "protocol/json_codec.hpp"
+#include "state/registry.hpp"
+#include "transport/operator_answer.hpp"
+#include "transport/operator_api.hpp"
+
+#include <peer.pb.h>
+
+namespace limpetstack
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr milliseconds change_timeout{10000};
+
+operator_answer show_config(control_service& control)
+{
+    wire::config_request request;
+    const auto config = control.read_config(request);
+    return {200,
+            {{"version", config.version()},
+             {"operator", control.last_operator(config.version())},
+             {"document", config.document()}}};
+}
+
+operator_answer to_answer(const wire::command_outcome& outcome)
+{
+    switch (outcome.code())
+    {
+    case wire::command_accepted:
+        return {200, {{"code", "accepted"}, {"version", outcome.version()}}};
+    case wire::command_conflict:
+        return {409,
+                {{"code", "conflict"},
+                 {"version", outcome.version()},
+                 {"winner", outcome.winner()},
+                 {"message", outcome.message()}}};
+    case wire::command_invalid:
+        return {422,
+                {{"code", "invalid"},
+                 {"errors",
+                  {{{"line", 0},
+                    {"column", 0},
+                    {"path", ""},
+                    {"message", outcome.message()}}}}}};
+    case wire::command_unavailable:
+        return {503, {{"code", "unavailable"}, {"message", outcome.message()}}};
+    default:
+        return {504, {{"code", "unknown"}, {"message", outcome.message()}}};
+    }
+}
+
+// Every reason why a document can not be accepted, whatever its version.
+std::vector<document_error> find_errors(const parsed_document& parsed)
+{
+    auto errors = parsed.errors;
+    if (!parsed.value)
+    {
+        return errors;
+    }
+    for (const auto& conflict : check_guarantees(*parsed.value))
+    {
+        errors.push_back({0, 0, "client_accounts", conflict.message});
+    }
+    return errors;
+}
+
+operator_answer change_config(control_service& control,
+                              const config_change& change)
+{
+    const auto parsed = parse_document(change.document);
+    const auto errors = find_errors(parsed);
+    if (!errors.empty())
+    {
+        return {422, {{"code", "invalid"}, {"errors", to_json(errors)}}};
+    }
+    wire::control_command command;
+    command.set_request_id(change.request_id);
+    command.set_operator_name(change.operator_name);
+    command.set_host(control.host());
+    command.set_time_ms(wall_clock_ms());
+    *command.mutable_document() = make_apply_document(
+        change.base_version, change.document, *parsed.value);
+    return to_answer(control.client().submit(command, change_timeout));
+}
+
+json list_accounts(control_service& control)
+{
+    json list = json::array();
+    const auto document = control.config().current();
+    if (document)
+    {
+        for (const auto& account : document->client_accounts)
+        {
+            list.push_back(to_json(account));
+        }
+    }
+    return list;
+}
+
+json list_jobs(work_service& work)
+{
+    json list = json::array();
+    for (const auto& data_centre : work.data_centres())
+    {
+        wire::job_query query;
+        query.set_data_centre(data_centre);
+        for (const auto& job : work.list_jobs(query).jobs())
+        {
+            list.push_back(to_json(job, data_centre));
+        }
+    }
+    return list;
+}
+
+json list_hosts(work_service& work)
+{
+    json list = json::array();
+    for (const auto& known : work.soft_state().hosts())
+    {
+        list.push_back(
+            to_json(known.entry, work.hosts().is_live(known.entry.host())));
+    }
+    return list;
+}
+
+template <class Entries>
+json list_entries(const Entries& entries)
+{
+    json list = json::array();
+    for (const auto& entry : entries)
+    {
+        list.push_back(to_json(*entry));
+    }
+    return list;
+}
+
+operator_answer show_audit(control_service& control)
+{
+    const auto audit = control.find_audit(wire::audit_request());
+    if (!audit.ok())
+    {
+        return {503, {{"error", std::string(audit.status().message())}}};
+    }
+    json records = json::array();
+    for (const auto& record : audit->records())
+    {
+        records.push_back(to_json(record));
+    }
+    return {200, {{"records", records}}};
+}
+
+} // namespace
+
+operator_handlers make_operator_handlers(control_service& control,
+                                         work_service& work,
+                                         const metrics& counters)
+{
+    operator_handlers handlers;
+    handlers.config = [&control]
+    {
+        return show_config(control);
+    };
+    handlers.change_config = [&control](const config_change& change)
+    {
+        return change_config(control, change);
+    };
+    handlers.accounts = [&control]
+    {
+        return list_accounts(control);
+    };
+    handlers.upstreams = [&work]
+    {
+        return list_entries(work.soft_state().all_upstreams());
+    };
+    handlers.workers = [&work]
+    {
+        return list_entries(work.soft_state().all_workers());
+    };
+    handlers.jobs = [&work]
+    {
+        return list_jobs(work);
+    };
+    handlers.hosts = [&work]
+    {
+        return list_hosts(work);
+    };
+    handlers.members = [&control]
+    {
+        return operator_answer{200,
+                               {{"members", to_json(control.find_members())}}};
+    };
+    handlers.audit = [&control]
+    {
+        return show_audit(control);
+    };
+    handlers.metrics = [&counters]
+    {
+        return counters.text();
+    };
+    return handlers;
+}
+
+} // namespace limpetstack
--- a/src/transport/caller_api.cpp
+++ b/src/transport/caller_api.cpp
@@ -1,5 +1,6 @@
 #include "transport/caller_api.hpp"
 
+#include "coordination/gang_coordinator.hpp"
 #include "protocol/json_codec.hpp"
 
 #include <absl/strings/numbers.h>
@@ -132,7 +133,8 @@
         response.set_header("Limpetstack-Outcome", "refused");
         return;
     }
-    write_answer(given.submit(forwarded), forwarded.id(), response);
+    const auto answer = given.submit(forwarded);
+    write_answer(answer, forwarded.id(), response);
 }
 
 void handle_new_id(const caller_handlers& given, Response& response)
@@ -148,18 +150,6 @@
     response.set_content(json{{"id", id}}.dump(), "application/json");
 }
 
-// Returns the data centre in an id of the form job-<data centre>-..., or "".
-std::string home_of_job(const std::string& id)
-{
-    const auto begin = id.find('-');
-    const auto end = id.find('-', begin + 1);
-    if (begin == std::string::npos || end == std::string::npos)
-    {
-        return "";
-    }
-    return id.substr(begin + 1, end - begin - 1);
-}
-
 void write_job(const wire::job_answer& answer, const std::string& data_centre,
                int status, Response& response)
 {
@@ -195,7 +185,8 @@
         return;
     }
     const auto answer = given.submit_job(*submission);
-    write_job(answer, home_of_job(answer.job().id()), 202, response);
+    write_job(answer, parse_job_id(answer.job().id()).data_centre, 202,
+              response);
 }
 
 void handle_find_job(const caller_handlers& given, const Request& request,
@@ -204,7 +195,7 @@
     wire::job_query query;
     query.set_account(request.matches[1]);
     query.set_id(request.matches[2]);
-    query.set_data_centre(home_of_job(query.id()));
+    query.set_data_centre(parse_job_id(query.id()).data_centre);
     const auto found = given.list_jobs(query);
     wire::job_answer answer;
     answer.set_available(found.available());
@@ -222,7 +213,7 @@
     wire::job_cancel cancel;
     cancel.set_account(request.matches[1]);
     cancel.set_id(request.matches[2]);
-    cancel.set_data_centre(home_of_job(cancel.id()));
+    cancel.set_data_centre(parse_job_id(cancel.id()).data_centre);
     write_job(given.cancel_job(cancel), cancel.data_centre(), 200, response);
 }
 
--- a/src/transport/caller_api.hpp
+++ b/src/transport/caller_api.hpp
@@ -30,8 +30,8 @@
     milliseconds announcement_lease{0};
     milliseconds default_deadline{0};
 
-    std::function<wire::forwarded_answer(const wire::forwarded_request&)>
-        submit;
+    /// Fills in the request's id when it is empty.
+    std::function<wire::forwarded_answer(wire::forwarded_request&)> submit;
     std::function<std::string()> new_request_id; // Empty: none can be issued.
     std::function<wire::job_answer(const wire::job_submission&)> submit_job;
     std::function<wire::job_list(const wire::job_query&)> list_jobs;
