--- a/include/limpetstack/placement.hpp
+++ b/include/limpetstack/placement.hpp
@@ -105,6 +105,10 @@
                                          const gang_shape& shape,
                                          std::size_t limit) const;
 
+    /// Returns how many members of this size fit into the rack now.
+    std::uint32_t room(const std::string& data_centre, const std::string& rack,
+                       const resources& each) const;
+
     /// Returns the workers of a rack, or of a whole data centre when `rack` is
     /// empty, without disabled ones.
     std::vector<std::string> workers(const std::string& data_centre,
--- a/src/coordination/guarantee.cpp
+++ b/src/coordination/guarantee.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 #include <random>
 #include <utility>
 
@@ -33,55 +34,62 @@
     }
 }
 
-std::vector<shape_demand> ordered(std::vector<shape_demand> demands,
-                                  std::size_t order)
+/// Returns the positions of the demands in the order in which they are
+/// placed.
+std::vector<std::size_t> ordered(const std::vector<shape_demand>& demands,
+                                 std::size_t order)
 {
+    std::vector<std::size_t> positions(demands.size());
+    std::iota(positions.begin(), positions.end(), std::size_t{0});
     if (order > 2)
     {
         std::mt19937_64 random(order);
-        std::shuffle(demands.begin(), demands.end(), random);
-        return demands;
+        std::shuffle(positions.begin(), positions.end(), random);
+        return positions;
     }
     // Demands that are hardest to place come first.
-    std::stable_sort(demands.begin(), demands.end(),
-                     [order](const auto& a, const auto& b)
+    std::stable_sort(positions.begin(), positions.end(),
+                     [&demands, order](auto a, auto b)
                      {
-                         const auto x = key_of(a, order);
-                         const auto y = key_of(b, order);
+                         const auto x = key_of(demands[a], order);
+                         const auto y = key_of(demands[b], order);
                          return std::get<0>(x) != std::get<0>(y)
                                     ? std::get<0>(x) < std::get<0>(y)
                                     : x > y;
                      });
-    return demands;
+    return positions;
 }
 
-bool fit_in_order(worker_index& index, const std::string& data_centre,
-                  const std::vector<shape_demand>& demands)
+struct placed_demand
 {
-    std::vector<std::pair<gang_placement, resources>> taken;
+    std::size_t demand = 0;
+    gang_placement placement;
+};
+
+/// Places the demands one after the other. Returns what was placed before
+/// the first that found no room.
+std::vector<placed_demand>
+place_in_order(worker_index& index, const std::string& data_centre,
+               const std::vector<shape_demand>& demands, std::size_t order)
+{
+    std::vector<placed_demand> placed;
     placement_options options;
     options.use_held = true;
-    bool fits = true;
-    for (std::size_t i = 0; i < demands.size() && fits; ++i)
+    for (const auto i : ordered(demands, order))
     {
-        for (std::uint32_t n = 0; n < demands[i].count && fits; ++n)
+        for (std::uint32_t n = 0; n < demands[i].count; ++n)
         {
             auto placement =
                 index.place(data_centre, demands[i].shape, options);
-            fits = placement.has_value();
-            if (fits)
+            if (!placement)
             {
-                index.take(*placement, demands[i].shape.each);
-                taken.emplace_back(std::move(*placement),
-                                   demands[i].shape.each);
+                return placed;
             }
+            index.take(*placement, demands[i].shape.each);
+            placed.push_back({i, std::move(*placement)});
         }
     }
-    for (const auto& [placement, each] : taken)
-    {
-        index.give(placement, each);
-    }
-    return fits;
+    return placed;
 }
 
 using account_demands =
@@ -211,18 +219,46 @@
     return index;
 }
 
-bool fit_side_by_side(worker_index& index, const std::string& data_centre,
-                      const std::vector<shape_demand>& demands,
-                      std::size_t orders)
+std::optional<std::vector<gang_placement>>
+place_side_by_side(worker_index& index, const std::string& data_centre,
+                   const std::vector<shape_demand>& demands, std::size_t orders)
 {
+    std::size_t gangs = 0;
+    for (const auto& demand : demands)
+    {
+        gangs += demand.count;
+    }
     for (std::size_t order = 0; order < orders; ++order)
     {
-        if (fit_in_order(index, data_centre, ordered(demands, order)))
+        auto placed = place_in_order(index, data_centre, demands, order);
+        for (const auto& [demand, placement] : placed)
         {
-            return true;
+            index.give(placement, demands[demand].shape.each);
+        }
+        if (placed.size() == gangs)
+        {
+            std::stable_sort(placed.begin(), placed.end(),
+                             [](const auto& a, const auto& b)
+                             {
+                                 return a.demand < b.demand;
+                             });
+            std::vector<gang_placement> result;
+            result.reserve(gangs);
+            for (auto& entry : placed)
+            {
+                result.push_back(std::move(entry.placement));
+            }
+            return result;
         }
     }
-    return demands.empty();
+    return std::nullopt;
+}
+
+bool fit_side_by_side(worker_index& index, const std::string& data_centre,
+                      const std::vector<shape_demand>& demands,
+                      std::size_t orders)
+{
+    return place_side_by_side(index, data_centre, demands, orders).has_value();
 }
 
 std::vector<guarantee_conflict> check_guarantees(const document& source)
--- a/src/coordination/guarantee.hpp
+++ b/src/coordination/guarantee.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.hpp"
 #include "limpetstack/document.hpp"
 #include "limpetstack/placement.hpp"
 
@@ -45,9 +46,16 @@
 worker_index declared_fleet(const document& source,
                             const std::string& data_centre);
 
-/// Returns true when all demands find room beside what is taken already.
-/// `index` is changed during the call and is the same afterwards. `orders` is
-/// the number of orders tried.
+/// Returns a placement for every gang of the demands, beside what is taken
+/// already, or nothing when none is found. They come in the order of the
+/// demands, `count` for each. `index` is changed during the call and is the
+/// same afterwards. `orders` is the number of orders tried.
+std::optional<std::vector<gang_placement>>
+place_side_by_side(worker_index& index, const std::string& data_centre,
+                   const std::vector<shape_demand>& demands,
+                   std::size_t orders);
+
+/// Returns true when place_side_by_side finds placements.
 bool fit_side_by_side(worker_index& index, const std::string& data_centre,
                       const std::vector<shape_demand>& demands,
                       std::size_t orders);
@@ -58,16 +66,24 @@
     std::string id;
     gang_placement placement;
     resources each;
-    double lost = 0; // Cost of stopping it: accelerator seconds, or any unit.
+    double size = 0;       // Accelerators, and a hundredth for each core.
+    time_point saved_at{}; // Start of the attempt or last checkpoint.
+
+    /// Returns the progress that a stop at `now` loses, in accelerator
+    /// seconds.
+    double lost(time_point now) const;
 };
 
+/// Returns the size of a gang as in borrowing_gang.
+double gang_size(const gang_shape& shape);
+
 /// The borrowing gangs on each worker.
 class borrowing_table
 {
 public:
     void insert(const borrowing_gang& gang);
     void erase(const std::string& id);
-    void set_lost(const std::string& id, double lost);
+    void saved(const std::string& id, time_point at);
 
     /// Returns the gang or null.
     const borrowing_gang* find(const std::string& id) const;
@@ -97,6 +113,7 @@
     const worker_index& guaranteed; // Only guaranteed work is taken.
     const borrowing_table& borrowing;
     std::string data_centre;
+    time_point now{};
 };
 
 /// Chooses the borrowing gangs whose stop makes room for `shape` with the
@@ -107,6 +124,13 @@
 choose_reclaim(const reclaim_view& view, const gang_shape& shape,
                const std::function<bool(const gang_placement&)>& accept);
 
+/// Returns the choice that stops the cheapest gangs on each worker until the
+/// members fit exactly at `placement`; nothing when guaranteed work is in the
+/// way.
+std::optional<reclaim_choice> reclaim_at(const reclaim_view& view,
+                                         const resources& each,
+                                         const gang_placement& placement);
+
 constexpr std::size_t reclaim_racks = 32;
 
 } // namespace limpetstack
--- /dev/null
+++ b/src/coordination/job_scheduler.cpp
@@ -0,0 +1,524 @@
+#include "coordination/job_scheduler.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetstack
+{
+namespace
+{
+
+// Orders in which unclaimed guarantees are tried beside a new gang.
+constexpr std::size_t claim_orders = 3;
+// Gangs of an account that are tried when members of its guarantee become
+// free.
+constexpr std::size_t promotion_tries = 16;
+// A reservation is made anew after this time, in case other racks are free
+// earlier by now.
+constexpr milliseconds reservation_review{60 * 1000};
+
+/// Returns the position of the demand that the job claims a part of; the
+/// choice is that of guarantee_claims::claim.
+std::size_t claimed_part(const std::vector<shape_demand>& demands,
+                         const queued_job& job)
+{
+    std::size_t best = demands.size();
+    const auto size = [&demands](std::size_t i)
+    {
+        return std::pair(demands[i].shape.members,
+                         demands[i].shape.each.accelerators);
+    };
+    for (std::size_t i = 0; i < demands.size(); ++i)
+    {
+        if (demands[i].account == job.account &&
+            covers(demands[i].shape, job.shape) &&
+            (best == demands.size() || size(i) < size(best)))
+        {
+            best = i;
+        }
+    }
+    return best;
+}
+
+placement_options options_of(const scheduling_policy& policy, bool use_held)
+{
+    placement_options options;
+    options.best_fit = policy.best_fit;
+    options.use_held = use_held;
+    return options;
+}
+
+} // namespace
+
+job_scheduler::job_scheduler(std::string data_centre, scheduling_policy policy)
+    : data_centre_(std::move(data_centre))
+    , policy_(policy)
+{
+}
+
+void job_scheduler::configure(const document& source)
+{
+    if (source == config_)
+    {
+        return;
+    }
+    config_ = source;
+    declared_ = declared_fleet(source, data_centre_);
+    total_weight_ = 0;
+    for (const auto& account : source.client_accounts)
+    {
+        total_weight_ += account.weight;
+    }
+    for (const auto& id : claims_.configure(source, data_centre_))
+    {
+        auto& gang = placed_.at(id);
+        guaranteed_.give(gang.placement, gang.job.shape.each);
+        gang.guaranteed = false;
+        borrowing_.insert({id, gang.placement, gang.job.shape.each,
+                           gang_size(gang.job.shape), gang.start});
+        borrowing_of_[gang.job.account].insert(id);
+    }
+    queue_.update(
+        [this](const queued_job& job)
+        {
+            return claims_.coverable(job.account, job.shape);
+        });
+    for (const auto& account : source.client_accounts)
+    {
+        promotions_.insert(account.name);
+    }
+    changed_ = true;
+}
+
+void job_scheduler::put_worker(const worker_capacity& worker)
+{
+    const auto before = capacity_.free(worker.id);
+    if (before && *before == worker.total &&
+        capacity_.rack_of(worker.id) == worker.rack)
+    {
+        return;
+    }
+    for (auto* index : {&capacity_, &guaranteed_, &all_})
+    {
+        index->put(worker);
+    }
+    fleet_.reset();
+    changed_ = true;
+}
+
+void job_scheduler::remove_worker(const std::string& id)
+{
+    for (auto* index : {&capacity_, &guaranteed_, &all_})
+    {
+        index->remove(id);
+    }
+    fleet_.reset();
+}
+
+void job_scheduler::enable_worker(const std::string& id, bool enabled)
+{
+    guaranteed_.enable(id, enabled);
+    all_.enable(id, enabled);
+    changed_ = changed_ || enabled;
+}
+
+const resources& job_scheduler::fleet()
+{
+    if (!fleet_)
+    {
+        fleet_ = capacity_.total();
+    }
+    return *fleet_;
+}
+
+bool job_scheduler::knows(const std::string& id) const
+{
+    return queue_.find(id) != nullptr || placed_.count(id) > 0;
+}
+
+std::string job_scheduler::refusal(const gang_shape& shape) const
+{
+    if (shape.members == 0)
+    {
+        return "a job needs at least one member";
+    }
+    const auto runs = [this](const gang_shape& s)
+    {
+        return declared_.place(data_centre_, s, {}).has_value() ||
+               capacity_.place(data_centre_, s, {}).has_value();
+    };
+    if (runs(shape))
+    {
+        return {};
+    }
+    auto one = shape;
+    one.members = 1;
+    if (!runs(one))
+    {
+        return "no worker of data centre " + data_centre_ + " has " +
+               std::to_string(shape.each.accelerators) + " accelerators, " +
+               std::to_string(shape.each.cores) + " cores and " +
+               std::to_string(shape.each.memory_mib) + " MiB for one member";
+    }
+    if (shape.placement == adjacency::rack)
+    {
+        const auto most =
+            std::max(declared_.largest_rack_gang(data_centre_, shape.each),
+                     capacity_.largest_rack_gang(data_centre_, shape.each));
+        return "no rack of data centre " + data_centre_ + " holds " +
+               std::to_string(shape.members) + " such members; the most is " +
+               std::to_string(most);
+    }
+    return "data centre " + data_centre_ + " does not hold " +
+           std::to_string(shape.members) + " such members even when empty";
+}
+
+void job_scheduler::submit(queued_job job, bool front)
+{
+    job.coverable = claims_.coverable(job.account, job.shape);
+    queue_.push(job, front);
+    changed_ = true;
+}
+
+bool job_scheduler::cancel(const std::string& id)
+{
+    if (reservation_ && reservation_->id == id)
+    {
+        cancel_reservation();
+    }
+    if (queue_.erase(id))
+    {
+        return true;
+    }
+    if (waiting_.erase(id) > 0)
+    {
+        finished(id, std::nullopt);
+        return true;
+    }
+    return false;
+}
+
+milliseconds job_scheduler::expected_time(const queued_job& job) const
+{
+    return policy_.learn_times
+               ? times_.estimate(job.account + "/" + job.service, job.declared)
+               : job.declared;
+}
+
+void job_scheduler::place(const queued_job& job,
+                          const gang_placement& placement, bool guaranteed,
+                          time_point now)
+{
+    const auto id = job.id;
+    placed_job gang;
+    gang.job = job;
+    gang.placement = placement;
+    gang.share = dominant_share(job.shape, fleet());
+    gang.guaranteed = guaranteed;
+    gang.start = now;
+    gang.expected = expected_time(job);
+    all_.take(placement, job.shape.each);
+    if (guaranteed)
+    {
+        guaranteed_.take(placement, job.shape.each);
+    }
+    else
+    {
+        borrowing_.insert(
+            {id, placement, job.shape.each, gang_size(job.shape), now});
+        borrowing_of_[job.account].insert(id);
+    }
+    used_[job.account] += gang.share;
+    if (reservation_ && reservation_->id == id)
+    {
+        cancel_reservation();
+    }
+    queue_.erase(id); // `job` may be the queue's own entry.
+    placed_[id] = std::move(gang);
+}
+
+void job_scheduler::adopt(const queued_job& job,
+                          const gang_placement& placement, time_point now)
+{
+    place(job, placement, false, now);
+    promotions_.insert(job.account);
+    changed_ = true;
+}
+
+void job_scheduler::finished(const std::string& id,
+                             std::optional<milliseconds> ran)
+{
+    const auto found = placed_.find(id);
+    if (found == placed_.end())
+    {
+        return;
+    }
+    const auto gang = std::move(found->second);
+    placed_.erase(found);
+    const auto& account = gang.job.account;
+    all_.give(gang.placement, gang.job.shape.each);
+    if (gang.guaranteed)
+    {
+        guaranteed_.give(gang.placement, gang.job.shape.each);
+        claims_.release(id);
+    }
+    borrowing_.erase(id);
+    borrowing_of_[account].erase(id);
+    waiting_.erase(id);
+    used_[account] = std::max(0.0, used_[account] - gang.share);
+    if (ran)
+    {
+        times_.record(account + "/" + gang.job.service, gang.job.declared,
+                      *ran);
+    }
+    if (gang.guaranteed)
+    {
+        promotions_.insert(account);
+    }
+    changed_ = true;
+}
+
+void job_scheduler::saved(const std::string& id, time_point now)
+{
+    borrowing_.saved(id, now);
+}
+
+bool job_scheduler::fits_beside(const gang_placement& placement,
+                                const resources& each,
+                                const std::vector<shape_demand>& demands)
+{
+    guaranteed_.take(placement, each);
+    const bool fits =
+        fit_side_by_side(guaranteed_, data_centre_, demands, claim_orders);
+    guaranteed_.give(placement, each);
+    return fits;
+}
+
+void job_scheduler::promote(const std::string& account)
+{
+    // A gang that started outside the guarantee moves inside when members of
+    // the guarantee become free, unless it stands where another account's
+    // guarantee would no longer fit.
+    if (!claims_.has_unclaimed(account))
+    {
+        return;
+    }
+    const auto ids = borrowing_of_[account];
+    std::size_t tries = 0;
+    for (const auto& id : ids)
+    {
+        auto& gang = placed_.at(id);
+        if (gang.stopping || !claims_.claim(id, account, gang.job.shape))
+        {
+            continue;
+        }
+        if (++tries > promotion_tries)
+        {
+            claims_.release(id);
+            return;
+        }
+        if (!fits_beside(gang.placement, gang.job.shape.each,
+                         claims_.unclaimed()))
+        {
+            claims_.release(id);
+            continue;
+        }
+        guaranteed_.take(gang.placement, gang.job.shape.each);
+        gang.guaranteed = true;
+        borrowing_.erase(id);
+        borrowing_of_[account].erase(id);
+    }
+}
+
+void job_scheduler::promote_pending()
+{
+    for (const auto& account : std::exchange(promotions_, {}))
+    {
+        promote(account);
+    }
+}
+
+std::optional<reclaim_choice>
+job_scheduler::guaranteed_place(const queued_job& job, time_point now)
+{
+    const auto& shape = job.shape;
+    const auto demands = claims_.unclaimed();
+    const auto accept = [&](const gang_placement& placement)
+    {
+        return fits_beside(placement, shape.each, demands);
+    };
+    auto free = all_.place(data_centre_, shape, options_of(policy_, true));
+    if (free && accept(*free))
+    {
+        return reclaim_choice{{}, std::move(*free), 0};
+    }
+    if (!policy_.reclaim)
+    {
+        return std::nullopt;
+    }
+    const reclaim_view view{all_, guaranteed_, borrowing_, data_centre_, now};
+    auto choice = choose_reclaim(view, shape, accept);
+    if (choice)
+    {
+        return choice;
+    }
+    return planned_place(job, view);
+}
+
+std::optional<reclaim_choice>
+job_scheduler::planned_place(const queued_job& job, const reclaim_view& view)
+{
+    // Lays out everything guaranteed, with this job's part as it was before
+    // the job claimed it, and takes the job's part of that.
+    claims_.release(job.id);
+    const auto demands = claims_.unclaimed();
+    claims_.claim(job.id, job.account, job.shape);
+    const auto plan =
+        place_side_by_side(guaranteed_, data_centre_, demands, claim_orders);
+    if (!plan)
+    {
+        // Guarantees that fit no more, since workers are lost, bind nobody.
+        return choose_reclaim(view, job.shape,
+                              [](const gang_placement&)
+                              {
+                                  return true;
+                              });
+    }
+    const auto part = claimed_part(demands, job);
+    auto placement = plan->at(part);
+    placement.resize(job.shape.members);
+    return reclaim_at(view, job.shape.each, placement);
+}
+
+bool job_scheduler::start_guaranteed(const queued_job& job, time_point now,
+                                     std::vector<start_decision>& result)
+{
+    const auto id = job.id;
+    if (!claims_.claim(id, job.account, job.shape))
+    {
+        return false;
+    }
+    const auto choice = guaranteed_place(job, now);
+    if (!choice)
+    {
+        claims_.release(id);
+        return false;
+    }
+    for (const auto& victim : choice->victims)
+    {
+        placed_.at(victim).stopping = true;
+        borrowing_.erase(victim);
+    }
+    place(job, choice->placement, true, now);
+    result.push_back({id, choice->placement, choice->victims, true});
+    if (!choice->victims.empty())
+    {
+        waiting_.insert(id);
+    }
+    return true;
+}
+
+bool job_scheduler::start_borrowed(const queued_job& job, time_point now,
+                                   std::vector<start_decision>& result)
+{
+    const bool reserved = reservation_ && reservation_->id == job.id;
+    auto placement =
+        all_.place(data_centre_, job.shape, options_of(policy_, reserved));
+    if (!placement && !reserved && reservation_ && policy_.backfill &&
+        now + expected_time(job) <= reservation_->start)
+    {
+        placement =
+            all_.place(data_centre_, job.shape, options_of(policy_, true));
+    }
+    if (!placement)
+    {
+        return false;
+    }
+    const auto id = job.id;
+    place(job, *placement, false, now);
+    result.push_back({id, std::move(*placement), {}, false});
+    return true;
+}
+
+standings job_scheduler::current_standings() const
+{
+    standings result;
+    for (const auto& account : config_.client_accounts)
+    {
+        auto& standing = result[account.name];
+        standing.weight = account.weight;
+        standing.share = account.weight / std::max(1.0, total_weight_);
+        standing.unclaimed = claims_.has_unclaimed(account.name);
+        const auto used = used_.find(account.name);
+        standing.used = used == used_.end() ? 0 : used->second;
+    }
+    return result;
+}
+
+void job_scheduler::release_waiting(std::vector<start_decision>& result)
+{
+    for (auto at = waiting_.begin(); at != waiting_.end();)
+    {
+        const auto& gang = placed_.at(*at);
+        const bool blocked =
+            std::any_of(gang.placement.begin(), gang.placement.end(),
+                        [this](const auto& worker)
+                        {
+                            return all_.overcommitted(worker);
+                        });
+        if (blocked)
+        {
+            ++at;
+            continue;
+        }
+        result.push_back({*at, gang.placement, {}, gang.guaranteed});
+        at = waiting_.erase(at);
+    }
+}
+
+std::vector<start_decision> job_scheduler::decide(time_point now,
+                                                  std::size_t limit)
+{
+    std::vector<start_decision> result;
+    release_waiting(result);
+    if (!changed_ || result.size() >= limit)
+    {
+        return result;
+    }
+    changed_ = false;
+    promote_pending();
+    if (reservation_ && now - reservation_->made > reservation_review)
+    {
+        cancel_reservation();
+    }
+    if (reservation_)
+    {
+        const auto* job = queue_.find(reservation_->id);
+        if (job != nullptr)
+        {
+            start_borrowed(*job, now, result);
+        }
+    }
+    auto accounts = current_standings();
+    job_pass pass(queue_, fleet(), accounts);
+    for (auto step = pass.next(); step.job != nullptr; step = pass.next())
+    {
+        if (result.size() >= limit)
+        {
+            changed_ = true;
+            break;
+        }
+        const auto account = step.job->account;
+        const auto started = step.guaranteed
+                                 ? start_guaranteed(*step.job, now, result)
+                                 : start_borrowed(*step.job, now, result);
+        accounts[account].used = used_[account];
+        if (!started && !step.guaranteed && !reservation_ && policy_.reserve)
+        {
+            reserve(*step.job, now);
+        }
+    }
+    return result;
+}
+
+} // namespace limpetstack
--- a/src/coordination/reclaim.cpp
+++ b/src/coordination/reclaim.cpp
@@ -12,6 +12,10 @@
 // Gangs considered for a gang that needs several racks, cheapest first.
 constexpr std::size_t spread_gangs = 512;
 
+// Cores count little beside accelerators, but break ties between gangs
+// without any.
+constexpr double core_size = 0.01;
+
 /// The workers that a choice may use, with what would be free on them.
 class trial
 {
@@ -111,7 +115,7 @@
     for (const auto& worker : gang.placement)
     {
         size += workers.count(worker) *
-                (gang.each.accelerators + 0.01 * gang.each.cores);
+                (gang.each.accelerators + core_size * gang.each.cores);
     }
     return size;
 }
@@ -143,14 +147,16 @@
                                         const gang_shape& shape,
                                         const std::vector<std::string>& workers)
 {
+    const auto now = view.now;
     trial state(view, shape, workers);
     auto gangs = gangs_on(view.borrowing, workers);
     const std::set<std::string> set(workers.begin(), workers.end());
     if (gangs.size() > spread_gangs)
     {
-        const auto cheaper = [&set](const auto* a, const auto* b)
+        const auto cheaper = [&set, now](const auto* a, const auto* b)
         {
-            return a->lost / size_on(*a, set) < b->lost / size_on(*b, set);
+            return a->lost(now) / size_on(*a, set) <
+                   b->lost(now) / size_on(*b, set);
         };
         std::stable_sort(gangs.begin(), gangs.end(), cheaper);
         gangs.resize(spread_gangs);
@@ -168,7 +174,7 @@
             // several gangs before one member fits.
             const auto rank =
                 (static_cast<double>(gain) + 0.001 * size_on(**at, set)) /
-                ((*at)->lost + 1);
+                ((*at)->lost(now) + 1);
             if (rank > best_rank)
             {
                 best = at;
@@ -184,9 +190,9 @@
         return std::nullopt;
     }
     std::stable_sort(victims.begin(), victims.end(),
-                     [](const auto* a, const auto* b)
+                     [now](const auto* a, const auto* b)
                      {
-                         return a->lost > b->lost;
+                         return a->lost(now) > b->lost(now);
                      });
     reclaim_choice choice;
     for (const auto* gang : victims)
@@ -196,7 +202,7 @@
         {
             state.stop(*gang, 1);
             choice.victims.push_back(gang->id);
-            choice.lost += gang->lost;
+            choice.lost += gang->lost(now);
         }
     }
     choice.placement = state.placement();
@@ -238,12 +244,23 @@
     gangs_.erase(found);
 }
 
-void borrowing_table::set_lost(const std::string& id, double lost)
+double borrowing_gang::lost(time_point now) const
+{
+    return size * std::chrono::duration<double>(now - saved_at).count();
+}
+
+double gang_size(const gang_shape& shape)
+{
+    return shape.members *
+           (shape.each.accelerators + core_size * shape.each.cores);
+}
+
+void borrowing_table::saved(const std::string& id, time_point at)
 {
     const auto found = gangs_.find(id);
     if (found != gangs_.end())
     {
-        found->second.lost = lost;
+        found->second.saved_at = at;
     }
 }
 
@@ -263,6 +280,54 @@
                                           found->second.end());
 }
 
+std::optional<reclaim_choice> reclaim_at(const reclaim_view& view,
+                                         const resources& each,
+                                         const gang_placement& placement)
+{
+    std::map<std::string, std::uint32_t> needed;
+    for (const auto& worker : placement)
+    {
+        ++needed[worker];
+    }
+    std::map<std::string, const borrowing_gang*> stopped;
+    for (const auto& [worker, count] : needed)
+    {
+        auto gangs = gangs_on(view.borrowing, {worker});
+        std::stable_sort(gangs.begin(), gangs.end(),
+                         [&view](const auto* a, const auto* b)
+                         {
+                             return a->lost(view.now) < b->lost(view.now);
+                         });
+        gang_shape shape;
+        shape.members = count;
+        shape.each = each;
+        trial state(view, shape, {worker});
+        for (const auto& [id, gang] : stopped)
+        {
+            state.stop(*gang, 1);
+        }
+        for (const auto* gang : gangs)
+        {
+            if (!state.enough() && stopped.emplace(gang->id, gang).second)
+            {
+                state.stop(*gang, 1);
+            }
+        }
+        if (!state.enough())
+        {
+            return std::nullopt;
+        }
+    }
+    reclaim_choice choice;
+    choice.placement = placement;
+    for (const auto& [id, gang] : stopped)
+    {
+        choice.victims.push_back(id);
+        choice.lost += gang->lost(view.now);
+    }
+    return choice;
+}
+
 std::optional<reclaim_choice>
 choose_reclaim(const reclaim_view& view, const gang_shape& shape,
                const std::function<bool(const gang_placement&)>& accept)
