--- a/src/coordination/job_scheduler.hpp
+++ b/src/coordination/job_scheduler.hpp
@@ -75,10 +75,12 @@
     /// Records that the gang's progress was saved.
     void saved(const std::string& id, time_point now);
 
-    bool queued(const std::string& id) const
-    {
-        return queue_.find(id) != nullptr;
-    }
+    /// Takes over what another scheduler learned about run times.
+    void keep_experience(const job_scheduler& other) { times_ = other.times_; }
+
+    /// Returns true when the job is queued or placed.
+    bool knows(const std::string& id) const;
+
     std::size_t queue_length() const { return queue_.size(); }
     bool guaranteed(const std::string& id) const { return claims_.holds(id); }
     const worker_index& workers() const { return all_; }
