--- a/src/coordination/journal_replicator.cpp
+++ b/src/coordination/journal_replicator.cpp
@@ -93,7 +93,7 @@
         activation_ += continues ? 0 : 1;
         record_ = record;
         durable_ = 0;
-        lost_ = false;
+        lost_ = record.owner() == options_.host; // Until it is activated.
         copy_lost_ = false;
     }
     log_event(log_level::info, "journal_owner_changed",
@@ -135,10 +135,13 @@
              position.complete_epoch != 0 &&
              position.complete_epoch + 1 >= epoch)
     {
-        status = journal_->append({}, std::max(position.promised_epoch, epoch),
-                                  epoch);
+        status = journal_->append({}, epoch, epoch);
+    }
+    if (!continues)
+    {
+        // Records that came as the copy are not among the recent ones.
+        recent_.reset(end_of(*journal_));
     }
-    recent_.reset(end_of(*journal_));
     const std::lock_guard lock(state_mutex_);
     lost_ = !status.ok();
     if (lost_)
