--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -62,15 +62,14 @@
 
 membership::membership(const settings& own, registry& state,
                        peer_network& network, timer_service& timers,
-                       metrics& counters,
-                       std::function<std::uint64_t()> config_version,
+                       metrics& counters, describe_function describe,
                        std::uint64_t incarnation, std::uint64_t seed)
     : settings_(own)
     , registry_(state)
     , network_(network)
     , timers_(timers)
     , metrics_(counters)
-    , config_version_(std::move(config_version))
+    , describe_(std::move(describe))
     , incarnation_(incarnation)
     , random_(seed)
     , started_(timers.now())
@@ -262,12 +261,14 @@
 
 wire::host_entry membership::own_entry()
 {
-    const auto version = config_version_ ? config_version_() : 0;
     wire::host_entry out;
     out.set_host(settings_.host);
     out.set_incarnation(incarnation_);
     out.set_has_disk(!settings_.data_folder.empty());
-    out.set_config_version(version);
+    if (describe_)
+    {
+        describe_(out);
+    }
     const std::lock_guard lock(mutex_);
     out.set_sequence(++sequence_);
     out.set_draining(draining_);
--- a/src/coordination/membership.hpp
+++ b/src/coordination/membership.hpp
@@ -35,10 +35,13 @@
 class membership
 {
 public:
+    /// Fills in what this host's heartbeats say beside its name and liveness.
+    using describe_function = std::function<void(wire::host_entry&)>;
+
     membership(const settings& own, registry& state, peer_network& network,
                timer_service& timers, metrics& counters,
-               std::function<std::uint64_t()> config_version,
-               std::uint64_t incarnation, std::uint64_t seed);
+               describe_function describe, std::uint64_t incarnation,
+               std::uint64_t seed);
     ~membership();
     membership(const membership&) = delete;
     membership& operator=(const membership&) = delete;
@@ -105,7 +108,7 @@
     peer_network& network_;
     timer_service& timers_;
     metrics& metrics_;
-    std::function<std::uint64_t()> config_version_;
+    describe_function describe_;
     const std::uint64_t incarnation_;
     std::map<std::string, std::string> centres_; // Data centre of each host.
 
--- a/src/coordination/request_coordinator.cpp
+++ b/src/coordination/request_coordinator.cpp
@@ -7,8 +7,8 @@
 #include "coordination/membership.hpp"
 #include "coordination/peer_network.hpp"
 #include "coordination/request_answers.hpp"
-#include "coordination/request_id.hpp"
 #include "state/registry.hpp"
+#include "state/request_id.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -87,7 +87,8 @@
     {
         return absl::UnavailableError("the data centre has no journal owner");
     }
-    return make_request_id(settings_.data_centre, *incarnation);
+    return make_request_id(settings_.data_centre, *incarnation, wall_clock_ms(),
+                           random_hex(random_bytes));
 }
 
 // Fills in the request; returns the refusal of one that is not valid.
@@ -143,7 +144,7 @@
                                                   "malformed request id"));
     }
     const auto id = parse_request_id(request.id());
-    if (!id)
+    if (!id.ok())
     {
         return refused_answer(status_bad_request, request.id().empty()
                                                       ? "request id is required"
--- a/src/daemon/operator_service.cpp
+++ b/src/daemon/operator_service.cpp
@@ -125,10 +125,9 @@
 json list_hosts(work_service& work)
 {
     json list = json::array();
-    for (const auto& known : work.soft_state().hosts())
+    for (const auto& known : work.known_hosts())
     {
-        list.push_back(
-            to_json(known.entry, work.hosts().is_live(known.entry.host())));
+        list.push_back(to_json(known.entry, known.live));
     }
     return list;
 }
--- a/src/daemon/work_service.cpp
+++ b/src/daemon/work_service.cpp
@@ -97,8 +97,7 @@
         own, *self.registry_, network, timers, counters,
         [&self](wire::host_entry& entry)
         {
-            entry.set_config_version(self.control_.config().version());
-            *entry.mutable_journal() = self.journal_->status();
+            self.describe(entry);
         },
         static_cast<std::uint64_t>(wall_clock_ms()),
         stable_hash(random_hex(8)));
@@ -191,6 +190,7 @@
 
 void work_service::drain()
 {
+    draining_ = true;
     membership_->set_draining();
     dispatcher_->drain();
 }
@@ -214,9 +214,22 @@
     }
 }
 
-std::vector<ownership_host> work_service::ownership_hosts() const
+void work_service::describe(wire::host_entry& entry) const
 {
-    std::vector<ownership_host> hosts;
+    entry.set_config_version(control_.config().version());
+    *entry.mutable_journal() = journal_->status();
+}
+
+std::vector<ownership_host> work_service::known_hosts() const
+{
+    ownership_host self;
+    self.live = true;
+    self.entry.set_host(settings_.host);
+    self.entry.set_data_centre(settings_.data_centre);
+    self.entry.set_has_disk(!settings_.data_folder.empty());
+    self.entry.set_draining(draining_);
+    describe(self.entry);
+    std::vector<ownership_host> hosts = {self};
     for (const auto& known : registry_->hosts())
     {
         hosts.push_back(
@@ -227,7 +240,7 @@
 
 void work_service::decide_owners(time_point now)
 {
-    const auto hosts = ownership_hosts();
+    const auto hosts = known_hosts();
     const auto records = control_.config().owners();
     for (const auto& record : records)
     {
--- a/src/daemon/work_service.hpp
+++ b/src/daemon/work_service.hpp
@@ -6,8 +6,8 @@
 
 #include <absl/status/statusor.h>
 
+#include <atomic>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <vector>
 
@@ -15,6 +15,7 @@
 {
 class forwarded_answer;
 class forwarded_request;
+class host_entry;
 class job_answer;
 class job_cancel;
 class job_list;
@@ -79,6 +80,9 @@
     request_coordinator& requests() { return *requests_; }
     journal_replicator& journal() { return *journal_; }
 
+    /// Returns every host that was heard of, this one included.
+    std::vector<ownership_host> known_hosts() const;
+
     /// Returns the data centres that the settings name, this host's first.
     std::vector<std::string> data_centres() const;
 
@@ -92,7 +96,7 @@
     void make_job_path();
     void follow_owners();
     void decide_owners(time_point now);
-    std::vector<ownership_host> ownership_hosts() const;
+    void describe(wire::host_entry& entry) const;
     std::string owner_of(const std::string& data_centre) const;
     std::uint64_t incarnation_of(const std::string& data_centre) const;
     wire::transition_response decide(const wire::request_record& record);
@@ -102,6 +106,7 @@
     peer_network& network_;
     timer_service& timers_;
     metrics& metrics_;
+    std::atomic<bool> draining_{false};
     std::unique_ptr<registry> registry_;
     std::unique_ptr<membership> membership_;
     std::unique_ptr<journal_replicator> journal_;
--- a/src/state/request_id.cpp
+++ b/src/state/request_id.cpp
@@ -1,6 +1,7 @@
 #include "state/request_id.hpp"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 
 #include <charconv>
 
@@ -9,6 +10,8 @@
 namespace
 {
 
+constexpr std::size_t max_caller_id_bytes = 128;
+
 constexpr std::size_t max_id_length = 256;
 
 // Returns whether the whole text is a number without sign in the given base.
@@ -75,4 +78,14 @@
     return id;
 }
 
+bool usable_request_id(std::string_view text)
+{
+    return !text.empty() && text.size() <= max_caller_id_bytes &&
+           std::all_of(text.begin(), text.end(),
+                       [](char c)
+                       {
+                           return c > ' ' && c < 127;
+                       });
+}
+
 } // namespace limpetstack
--- a/src/state/request_id.hpp
+++ b/src/state/request_id.hpp
@@ -40,4 +40,8 @@
 /// gives is accepted.
 absl::StatusOr<request_id> parse_request_id(std::string_view text);
 
+/// True for an id that a caller may give to an idempotent request: 1 to 128
+/// printable characters without spaces.
+bool usable_request_id(std::string_view text);
+
 } // namespace limpetstack
