Run gangs under leases: start, renewal, stop and takeover

A gang's leases end one lease after all members were last seen running, so that no member outlives the first that stopped by more than one lease.

--- a/include/limpetstack/placement.hpp
+++ b/include/limpetstack/placement.hpp
@@ -139,10 +139,12 @@
     // Counts by accelerators per member; entry 0 holds the free cores.
     using rack_keys = std::array<std::uint32_t, tracked_accelerators + 1>;
 
+    static constexpr std::size_t no_rack = static_cast<std::size_t>(-1);
+
     struct worker
     {
         std::string id;
-        std::size_t rack = 0;
+        std::size_t rack = no_rack; // no_rack: it was never announced.
         resources total;
         resources taken;
         bool present = false;
@@ -177,6 +179,7 @@
     static resources free_of(const worker& w);
     std::size_t rack_at(const std::string& data_centre,
                         const std::string& name);
+    std::size_t add_entry(const std::string& id);
     void update_keys(std::size_t rack);
     void forget_if_unused(std::size_t index);
     void change(const gang_placement& placement, const resources& each,
--- a/src/coordination/gang.cpp
+++ b/src/coordination/gang.cpp
@@ -62,7 +62,14 @@
                        time_point answered)
 {
     m.seen = std::max(m.seen, sent);
-    m.lapse = answered + lease;
+    m.lapse = std::max(m.unanswered, answered + lease);
+}
+
+void miss_extension(gang_member& m, milliseconds lease, milliseconds delay,
+                    time_point sent)
+{
+    m.unanswered = std::max(m.unanswered, sent + delay + lease);
+    m.lapse = std::max(m.lapse, m.unanswered);
 }
 
 void call_batch::add(const gang& g, std::size_t member, std::uint64_t epoch,
--- a/src/coordination/gang.hpp
+++ b/src/coordination/gang.hpp
@@ -4,7 +4,10 @@
 #include "coordination/worker_calls.hpp"
 #include "peer.pb.h"
 
+#include <cstdint>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace limpetstack
@@ -15,9 +18,11 @@
 {
     std::string worker;
     std::string address;
-    // When the member has certainly stopped if it is not renewed again. A call
-    // without an answer may be carried out as late as the lease lasts.
+    // When the member has certainly stopped if it is not renewed again.
     time_point lapse{};
+    // Part of it that is due to calls without an answer, which workers may
+    // still handle for as long as a lease lasts.
+    time_point unanswered{};
     time_point seen{};  // Last time at which it was certainly running.
     bool done = false;  // Ran to its end.
     bool ended = false; // Certainly not running, done or not.
@@ -26,6 +31,7 @@
 
 enum class gang_phase
 {
+    adopting, // Found in the journal; its workers are being asked.
     starting,
     running,
     stopping
@@ -47,13 +53,16 @@
     gang_phase phase = gang_phase::starting;
     gang_end end = gang_end::requeue;
     std::string reason;
-    bool cancelled = false;  // While starting.
-    bool proven = false;     // A renewal has seen all members running.
-    bool ending = false;     // A thread is writing the end.
-    bool reclaimed = false;  // Its checkpoint and stop are in progress.
-    time_point started{};    // Commit of this attempt.
-    time_point taken_over{}; // Epoch of this owner is younger than it.
-    bool fenced = true;      // A worker of it knows this owner's epoch.
+    bool cancelled = false; // An answered cancellation.
+    bool proven = false;    // A renewal has seen all members running.
+    bool ending = false;    // An operation is writing the end.
+    bool reclaimed = false; // Its checkpoint is in progress.
+    bool stop_sent = false;
+    bool fenced = true;        // A worker of it knows this owner's epoch.
+    time_point started{};      // Commit of this attempt.
+    time_point confirmed{};    // Renewal in which its leases were extended.
+    double start_progress = 0; // Of this attempt.
+    double saved_progress = 0;
     double journaled_progress = 0;
 };
 
@@ -73,10 +82,15 @@
 /// known: it may be carried out just before the present lease ends.
 void expect_extension(gang_member& m, milliseconds lease, time_point now);
 
-/// Takes the outcome of such a call.
+/// Takes an answer to such a call.
 void confirm_extension(gang_member& m, milliseconds lease, time_point sent,
                        time_point answered);
 
+/// Takes the lack of an answer. `delay` bounds how late a worker may handle
+/// the call.
+void miss_extension(gang_member& m, milliseconds lease, milliseconds delay,
+                    time_point sent);
+
 /// Collects calls so that each worker gets one.
 class call_batch
 {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -110,21 +110,29 @@
     r.keys = keys;
 }
 
-void worker_index::put(const worker_capacity& given)
+std::size_t worker_index::add_entry(const std::string& id)
 {
-    const auto next = unused_.empty() ? workers_.size() : unused_.back();
-    const auto [at, added] = ids_.emplace(given.id, next);
-    if (added && unused_.empty())
+    auto index = workers_.size();
+    if (unused_.empty())
     {
         workers_.emplace_back();
     }
-    else if (added)
+    else
     {
+        index = unused_.back();
         unused_.pop_back();
     }
-    if (added)
+    workers_[index] = worker();
+    workers_[index].id = id;
+    return index;
+}
+
+void worker_index::put(const worker_capacity& given)
+{
+    auto at = ids_.find(given.id);
+    if (at == ids_.end())
     {
-        workers_[at->second] = {given.id, 0, {}, {}, false, true};
+        at = ids_.emplace(given.id, add_entry(given.id)).first;
     }
     auto& w = workers_[at->second];
     const auto rack = rack_at(given.data_centre, given.rack);
@@ -133,7 +141,7 @@
         return;
     }
     const auto old = w.rack;
-    const bool was_listed = !added;
+    const bool was_listed = old != no_rack;
     w.total = given.total;
     w.present = true;
     w.rack = rack;
@@ -169,8 +177,12 @@
     const auto& w = workers_[index];
     if (!w.present && w.taken == resources{})
     {
-        auto& list = racks_[w.rack].workers;
-        list.erase(std::remove(list.begin(), list.end(), index), list.end());
+        if (w.rack != no_rack)
+        {
+            auto& list = racks_[w.rack].workers;
+            list.erase(std::remove(list.begin(), list.end(), index),
+                       list.end());
+        }
         ids_.erase(w.id);
         unused_.push_back(index);
     }
@@ -182,7 +194,10 @@
     if (found != ids_.end() && workers_[found->second].enabled != enabled)
     {
         workers_[found->second].enabled = enabled;
-        update_keys(workers_[found->second].rack);
+        if (workers_[found->second].rack != no_rack)
+        {
+            update_keys(workers_[found->second].rack);
+        }
     }
 }
 
@@ -198,10 +213,11 @@
     std::set<std::size_t> changed;
     for (const auto& id : placement)
     {
-        const auto found = ids_.find(id);
+        auto found = ids_.find(id);
         if (found == ids_.end())
         {
-            continue;
+            // A gang may run on a worker that has not announced itself yet.
+            found = ids_.emplace(id, add_entry(id)).first;
         }
         auto& w = workers_[found->second];
         if (take)
@@ -213,9 +229,15 @@
             w.taken = {w.taken.accelerators - each.accelerators,
                        w.taken.cores - each.cores,
                        w.taken.memory_mib - each.memory_mib};
+        }
+        if (w.rack != no_rack)
+        {
+            changed.insert(w.rack);
+        }
+        if (!take)
+        {
             forget_if_unused(found->second);
         }
-        changed.insert(w.rack);
     }
     for (const auto rack : changed)
     {
@@ -483,8 +505,11 @@
 std::string worker_index::rack_of(const std::string& worker) const
 {
     const auto found = ids_.find(worker);
-    return found == ids_.end() ? std::string()
-                               : racks_[workers_[found->second].rack].name;
+    if (found == ids_.end() || workers_[found->second].rack == no_rack)
+    {
+        return {};
+    }
+    return racks_[workers_[found->second].rack].name;
 }
 
 std::uint32_t worker_index::largest_rack_gang(const std::string& data_centre,
--- a/src/coordination/worker_calls.cpp
+++ b/src/coordination/worker_calls.cpp
@@ -40,7 +40,7 @@
         : threads(tbb::global_control::max_allowed_parallelism,
                   2 * parallel + 1)
         , calls(static_cast<int>(parallel))
-        , operations(static_cast<int>(parallel))
+        , operations(static_cast<int>(parallel), 0)
     {
     }
 
@@ -92,7 +92,7 @@
 void worker_calls::run(worker_action action, std::vector<worker_call>& batch,
                        milliseconds timeout)
 {
-    if (!arenas_ || batch.size() == 1)
+    if (!arenas_ || batch.size() <= 1)
     {
         for (auto& one : batch)
         {
@@ -123,11 +123,7 @@
         operation();
         return;
     }
-    arenas_->operations.execute(
-        [this, &operation]
-        {
-            arenas_->group.run(std::move(operation));
-        });
+    arenas_->operations.enqueue(arenas_->group.defer(std::move(operation)));
 }
 
 void worker_calls::wait()
