--- a/src/coordination/journal_replicator.cpp
+++ b/src/coordination/journal_replicator.cpp
@@ -424,10 +424,9 @@
     const auto bytes = requests.memory_bytes();
     if (bytes > options_.max_request_bytes)
     {
-        limits.max_count = std::min(
-            limits.max_count,
-            static_cast<std::size_t>(static_cast<double>(requests.size()) *
-                                     options_.max_request_bytes / bytes));
+        limits.max_count =
+            std::min(limits.max_count,
+                     requests.size() * options_.max_request_bytes / bytes);
     }
     const auto issued = requests.issue_times();
     const auto finished = journal_->jobs().finish_times();
--- a/src/state/journal.cpp
+++ b/src/state/journal.cpp
@@ -60,7 +60,7 @@
 journal::open(std::unique_ptr<journal_store> store, std::uint64_t fresh_store)
 {
     std::unique_ptr<journal> result(new journal(std::move(store)));
-    if (const auto status = result->load(fresh_store); !status.ok())
+    if (auto status = result->load(fresh_store); !status.ok())
     {
         return status;
     }
@@ -115,7 +115,7 @@
     file_bytes_ = *whole;
     if (*whole != bytes->size())
     {
-        if (const auto status = store_->truncate(*whole); !status.ok())
+        if (auto status = store_->truncate(*whole); !status.ok())
         {
             return status;
         }
@@ -213,7 +213,7 @@
     if (store_)
     {
         const auto bytes = encode_frame(frame);
-        const auto status = store_->append(bytes);
+        auto status = store_->append(bytes);
         const std::lock_guard lock(mutex_);
         if (!status.ok())
         {
@@ -261,7 +261,7 @@
         bytes += piece.size();
         return piece;
     };
-    const auto status = store_->replace(next);
+    auto status = store_->replace(next);
     const std::lock_guard lock(mutex_);
     if (!status.ok())
     {
@@ -279,7 +279,7 @@
     position.store = this->position().store;
     if (store_)
     {
-        if (const auto status = rewrite(position, state); !status.ok())
+        if (auto status = rewrite(position, state); !status.ok())
         {
             return status;
         }
@@ -322,7 +322,7 @@
     {
         return false;
     }
-    if (const auto status = rewrite(position(), state()); !status.ok())
+    if (auto status = rewrite(position(), state()); !status.ok())
     {
         return status;
     }
--- a/src/state/journal_retention.hpp
+++ b/src/state/journal_retention.hpp
@@ -10,10 +10,10 @@
 /// How long and how many finished records a journal keeps.
 struct retention_limits
 {
-    std::int64_t max_age_ms = 3600 * 1000;
+    std::int64_t max_age_ms = 3600000;
     /// Records younger than this are kept even above the count, so that a
     /// flood of ids does not make requests in progress unknown.
-    std::int64_t min_age_ms = 120 * 1000;
+    std::int64_t min_age_ms = 120000;
     std::size_t max_count = 100000;
 };
 
