--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -439,6 +439,21 @@
     return result;
 }
 
+std::uint32_t worker_index::room(const std::string& data_centre,
+                                 const std::string& rack,
+                                 const resources& each) const
+{
+    const auto found = data_centres_.find(data_centre);
+    if (found == data_centres_.end())
+    {
+        return 0;
+    }
+    const auto at = found->second.racks.find(rack);
+    return at == found->second.racks.end()
+               ? 0
+               : saturating(rack_fit(racks_[at->second], each));
+}
+
 std::vector<std::string> worker_index::workers(const std::string& data_centre,
                                                const std::string& rack) const
 {
