--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -313,7 +313,7 @@
 std::string sample_document(int weight)
 {
     return "fleet:\n"
-           "  - data_centre: dc1\n"
+           "  - data_centre: north\n"
            "    racks: 2\n"
            "    workers_per_rack: 6\n"
            "    cores: 32\n"
@@ -325,7 +325,7 @@
            std::to_string(weight) +
            "\n"
            "    guarantees:\n"
-           "      - data_centre: dc1\n"
+           "      - data_centre: north\n"
            "        count: 1\n"
            "        members: 2\n"
            "        accelerators: 8\n"
--- a/test/support/deployment.hpp
+++ b/test/support/deployment.hpp
@@ -104,7 +104,7 @@
 
 /// A document with one client account `addis`: service `appraisal`, which is
 /// not idempotent, and `lookup`, which is, and a guarantee of one rack gang of
-/// two members with 8 accelerators in dc1.
+/// two members with 8 accelerators in data centre north.
 std::string sample_document(int weight = 4);
 
 } // namespace limpetstack::test
