Take confirmed configuration versions from voters on every host

With unconfirmed reads, two settled hosts that are behind could keep asking each other and never learn of a newer version. Every poll now asks for a confirmed read, and a host with a disk takes an unconfirmed version only when no majority can confirm one.

--- a/src/coordination/config_distributor.cpp
+++ b/src/coordination/config_distributor.cpp
@@ -176,7 +176,10 @@
         {
             answer.set_document(*view->document);
         }
-        *answer.mutable_owners() = {view->owners.begin(), view->owners.end()};
+        for (const auto& record : owners())
+        {
+            *answer.add_owners() = record;
+        }
         return answer;
     }
     const std::lock_guard lock(state_mutex_);
@@ -388,38 +391,36 @@
 {
     for (const auto& peer : disk_hosts_)
     {
+        // A daemon without a disk relies on the peer's sync.
         const auto answer = ask(peer, false);
-        if (answer.ok())
+        if (answer.ok() && (file_ || answer->from_disk()))
         {
-            // A daemon without a disk relies on the peer's sync.
-            const bool usable = answer->available() &&
-                                !answer->document().empty() &&
-                                (file_ || answer->from_disk());
-            accept({answer->version(),
-                    std::make_shared<std::string>(answer->document()),
-                    owners_of(*answer), answer->applied(), false, usable});
+            take(*answer, false);
         }
     }
 }
 
+void config_distributor::take(const wire::config_response& answer,
+                              bool confirmed)
+{
+    const bool whole = answer.version() == 0 || !answer.document().empty();
+    accept({answer.version(), std::make_shared<std::string>(answer.document()),
+            owners_of(answer), answer.applied(), confirmed,
+            answer.available() && whole});
+}
+
 void config_distributor::poll_voters()
 {
-    // A daemon with a disk takes any committed version once it is settled; the
-    // others need a confirmed one. The voter that answered last is asked
-    // first. One that answers that it can not confirm costs little, so the
-    // next is asked at once; one that does not answer ends this round.
-    const bool confirmed = !file_ || !settled();
+    // The voter that confirmed last is asked first. One that answers that it
+    // can not confirm costs little, so the next is asked at once; one that
+    // does not answer ends this round.
     for (std::size_t tries = 0; tries < voters_.size(); ++tries)
     {
         const auto& peer = voters_[next_voter_ % voters_.size()];
-        const auto answer = ask(peer, confirmed);
+        const auto answer = ask(peer, true);
         if (answer.ok() && answer->available())
         {
-            const bool whole =
-                answer->version() == 0 || !answer->document().empty();
-            accept({answer->version(),
-                    std::make_shared<std::string>(answer->document()),
-                    owners_of(*answer), answer->applied(), confirmed, whole});
+            take(*answer, true);
             return;
         }
         ++next_voter_;
@@ -427,6 +428,14 @@
         {
             return;
         }
+        // Without a majority, a daemon with a disk still takes what others
+        // have in force.
+        const auto in_force =
+            file_ ? ask(peer, false) : absl::UnavailableError("no disk");
+        if (in_force.ok())
+        {
+            take(*in_force, false);
+        }
     }
 }
 
--- a/src/coordination/config_distributor.hpp
+++ b/src/coordination/config_distributor.hpp
@@ -114,6 +114,7 @@
     bool install(const candidate& offered);
     absl::Status store(std::uint64_t version, const std::string& text);
     void notify();
+    void take(const wire::config_response& answer, bool confirmed);
     void poll_local();
     void poll_disk_hosts();
     void poll_voters();
