--- a/test/config_distributor-test.cpp
+++ b/test/config_distributor-test.cpp
@@ -123,8 +123,13 @@
     config_cluster cluster;
     add_hosts(cluster);
     const auto names = cluster.names();
-    const auto steps = *rc::gen::container<std::vector<std::tuple<int, int>>>(
-        rc::gen::tuple(rc::gen::inRange(0, 16), rc::gen::inRange(0, 49)));
+    // Longer than the default, because a version must be committed, missed by a
+    // disk host and lost in a restart before it can go down.
+    constexpr double longer = 4;
+    const auto steps = *rc::gen::scale(
+        longer,
+        rc::gen::container<std::vector<std::tuple<int, int>>>(
+            rc::gen::tuple(rc::gen::inRange(0, 16), rc::gen::inRange(0, 49))));
     for (const auto& [action, choice] : steps)
     {
         const auto& a = names[static_cast<std::size_t>(choice) % names.size()];
