--- a/src/coordination/dispatcher_run.cpp
+++ b/src/coordination/dispatcher_run.cpp
@@ -377,8 +377,8 @@
             return unknown_answer("started earlier, no answer yet", retry_soon);
         }
         std::this_thread::sleep_for(journal_retry_interval);
-        // Not allowed from `started`, so it only reads the record.
-        const auto response = decide(wire::request_started, "");
+        // No transition leads to `absent`, so this only reads the record.
+        const auto response = decide(wire::request_absent, "");
         if (response.unknown())
         {
             return unknown_answer("journal is not available", retry_soon);
--- a/src/coordination/request_coordinator.cpp
+++ b/src/coordination/request_coordinator.cpp
@@ -7,8 +7,8 @@
 #include "coordination/membership.hpp"
 #include "coordination/peer_network.hpp"
 #include "coordination/request_answers.hpp"
-#include "coordination/request_id.hpp"
 #include "state/registry.hpp"
+#include "state/request_id.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -29,8 +29,19 @@
 constexpr milliseconds answer_margin{2000};
 
 constexpr std::size_t longest_caller = 128;
+constexpr std::size_t longest_id = 128;
 constexpr int random_bytes = 16;
 
+// Ids of idempotent requests travel in headers to the upstream.
+bool usable_id(const std::string& id)
+{
+    return id.size() <= longest_id && std::all_of(id.begin(), id.end(),
+                                                  [](char c)
+                                                  {
+                                                      return c > ' ' && c < 127;
+                                                  });
+}
+
 // Tells whether an answer came from a dispatcher that took no part in the
 // request's outcome.
 bool took_nothing(const wire::forwarded_answer& answer)
@@ -87,7 +98,8 @@
     {
         return absl::UnavailableError("the data centre has no journal owner");
     }
-    return make_request_id(settings_.data_centre, *incarnation);
+    return make_request_id(settings_.data_centre, *incarnation, wall_clock_ms(),
+                           random_hex(random_bytes));
 }
 
 // Fills in the request; returns the refusal of one that is not valid.
@@ -137,13 +149,13 @@
         {
             request.set_id("r-" + random_hex(random_bytes));
         }
-        return usable_request_id(request.id())
+        return usable_id(request.id())
                    ? std::nullopt
                    : std::optional(refused_answer(status_bad_request,
                                                   "malformed request id"));
     }
     const auto id = parse_request_id(request.id());
-    if (!id)
+    if (!id.ok())
     {
         return refused_answer(status_bad_request, request.id().empty()
                                                       ? "request id is required"
