--- a/src/coordination/request_coordinator.cpp
+++ b/src/coordination/request_coordinator.cpp
@@ -29,8 +29,19 @@
 constexpr milliseconds answer_margin{2000};
 
 constexpr std::size_t longest_caller = 128;
+constexpr std::size_t longest_id = 128;
 constexpr int random_bytes = 16;
 
+// Ids of idempotent requests travel in headers to the upstream.
+bool usable_id(const std::string& id)
+{
+    return id.size() <= longest_id && std::all_of(id.begin(), id.end(),
+                                                  [](char c)
+                                                  {
+                                                      return c > ' ' && c < 127;
+                                                  });
+}
+
 // Tells whether an answer came from a dispatcher that took no part in the
 // request's outcome.
 bool took_nothing(const wire::forwarded_answer& answer)
@@ -138,7 +149,7 @@
         {
             request.set_id("r-" + random_hex(random_bytes));
         }
-        return usable_request_id(request.id())
+        return usable_id(request.id())
                    ? std::nullopt
                    : std::optional(refused_answer(status_bad_request,
                                                   "malformed request id"));
