--- a/test/support/soft_state_cluster.cpp
+++ b/test/support/soft_state_cluster.cpp
@@ -109,9 +109,9 @@
     subject.network = std::make_unique<link>(*this, subject.own.host);
     subject.hosts = std::make_unique<membership>(
         subject.own, *subject.state, *subject.network, timers, counters,
-        []
+        [](wire::host_entry& entry)
         {
-            return std::uint64_t{100};
+            entry.set_config_version(100);
         },
         ++incarnation_, random_());
     subject.up = true;
