Fix the crash of the jobs list and the demo's latency

The jobs list iterated over a field of a destroyed temporary; limpetctl jobs ended the daemon.

The demo's requests took 43 ms at the median. Cause: the stand-ins' sockets wait for a delayed acknowledgement between headers and body; the daemon's own sockets were ruled out, they send without delay.

--- a/src/daemon/operator_service.cpp
+++ b/src/daemon/operator_service.cpp
@@ -114,7 +114,8 @@
     {
         wire::job_query query;
         query.set_data_centre(data_centre);
-        for (const auto& job : work.list_jobs(query).jobs())
+        const auto found = work.list_jobs(query);
+        for (const auto& job : found.jobs())
         {
             list.push_back(to_json(job, data_centre));
         }
--- a/test/programs/fake-upstream.cpp
+++ b/test/programs/fake-upstream.cpp
@@ -186,6 +186,7 @@
 
     upstream self(given);
     httplib::Server server;
+    server.set_tcp_nodelay(true);
     server.new_task_queue = [&]
     {
         return new httplib::ThreadPool(
--- a/test/programs/fake-worker.cpp
+++ b/test/programs/fake-worker.cpp
@@ -399,6 +399,7 @@
 
     worker self(given);
     httplib::Server server;
+    server.set_tcp_nodelay(true);
     for (const std::string action :
          {"reserve", "commit", "renew", "stop", "checkpoint", "throttle"})
     {
--- a/test/support/http.cpp
+++ b/test/support/http.cpp
@@ -11,6 +11,7 @@
                            std::chrono::milliseconds timeout)
 {
     httplib::Client client("http://" + address);
+    client.set_tcp_nodelay(true);
     client.set_connection_timeout(timeout);
     client.set_read_timeout(timeout);
     client.set_write_timeout(timeout);
