--- a/test/programs/demo.cpp
+++ b/test/programs/demo.cpp
@@ -100,7 +100,7 @@
 std::string write_file(const std::string& folder, const std::string& name,
                        const std::string& content)
 {
-    const auto path = folder + "/" + name;
+    auto path = folder + "/" + name;
     std::ofstream(path) << content;
     return path;
 }
