--- a/src/coordination/control_group_worker.cpp
+++ b/src/coordination/control_group_worker.cpp
@@ -76,6 +76,8 @@
             },
             [this](std::uint64_t commit)
             {
+                // A caller sees its own change in `members` afterwards.
+                publish();
                 apply_up_to(commit);
             },
             [this](const confirmed_read& read)
--- a/src/state/log_store.cpp
+++ b/src/state/log_store.cpp
@@ -159,9 +159,15 @@
     }
     if (auto status = read_entries(content); !status.ok())
     {
+        if (!absl::IsNotFound(status))
+        {
+            return status;
+        }
         // The log is created before the other files.
-        return absl::IsNotFound(status) && empty(content) ? rewrite(content)
-                                                          : status;
+        return empty(content) ? rewrite(content)
+                              : absl::DataLossError(absl::StrCat(
+                                    path_, " is missing: restore it or erase "
+                                           "the data folder"));
     }
     if (drop_superseded_entries(content))
     {
--- a/test/consensus-test.cpp
+++ b/test/consensus-test.cpp
@@ -254,6 +254,74 @@
         0U);
 }
 
+// Guards against a candidate that deposes a leader which others still hear.
+TEST(consensus, vote_request_is_ignored_while_a_leader_is_heard)
+{
+    consensus_cluster cluster(3, 10);
+    ASSERT_TRUE(cluster.run_until_whole(long_time));
+    const auto follower = (cluster.leader() + 1) % 3;
+    auto& core = *cluster.at(follower).core;
+    const auto term = core.term();
+    wire::consensus_message request;
+    request.set_from(cluster.at((follower + 1) % 3).id);
+    request.set_to(cluster.at(follower).id);
+    request.set_term(term + 5);
+    request.mutable_vote()->set_last_index(1000);
+    request.mutable_vote()->set_last_term(1000);
+    core.receive(request);
+    EXPECT_TRUE(empty(core.take_output()));
+    EXPECT_EQ(core.term(), term);
+}
+
+// Guards against counting copies of an entry of an earlier term: another leader
+// could still replace it.
+TEST(consensus, entry_of_an_earlier_term_commits_through_a_newer_one)
+{
+    stored_log stored;
+    stored.hard = {2, 0};
+    wire::membership members;
+    for (std::uint64_t id = 1; id <= 3; ++id)
+    {
+        members.add_members()->set_id(id);
+        members.mutable_members()->rbegin()->set_voter(true);
+    }
+    for (std::uint64_t index = 1; index <= 2; ++index)
+    {
+        wire::log_entry entry;
+        entry.set_index(index);
+        entry.set_term(index);
+        entry.set_kind(index == 1 ? wire::entry_membership
+                                  : wire::entry_command);
+        entry.set_payload(index == 1 ? members.SerializeAsString() : "");
+        stored.entries.push_back(entry);
+    }
+    consensus_options options;
+    options.id = 1;
+    consensus core(options, stored, time_point{});
+    core.tick(time_point{} + 2 * options.election_timeout);
+
+    wire::consensus_message answer;
+    answer.set_from(2);
+    answer.set_to(1);
+    answer.set_term(3);
+    for (const auto pre_vote : {true, false})
+    {
+        answer.mutable_vote_answer()->set_granted(true);
+        answer.mutable_vote_answer()->set_pre_vote(pre_vote);
+        core.receive(answer);
+    }
+    ASSERT_TRUE(core.leads());
+    (void)core.take_output();
+    core.persisted();
+    for (std::uint64_t index = 2; index <= 3; ++index)
+    {
+        answer.mutable_append_answer()->set_accepted(true);
+        answer.mutable_append_answer()->set_last_index(index);
+        core.receive(answer);
+        EXPECT_EQ(core.commit(), index == 3 ? 3U : 0U);
+    }
+}
+
 // Guards against a learner that is promoted without a full copy or while it
 // does not answer.
 TEST(consensus, learner_is_promoted_only_with_a_full_copy)
