--- a/src/coordination/control_group.cpp
+++ b/src/coordination/control_group.cpp
@@ -30,6 +30,7 @@
     std::uint64_t members_index = 0;
     bool leads = false;
     std::string leader_address;
+    absl::Status status;
 };
 
 control_group::control_group(const control_group_options& options,
@@ -244,6 +245,12 @@
     return view_->members;
 }
 
+absl::Status control_group::status() const
+{
+    const std::lock_guard lock(view_mutex_);
+    return view_->status;
+}
+
 bool control_group::enqueue(std::function<void()> event, bool droppable)
 {
     {
@@ -276,7 +283,8 @@
         addresses_.clear();
     }
     const auto leader = failure_.ok() ? core_->leader() : 0;
-    if (leader != members.leader() || core_->term() != members.term())
+    if (leader != members.leader() ||
+        (leader != 0 && core_->term() != members.term()))
     {
         metrics_.set("control_term", static_cast<double>(core_->term()));
         metrics_.add("control_leader_changes_total");
@@ -288,6 +296,7 @@
     members.set_term(core_->term());
     members.set_commit(core_->commit());
     view_->leads = failure_.ok() && core_->leads();
+    view_->status = failure_;
     const auto* const member = find_member(log.members(), leader);
     const auto learned = addresses_.find(leader);
     view_->leader_address = member != nullptr ? member->peer_address()
--- a/src/coordination/control_group.hpp
+++ b/src/coordination/control_group.hpp
@@ -102,6 +102,10 @@
     /// as this replica knows them.
     wire::members_response members() const;
 
+    /// Returns why this replica takes no further part: the error of the disk,
+    /// or `kCancelled` after `stop`. OK otherwise.
+    absl::Status status() const;
+
     std::uint64_t replica_id() const { return replica_id_; }
 
 private:
--- a/src/state/data_folder.cpp
+++ b/src/state/data_folder.cpp
@@ -30,17 +30,31 @@
     return directory.ok() ? sync_file(*directory, path) : directory.status();
 }
 
-// Makes the folder and the entry in its parent durable.
+std::string parent_of(const std::string& path)
+{
+    return std::filesystem::absolute(path).parent_path().string();
+}
+
+// Creates a folder and those above it. Each new entry is made durable in its
+// parent, or a crash could lose the folder with everything synced in it.
 absl::Status create_directory(const std::string& path)
 {
     std::error_code error;
-    if (std::filesystem::create_directories(path, error))
+    if (std::filesystem::is_directory(path, error))
     {
-        const auto parent = std::filesystem::absolute(path).parent_path();
-        return sync_directory(parent.string());
+        return absl::OkStatus();
     }
+    const auto parent = parent_of(path);
+    if (parent != path)
+    {
+        if (auto status = create_directory(parent); !status.ok())
+        {
+            return status;
+        }
+    }
+    std::filesystem::create_directory(path, error);
     return error ? file_error(error.value(), "create folder", path)
-                 : absl::OkStatus();
+                 : sync_directory(parent);
 }
 
 absl::StatusOr<file_handle> lock_folder(const std::string& path)
@@ -157,6 +171,11 @@
             absl::StrCat("data folder ", path_, " holds files but no ",
                          identity_name, ": restore it or erase the folder"));
     }
+    // An earlier start may have ended between creating and syncing the folder.
+    if (auto status = sync_directory(parent_of(path_)); !status.ok())
+    {
+        return status;
+    }
     replica_id_ = random_identity();
     return replace_checked_file(identity_name,
                                 absl::StrCat(absl::Hex(replica_id_)));
--- /dev/null
+++ b/test/consensus_driver-test.cpp
@@ -0,0 +1,78 @@
+#include "coordination/consensus_driver.hpp"
+
+#include "coordination/consensus.hpp"
+#include "support/memory_log_storage.hpp"
+
+#include <gtest/gtest.h>
+
+namespace limpetstack
+{
+namespace
+{
+
+class driver_test : public testing::Test
+{
+protected:
+    driver_test()
+    {
+        options_.id = 1;
+        wire::membership members;
+        for (std::uint64_t id = 1; id <= 2; ++id)
+        {
+            members.add_members()->set_id(id);
+            members.mutable_members()->rbegin()->set_voter(true);
+        }
+        (void)storage_.install({1, 1, members, ""});
+        (void)storage_.save_hard_state({1, 0});
+        core_ = std::make_unique<consensus>(options_, storage_.content(),
+                                            time_point{});
+        effects_.send = [this](const wire::consensus_message& message)
+        {
+            sent_.push_back(message);
+            // What a message depends on is on disk before it leaves.
+            EXPECT_GE(storage_.content().hard.term, message.term());
+        };
+        effects_.restore = [](const log_snapshot&) {};
+        effects_.commit = [](std::uint64_t) {};
+        effects_.confirm = [](const confirmed_read&) {};
+    }
+
+    void ask_for_vote()
+    {
+        wire::consensus_message request;
+        request.set_from(2);
+        request.set_to(1);
+        request.set_term(5);
+        request.mutable_vote()->set_last_index(1);
+        request.mutable_vote()->set_last_term(1);
+        core_->receive(request);
+    }
+
+    consensus_options options_;
+    memory_log_storage storage_;
+    std::unique_ptr<consensus> core_;
+    consensus_effects effects_;
+    std::vector<wire::consensus_message> sent_;
+};
+
+// Guards against a vote that leaves before it is durable.
+TEST_F(driver_test, vote_is_durable_before_it_is_sent)
+{
+    ask_for_vote();
+    ASSERT_TRUE(run_outputs(*core_, storage_, effects_).ok());
+    ASSERT_EQ(sent_.size(), 1U);
+    EXPECT_TRUE(sent_[0].vote_answer().granted());
+    EXPECT_EQ(storage_.content().hard, (hard_state{5, 2}));
+}
+
+// Guards against a voter that answers although it could not sync.
+TEST_F(driver_test, nothing_is_sent_after_a_storage_error)
+{
+    storage_.fail_after(0);
+    ask_for_vote();
+    EXPECT_FALSE(run_outputs(*core_, storage_, effects_).ok());
+    EXPECT_TRUE(sent_.empty());
+}
+
+} // namespace
+} // namespace limpetstack
--- a/test/control_group-test.cpp
+++ b/test/control_group-test.cpp
@@ -212,6 +212,7 @@
                   wire::command_unknown);
     }
     EXPECT_FALSE(group.leads());
+    EXPECT_NE(group.status().message().find(log), std::string::npos);
     const auto refused = group.propose(make_command("b"), short_timeout);
     EXPECT_EQ(refused.code(), wire::command_unavailable);
     EXPECT_NE(refused.message().find(log), std::string::npos);
--- a/test/data_folder-test.cpp
+++ b/test/data_folder-test.cpp
@@ -16,7 +16,7 @@
 TEST(data_folder, second_opening_fails_and_names_the_folder)
 {
     const temporary_folder root;
-    const auto path = root.path("data");
+    const auto path = root.path("new/data");
     auto first = data_folder::open(path);
     ASSERT_TRUE(first.ok());
     const auto second = data_folder::open(path);
--- a/test/support/consensus_cluster.cpp
+++ b/test/support/consensus_cluster.cpp
@@ -205,6 +205,10 @@
         const auto message = std::move(network_.begin()->second);
         network_.erase(network_.begin());
         const auto index = host_of(message.to());
+        if (index >= size())
+        {
+            continue;
+        }
         auto& target = at(index);
         if (target.up && !target.isolated &&
             !at(host_of(message.from())).isolated)
