--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -12,8 +12,9 @@
 #include <fstream>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <ostream>
-#include <sstream>
+#include <utility>
 
 namespace limpetstack
 {
@@ -107,9 +108,24 @@
                : cell_text(*found, cell_format::plain);
 }
 
-// Returns the parsed body, or nothing after an error was written.
-std::optional<json> read_json(operator_client& client, const std::string& path,
-                              const command_output& output)
+struct json_answer
+{
+    json body;
+    std::string text; // As the server sent it.
+};
+
+// Returns the list under a key; throws when there is none.
+const json& list_at(const json& body, const std::string& key)
+{
+    const auto& list = body.at(key);
+    static_cast<void>(list.get_ref<const json::array_t&>());
+    return list;
+}
+
+// Returns the answer, or nothing after an error was written.
+std::optional<json_answer> read_json(operator_client& client,
+                                     const std::string& path,
+                                     const command_output& output)
 {
     const auto answer = client.read(path);
     if (answer.result != call_result::answered)
@@ -125,44 +141,44 @@
                       << '\n';
         return std::nullopt;
     }
-    return body;
+    return json_answer{std::move(body), answer.body};
 }
 
 exit_code show_list(const command_line& line, operator_client& client,
                     const command_output& output)
 {
-    const auto body = read_json(client, "/v1/" + line.command, output);
-    if (!body)
+    const auto answer = read_json(client, "/v1/" + line.command, output);
+    if (!answer)
     {
         return exit_code::refused;
     }
     if (line.json)
     {
-        output.out << body->dump() << '\n';
+        output.out << answer->text << '\n';
         return exit_code::done;
     }
     write_table(output.out, columns_of(line.command),
-                body->value(line.command, json::array()), output.colour);
+                list_at(answer->body, line.command), output.colour);
     return exit_code::done;
 }
 
 exit_code show_config(const command_line& line, operator_client& client,
                       const command_output& output)
 {
-    const auto body = read_json(client, "/v1/config", output);
-    if (!body)
+    const auto answer = read_json(client, "/v1/config", output);
+    if (!answer)
     {
         return exit_code::refused;
     }
     if (line.json)
     {
-        output.out << body->dump() << '\n';
+        output.out << answer->text << '\n';
         return exit_code::done;
     }
     // A comment line, so that the output is a document again.
-    output.out << "# version " << text_at(*body, "version") << " by "
-               << text_at(*body, "operator") << '\n'
-               << body->value("document", "");
+    output.out << "# version " << text_at(answer->body, "version") << " by "
+               << text_at(answer->body, "operator") << '\n'
+               << answer->body.value("document", "");
     return exit_code::done;
 }
 
@@ -265,7 +281,7 @@
         {
             return exit_code::refused;
         }
-        base = current->value("version", std::uint64_t(0));
+        base = current->body.at("version").get<std::uint64_t>();
     }
     const auto id = line.request_id.empty()
                         ? random_hex(random_request_id_bytes)
@@ -304,16 +320,17 @@
     std::uint64_t last = 0;
     while (true)
     {
-        const auto body = read_json(client,
-                                    "/v1/audit?after=" + std::to_string(last) +
-                                        "&limit=" + std::to_string(audit_page),
-                                    output);
-        if (!body)
+        const auto answer =
+            read_json(client,
+                      "/v1/audit?after=" + std::to_string(last) +
+                          "&limit=" + std::to_string(audit_page),
+                      output);
+        if (!answer)
         {
             return std::nullopt;
         }
         const auto before = last;
-        for (const auto& record : body->value("records", json::array()))
+        for (const auto& record : list_at(answer->body, "records"))
         {
             const auto sequence = record.value("sequence", std::uint64_t(0));
             if (sequence > last)
@@ -398,10 +415,8 @@
     return exit_code::done;
 }
 
-} // namespace
-
-exit_code run_command(const command_line& line, operator_client& client,
-                      const command_output& output)
+exit_code dispatch(const command_line& line, operator_client& client,
+                   const command_output& output)
 {
     if (line.command == "config validate")
     {
@@ -422,4 +437,22 @@
     return show_list(line, client, output);
 }
 
+} // namespace
+
+exit_code run_command(const command_line& line, operator_client& client,
+                      const command_output& output)
+{
+    try
+    {
+        return dispatch(line, client, output);
+    }
+    catch (const json::exception& error)
+    {
+        output.errors << "error: the server's answer has another form than "
+                         "expected: "
+                      << error.what() << '\n';
+        return exit_code::refused;
+    }
+}
+
 } // namespace limpetstack
--- a/src/ctl/operator_client.cpp
+++ b/src/ctl/operator_client.cpp
@@ -15,6 +15,8 @@
 
 constexpr int first_server_error = 500;
 constexpr int unavailable_status = 503;
+constexpr int accepted_status = 200;
+constexpr int conflict_status = 409;
 
 void note(operator_answer& answer, const std::string& server,
           const operator_reply& reply)
@@ -76,7 +78,14 @@
         for (const auto& server : servers_)
         {
             auto reply = transport_.post(server, path, body);
-            if (reply.status != 0 && reply.status < first_server_error)
+            // Once an attempt may have been carried out, only an answer that
+            // comes from the control log is final; a refusal before the log
+            // says nothing about that attempt.
+            const bool from_log = reply.status == accepted_status ||
+                                  reply.status == conflict_status;
+            const bool refused =
+                reply.status != 0 && reply.status < first_server_error;
+            if (from_log || (refused && !maybe_done))
             {
                 finish(answer, server, std::move(reply));
                 return answer;
