--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -4,7 +4,7 @@
 #include "ctl/operator_client.hpp"
 #include "ctl/table.hpp"
 #include "limpetstack/document.hpp"
-#include "protocol/yaml_reader.hpp"
+#include "protocol/yaml_errors.hpp"
 #include "state/audit_trail.hpp"
 
 #include <nlohmann/json.hpp>
--- a/src/protocol/document.cpp
+++ b/src/protocol/document.cpp
@@ -1,5 +1,7 @@
 #include "limpetstack/document.hpp"
 #include "protocol/document_limits.hpp"
+#include "protocol/yaml_errors.hpp"
+#include "protocol/yaml_loader.hpp"
 #include "protocol/yaml_reader.hpp"
 
 #include <algorithm>
--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -1,5 +1,7 @@
 #include "protocol/settings_file.hpp"
 #include "protocol/document_limits.hpp"
+#include "protocol/yaml_errors.hpp"
+#include "protocol/yaml_loader.hpp"
 #include "protocol/yaml_reader.hpp"
 
 #include <algorithm>
--- a/src/protocol/yaml_loader.cpp
+++ b/src/protocol/yaml_loader.cpp
@@ -1,4 +1,5 @@
-#include "protocol/yaml_reader.hpp"
+#include "protocol/yaml_loader.hpp"
+#include "protocol/yaml_errors.hpp"
 
 #include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
--- a/src/protocol/yaml_reader.cpp
+++ b/src/protocol/yaml_reader.cpp
@@ -1,4 +1,5 @@
 #include "protocol/yaml_reader.hpp"
+#include "protocol/yaml_errors.hpp"
 
 #include <yaml-cpp/yaml.h>
 
@@ -176,44 +177,6 @@
 
 } // namespace
 
-void yaml_errors::add(const YAML::Node& node, std::string path,
-                      std::string message)
-{
-    const auto mark = node.Mark();
-    add(mark.line + 1, mark.column + 1, std::move(path), std::move(message));
-}
-
-void yaml_errors::add(int line, int column, std::string path,
-                      std::string message)
-{
-    if (errors_.size() == max_reported_errors)
-    {
-        errors_.push_back({0, 0, "", "further errors are not shown"});
-    }
-    if (errors_.size() < max_reported_errors)
-    {
-        errors_.push_back({std::max(line, 0), std::max(column, 0),
-                           std::move(path), std::move(message)});
-    }
-}
-
-std::vector<document_error> yaml_errors::sorted() const
-{
-    auto result = errors_;
-    std::stable_sort(result.begin(), result.end(),
-                     [](const document_error& a, const document_error& b)
-                     {
-                         // Errors without a place come last.
-                         const auto place = [](const document_error& e)
-                         {
-                             return std::make_tuple(e.line == 0, e.line,
-                                                    e.column);
-                         };
-                         return place(a) < place(b);
-                     });
-    return result;
-}
-
 yaml_map::yaml_map(yaml_errors& errors, const YAML::Node& node,
                    std::string path,
                    std::initializer_list<std::string_view> keys)
@@ -508,19 +471,4 @@
     return text;
 }
 
-std::string error_text(const document_error& error)
-{
-    std::string text;
-    if (error.line > 0)
-    {
-        text += "line " + std::to_string(error.line) + ", column " +
-                std::to_string(error.column) + ": ";
-    }
-    if (!error.path.empty())
-    {
-        text += error.path + ": ";
-    }
-    return text + error.message;
-}
-
 } // namespace limpetstack
--- a/src/protocol/yaml_reader.hpp
+++ b/src/protocol/yaml_reader.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "limpetstack/document.hpp"
-
 #include <yaml-cpp/node/node.h>
 
 #include <chrono>
@@ -16,38 +14,7 @@
 namespace limpetstack
 {
 
-/// Levels of nesting that a YAML text may have; ours need 5.
-constexpr int max_yaml_depth = 16;
-
-/// Errors reported for one text, so that a large wrong file does not produce a
-/// report larger than itself.
-constexpr std::size_t max_reported_errors = 1000;
-
-/// Collects the errors of one text.
-class yaml_errors
-{
-public:
-    /// Adds an error at the place of `node`, which must exist.
-    void add(const YAML::Node& node, std::string path, std::string message);
-
-    /// Adds an error at a line and column that count from 1.
-    void add(int line, int column, std::string path, std::string message);
-
-    bool empty() const { return errors_.empty(); }
-    std::size_t size() const { return errors_.size(); }
-
-    /// Returns the errors in the order of the text.
-    std::vector<document_error> sorted() const;
-
-private:
-    std::vector<document_error> errors_;
-};
-
-/// Parses a YAML text of at most `max_bytes` bytes. Refuses anchors, aliases,
-/// tags, more than one document, deep nesting, and bytes that are not UTF-8
-/// text.
-std::optional<YAML::Node> load_yaml(std::string_view text,
-                                    std::size_t max_bytes, yaml_errors& errors);
+class yaml_errors;
 
 enum class presence
 {
@@ -141,7 +108,4 @@
 /// Returns `milliseconds` with the largest unit that divides it.
 std::string duration_text(std::chrono::milliseconds value);
 
-/// Returns `line L, column C: PATH: MESSAGE` without the parts that are unset.
-std::string error_text(const document_error& error);
-
 } // namespace limpetstack
