--- a/src/protocol/yaml_errors.hpp
+++ b/src/protocol/yaml_errors.hpp
@@ -2,15 +2,12 @@
 
 #include "limpetstack/document.hpp"
 
+#include <yaml-cpp/node/node.h>
+
 #include <cstddef>
 #include <string>
 #include <vector>
 
-namespace YAML
-{
-class Node;
-} // namespace YAML
-
 namespace limpetstack
 {
 
--- a/test/support/fake_operator_transport.hpp
+++ b/test/support/fake_operator_transport.hpp
@@ -41,7 +41,7 @@
         {
             return {0, "", true, "can not be reached"};
         }
-        const auto reply = prepared.front();
+        auto reply = prepared.front();
         prepared.pop_front();
         return reply;
     }
