--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -34,6 +34,13 @@
     return !id.empty() && id.size() <= max_id_length;
 }
 
+template <typename Entry>
+void add_entry(const held_entry<Entry>& held, Entry& out)
+{
+    out = *held.value;
+    out.set_sequence(held.sequence);
+}
+
 milliseconds beat_interval(const settings& own)
 {
     return std::min(milliseconds(500),
@@ -130,7 +137,7 @@
     {
         const auto held = registry_.upstream(entry.id(), now);
         return held && held->value->incarnation() == entry.incarnation() &&
-               held->value->sequence() == entry.sequence();
+               held->sequence == entry.sequence();
     }
     metrics_.add("announcements_total{kind=\"upstream\",result=\"taken\"}");
     {
@@ -169,7 +176,7 @@
     {
         const auto held = registry_.worker(entry.id(), now);
         return held && held->value->incarnation() == entry.incarnation() &&
-               held->value->sequence() == entry.sequence();
+               held->sequence == entry.sequence();
     }
     metrics_.add("announcements_total{kind=\"worker\",result=\"taken\"}");
     const std::lock_guard lock(mutex_);
@@ -327,20 +334,20 @@
     const auto add_renewal = [&delta](const auto& held)
     {
         delta.add_renewed(held->contents);
-        delta.add_renewed_sequences(held->value->sequence());
+        delta.add_renewed_sequences(held->sequence);
     };
     for (const auto& id : batch.upstreams)
     {
         if (const auto held = registry_.upstream(id, now))
         {
-            *delta.add_upstreams() = *held->value;
+            add_entry(*held, *delta.add_upstreams());
         }
     }
     for (const auto& id : batch.workers)
     {
         if (const auto held = registry_.worker(id, now))
         {
-            *delta.add_workers() = *held->value;
+            add_entry(*held, *delta.add_workers());
         }
     }
     for (const auto& id : batch.renewed_upstreams)
--- a/src/state/entry_table.hpp
+++ b/src/state/entry_table.hpp
@@ -31,8 +31,10 @@
 template <typename Entry>
 struct held_entry
 {
-    std::shared_ptr<const Entry> value;
+    std::shared_ptr<const Entry> value; // Its sequence can be an older one.
+    std::uint64_t sequence = 0;
     std::uint64_t contents = 0; // Hash of everything but the sequence.
+    std::uint64_t id_hash = 0;  // stable_hash of the id.
     milliseconds age{0};        // Since the announcement reached a daemon.
 };
 
@@ -83,11 +85,15 @@
             return merge_outcome::changed;
         }
         record& held = found->second;
-        if (version(entry) < version(*held.value))
+        const auto version =
+            std::make_pair(entry.incarnation(), entry.sequence());
+        const auto known =
+            std::make_pair(held.value->incarnation(), held.sequence);
+        if (version < known)
         {
             return merge_outcome::stale;
         }
-        if (version(entry) == version(*held.value))
+        if (version == known)
         {
             // The same announcement over another path.
             held.expires = std::max(held.expires, expires);
@@ -96,6 +102,7 @@
         if (contents == held.contents)
         {
             held.value = std::make_shared<const Entry>(entry);
+            held.sequence = entry.sequence();
             held.expires = expires;
             return merge_outcome::renewed;
         }
@@ -117,14 +124,12 @@
         const std::lock_guard lock(part.mutex);
         const auto found = part.records.find(*id);
         if (found == part.records.end() || found->second.contents != contents ||
-            found->second.value->sequence() >= sequence)
+            found->second.sequence >= sequence)
         {
             return false;
         }
-        Entry next = *found->second.value;
-        next.set_sequence(sequence);
-        found->second.expires = now + lease_of_(next);
-        found->second.value = std::make_shared<const Entry>(std::move(next));
+        found->second.sequence = sequence;
+        found->second.expires = now + lease_of_(*found->second.value);
         return true;
     }
 
@@ -203,7 +208,9 @@
     struct record
     {
         value_ptr value;
+        std::uint64_t sequence = 0;
         std::uint64_t contents = 0;
+        std::uint64_t id_hash = 0;
         time_point expires;
     };
 
@@ -225,15 +232,10 @@
         std::map<std::string, std::map<std::string, value_ptr>> members;
     };
 
-    static std::pair<std::uint64_t, std::uint64_t> version(const Entry& entry)
-    {
-        return {entry.incarnation(), entry.sequence()};
-    }
-
     held_entry<Entry> held(const record& source, time_point now) const
     {
         const auto left = source.expires - now;
-        return {source.value, source.contents,
+        return {source.value, source.sequence, source.contents, source.id_hash,
                 std::max(milliseconds(0), lease_of_(*source.value) - left)};
     }
 
@@ -264,7 +266,8 @@
     {
         auto value = std::make_shared<const Entry>(entry);
         part.records.insert_or_assign(entry.id(),
-                                      record{value, contents, expires});
+                                      record{value, entry.sequence(), contents,
+                                             stable_hash(entry.id()), expires});
         {
             auto& index = contents_[contents % shard_count];
             const std::lock_guard lock(index.mutex);
--- a/src/state/registry.cpp
+++ b/src/state/registry.cpp
@@ -13,9 +13,10 @@
 // 50 versions, and the digest itself takes 512 bytes.
 constexpr std::uint32_t bucket_count = 64;
 
-std::uint32_t bucket_of(const std::string& id)
+template <typename Entry>
+std::uint32_t bucket_of(const held_entry<Entry>& held)
 {
-    return static_cast<std::uint32_t>(stable_hash(id) % bucket_count);
+    return static_cast<std::uint32_t>(held.id_hash % bucket_count);
 }
 
 std::uint64_t upstream_contents(const wire::upstream_entry& entry)
@@ -54,7 +55,7 @@
     table.for_each(time_point{},
                    [&](const held_entry<Entry>& held)
                    {
-                       buckets[bucket_of(held.value->id())] ^= held.contents;
+                       buckets[bucket_of(held)] ^= held.contents;
                    });
 }
 
@@ -63,7 +64,7 @@
 {
     out.set_id(held.value->id());
     out.set_incarnation(held.value->incarnation());
-    out.set_sequence(held.value->sequence());
+    out.set_sequence(held.sequence);
     out.set_age_ms(static_cast<std::uint32_t>(held.age.count()));
 }
 
@@ -75,7 +76,7 @@
     table.for_each(now,
                    [&](const held_entry<Entry>& held)
                    {
-                       if (buckets.count(bucket_of(held.value->id())) > 0)
+                       if (buckets.count(bucket_of(held)) > 0)
                        {
                            set_renewal(held, *out.Add());
                        }
@@ -96,13 +97,15 @@
     const auto visit = [&](const held_entry<Entry>& held)
     {
         const auto found = versions.find(held.value->id());
-        const version own{held.value->incarnation(), held.value->sequence()};
-        if (buckets.count(bucket_of(held.value->id())) == 0 ||
+        const version own{held.value->incarnation(), held.sequence};
+        if (buckets.count(bucket_of(held)) == 0 ||
             (found != versions.end() && found->second >= own))
         {
             return;
         }
-        *entries.Add() = *held.value;
+        auto& entry = *entries.Add();
+        entry = *held.value;
+        entry.set_sequence(held.sequence);
         set_renewal(held, *ages.Add());
     };
     table.for_each(now, visit);
--- a/test/support/soft_state_cluster.hpp
+++ b/test/support/soft_state_cluster.hpp
@@ -6,7 +6,7 @@
 #include "limpetstack/settings.hpp"
 #include "peer.pb.h"
 #include "state/registry.hpp"
-#include "support/stub_peer_network.hpp"
+#include "support/unreachable_network.hpp"
 
 #include <cstdint>
 #include <map>
