--- a/src/coordination/gang.cpp
+++ b/src/coordination/gang.cpp
@@ -73,11 +73,12 @@
 }
 
 void call_batch::add(const gang& g, std::size_t member, std::uint64_t epoch,
-                     milliseconds lease)
+                     milliseconds lease, bool alone)
 {
     const auto& m = g.members[member];
-    const auto [at, added] =
-        positions_.emplace(std::pair(m.worker, lease), calls_.size());
+    const auto [at, added] = positions_.emplace(
+        std::tuple(m.worker, lease, alone ? g.record.id() : std::string()),
+        calls_.size());
     if (added)
     {
         worker_call call;
--- a/src/coordination/gang.hpp
+++ b/src/coordination/gang.hpp
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace limpetstack
@@ -95,17 +95,18 @@
 class call_batch
 {
 public:
-    /// `lease` and epoch are those of the worker's first task.
+    /// Adds a member to its worker's call, or to a call for its gang alone.
     void add(const gang& g, std::size_t member, std::uint64_t epoch,
-             milliseconds lease);
+             milliseconds lease, bool alone = false);
 
     std::vector<worker_call>& calls() { return calls_; }
 
 private:
     std::vector<worker_call> calls_;
-    // By worker and lease: gangs whose lease is running out get calls of
-    // their own, so that they do not shorten the others'.
-    std::map<std::pair<std::string, milliseconds>, std::size_t> positions_;
+    // By worker, lease and, for a gang alone, job. Gangs whose lease is running
+    // out get calls of their own, so that they do not shorten the others'.
+    std::map<std::tuple<std::string, milliseconds, std::string>, std::size_t>
+        positions_;
 };
 
 } // namespace limpetstack
--- a/src/coordination/gang_coordinator_impl.hpp
+++ b/src/coordination/gang_coordinator_impl.hpp
@@ -146,6 +146,9 @@
     // Workers without an answer to the last renewal. They are asked after the
     // others have been renewed, so that waiting for them costs no lease.
     std::set<std::string> silent_;
+    // Workers that refused a renewal, perhaps for one task only. The gangs on
+    // them are asked one by one.
+    std::set<std::string> refusing_;
     std::unordered_map<std::string, std::uint32_t> failures_; // By job.
     std::unordered_set<std::string> submitting_;
     time_point refreshed_{};
--- a/src/coordination/gang_renewal.cpp
+++ b/src/coordination/gang_renewal.cpp
@@ -31,6 +31,10 @@
     renew_wave(t, wave::confirm, began);
     renew_wave(t, wave::again, began);
     renew_wave(t, wave::confirm, began);
+    {
+        const lock held(mutex_);
+        refusing_ = {};
+    }
     judge_gangs(t);
     stop_gangs(t, true);
     journal_progress(t);
@@ -86,7 +90,8 @@
                 if (!m.ended && called)
                 {
                     expect_extension(m, lease, now);
-                    batch.add(g, i, t.epoch, lease);
+                    batch.add(g, i, t.epoch, lease,
+                              refusing_.count(m.worker) > 0);
                 }
             }
         }
@@ -102,10 +107,12 @@
         if (call.result.ok())
         {
             silent_.erase(call.worker);
+            continue;
         }
-        else
+        silent_.insert(call.worker);
+        if (absl::IsFailedPrecondition(call.result.status()))
         {
-            silent_.insert(call.worker);
+            refusing_.insert(call.worker);
         }
     }
     take_answers(worker_action::renew, batch.calls(), held);
@@ -156,14 +163,21 @@
         }
     }
     const auto status = call.status_of(order);
-    if (status.state == task_state::running ||
-        status.state == task_state::checkpointed)
+    m.progress = std::max(m.progress, status.progress);
+    if (action == worker_action::stop)
+    {
+        m.ended = true;
+        m.done = m.done || status.state == task_state::done;
+    }
+    else if (status.state == task_state::running)
     {
         confirm_extension(m, call.request.lease, call.sent, call.answered);
-        m.progress = std::max(m.progress, status.progress);
-        return;
     }
-    take_status(g, m, status, held);
+    else if (action != worker_action::checkpoint ||
+             status.state != task_state::checkpointed)
+    {
+        take_status(g, m, status, held);
+    }
 }
 
 void gang_coordinator::implementation::take_status(gang& g, gang_member& m,
@@ -177,7 +191,7 @@
         // Not started; the reservation ends by itself.
         return;
     }
-    m.ended = true;
+    m.ended = status.state != task_state::checkpointed;
     if (status.state == task_state::done)
     {
         m.done = true;
@@ -192,6 +206,12 @@
     {
         note_start(m.worker, g.record.id(), true, held);
     }
+    if (status.state == task_state::checkpointed)
+    {
+        // An owner before this one was about to stop it.
+        begin_stop(g, gang_end::requeue, "checkpointed", held);
+        return;
+    }
     begin_stop(g, gang_end::failure,
                "a member " +
                    std::string(status.state == task_state::failed
--- a/src/coordination/worker_control.hpp
+++ b/src/coordination/worker_control.hpp
@@ -26,7 +26,7 @@
     unknown, // The worker does not hold the task.
     reserved,
     running,
-    checkpointed, // Running, and its progress has just been saved.
+    checkpointed, // Its progress is saved; it may run on until stopped.
     done,
     failed,
     stopped
