--- a/include/limpetstack/placement.hpp
+++ b/include/limpetstack/placement.hpp
@@ -81,8 +81,12 @@
     /// back, in case the worker returns.
     void remove(const std::string& id);
 
-    /// A disabled worker gets no new members.
-    void enable(const std::string& id, bool enabled);
+    /// A disabled worker gets no new members. Returns true when that changed
+    /// something.
+    bool enable(const std::string& id, bool enabled);
+
+    /// Returns true when the worker is present and enabled.
+    bool usable(const std::string& id) const;
 
     /// Racks that are held take only placements with `use_held`.
     void hold(const std::string& data_centre, const std::string& rack,
--- a/src/coordination/gang_renewal.cpp
+++ b/src/coordination/gang_renewal.cpp
@@ -110,6 +110,7 @@
             continue;
         }
         silent_.insert(call.worker);
+        avoid_until_[call.worker] = timers_.now() + timing_.lease;
         if (absl::IsFailedPrecondition(call.result.status()))
         {
             refusing_.insert(call.worker);
--- a/src/coordination/gang_start.cpp
+++ b/src/coordination/gang_start.cpp
@@ -237,7 +237,7 @@
             failure = "worker " + call.worker + " did not reserve";
             // Its announcement may be older than what it runs.
             avoid_until_[call.worker] = timers_.now() + timing_.lease;
-            scheduler_.enable_worker(call.worker, false);
+            scheduler_.enable_worker(call.worker, false, true);
             note_start(call.worker, g.record.id(), true, held);
         }
     }
@@ -349,9 +349,10 @@
                   {{"worker", worker}, {"data_centre", data_centre_}});
     }
     const bool usable = quarantine_.usable(worker, now);
-    if (usable == was && avoid_until_.count(worker) == 0)
+    if (usable == was)
     {
-        scheduler_.enable_worker(worker, usable);
+        const bool avoided = avoid_until_.count(worker) > 0;
+        scheduler_.enable_worker(worker, usable && !avoided, usable);
     }
 }
 
--- a/src/coordination/gang_takeover.cpp
+++ b/src/coordination/gang_takeover.cpp
@@ -259,8 +259,8 @@
         {
             avoid_until_.erase(avoid);
         }
-        scheduler_.enable_worker(
-            worker.id(), !avoided && quarantine_.usable(worker.id(), now));
+        const bool usable = quarantine_.usable(worker.id(), now);
+        scheduler_.enable_worker(worker.id(), usable && !avoided, usable);
     }
     for (const auto& [id, place] : places_)
     {
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -115,11 +115,11 @@
     fleet_.reset();
 }
 
-void job_scheduler::enable_worker(const std::string& id, bool enabled)
+void job_scheduler::enable_worker(const std::string& id, bool enabled,
+                                  bool counts)
 {
-    guaranteed_.enable(id, enabled);
-    all_.enable(id, enabled);
-    changed_ = changed_ || enabled;
+    const bool changed = all_.enable(id, enabled);
+    changed_ = guaranteed_.enable(id, enabled || counts) || changed || changed_;
 }
 
 const resources& job_scheduler::fleet()
--- a/src/coordination/job_scheduler.hpp
+++ b/src/coordination/job_scheduler.hpp
@@ -48,7 +48,10 @@
 
     void put_worker(const worker_capacity& worker);
     void remove_worker(const std::string& id);
-    void enable_worker(const std::string& id, bool enabled);
+
+    /// A disabled worker gets no new members. When it is to be back soon, it
+    /// still counts as room for guarantees.
+    void enable_worker(const std::string& id, bool enabled, bool counts);
 
     /// Returns why the job can never run, or an empty string.
     std::string refusal(const gang_shape& shape) const;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -188,17 +188,26 @@
     }
 }
 
-void worker_index::enable(const std::string& id, bool enabled)
+bool worker_index::enable(const std::string& id, bool enabled)
 {
     const auto found = ids_.find(id);
-    if (found != ids_.end() && workers_[found->second].enabled != enabled)
+    if (found == ids_.end() || workers_[found->second].enabled == enabled)
     {
-        workers_[found->second].enabled = enabled;
-        if (workers_[found->second].rack != no_rack)
-        {
-            update_keys(workers_[found->second].rack);
-        }
+        return false;
     }
+    workers_[found->second].enabled = enabled;
+    if (workers_[found->second].rack != no_rack)
+    {
+        update_keys(workers_[found->second].rack);
+    }
+    return true;
+}
+
+bool worker_index::usable(const std::string& id) const
+{
+    const auto found = ids_.find(id);
+    return found != ids_.end() && workers_[found->second].present &&
+           workers_[found->second].enabled;
 }
 
 void worker_index::hold(const std::string& data_centre, const std::string& rack,
@@ -439,6 +448,21 @@
     return result;
 }
 
+std::uint32_t worker_index::room(const std::string& data_centre,
+                                 const std::string& rack,
+                                 const resources& each) const
+{
+    const auto dc = data_centres_.find(data_centre);
+    if (dc == data_centres_.end())
+    {
+        return 0;
+    }
+    const auto found = dc->second.racks.find(rack);
+    return found == dc->second.racks.end()
+               ? 0
+               : rack_fit(racks_[found->second], each);
+}
+
 std::vector<std::string> worker_index::workers(const std::string& data_centre,
                                                const std::string& rack) const
 {
--- a/src/coordination/reclaim.cpp
+++ b/src/coordination/reclaim.cpp
@@ -292,6 +292,10 @@
     std::map<std::string, const borrowing_gang*> stopped;
     for (const auto& [worker, count] : needed)
     {
+        if (!view.all.usable(worker))
+        {
+            return std::nullopt;
+        }
         auto gangs = gangs_on(view.borrowing, {worker});
         std::stable_sort(gangs.begin(), gangs.end(),
                          [&view](const auto* a, const auto* b)
