Give every guaranteed gang a home

A property test found that a guarantee could not be reclaimed: small jobs inside a guarantee, or gangs of other accounts, took places without which the remaining shapes fitted only in an order that the search did not try, and after a job had ended the whole shape did not fit again. Trying more orders was ruled out, since the second case has no order that fits.

--- a/src/coordination/job_reservation.cpp
+++ b/src/coordination/job_reservation.cpp
@@ -69,7 +69,7 @@
     // Racks by the time at which each can hold its part of the gang. Room
     // taken by guaranteed work is not expected to become free.
     const bool one_rack =
-        guaranteed_.roomy_racks(data_centre_, job.shape, 1).size() == 1;
+        plan_.pinned().roomy_racks(data_centre_, job.shape, 1).size() == 1;
     if (!one_rack && job.shape.placement == adjacency::rack)
     {
         return;
@@ -78,9 +78,10 @@
     part.members = one_rack ? job.shape.members : 1;
     std::vector<std::tuple<time_point, std::string, std::uint32_t>> racks;
     for (const auto& rack :
-         guaranteed_.roomy_racks(data_centre_, part, reservation_racks))
+         plan_.pinned().roomy_racks(data_centre_, part, reservation_racks))
     {
-        const auto room = guaranteed_.room(data_centre_, rack, job.shape.each);
+        const auto room =
+            plan_.pinned().room(data_centre_, rack, job.shape.each);
         part.members = std::min(room, job.shape.members);
         racks.emplace_back(free_at(rack, part, now), rack, room);
     }
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-// Orders in which unclaimed guarantees are tried beside a new gang.
-constexpr std::size_t claim_orders = 3;
+// Guaranteed gangs of one account that are tried for a job.
+constexpr std::size_t choices_tried = 4;
 // Gangs of an account that are tried when members of its guarantee become
 // free.
 constexpr std::size_t promotion_tries = 16;
@@ -17,29 +17,6 @@
 // earlier by now.
 constexpr milliseconds reservation_review{60 * 1000};
 
-/// Returns the position of the demand that the job claims a part of; the
-/// choice is that of guarantee_claims::claim.
-std::size_t claimed_part(const std::vector<shape_demand>& demands,
-                         const queued_job& job)
-{
-    std::size_t best = demands.size();
-    const auto size = [&demands](std::size_t i)
-    {
-        return std::pair(demands[i].shape.members,
-                         demands[i].shape.each.accelerators);
-    };
-    for (std::size_t i = 0; i < demands.size(); ++i)
-    {
-        if (demands[i].account == job.account &&
-            covers(demands[i].shape, job.shape) &&
-            (best == demands.size() || size(i) < size(best)))
-        {
-            best = i;
-        }
-    }
-    return best;
-}
-
 placement_options options_of(const scheduling_policy& policy, bool use_held)
 {
     placement_options options;
@@ -69,10 +46,9 @@
     {
         total_weight_ += account.weight;
     }
-    for (const auto& id : claims_.configure(source, data_centre_))
+    for (const auto& id : plan_.configure(source, data_centre_))
     {
         auto& gang = placed_.at(id);
-        guaranteed_.give(gang.placement, gang.job.shape.each);
         gang.guaranteed = false;
         borrowing_.insert({id, gang.placement, gang.job.shape.each,
                            gang_size(gang.job.shape), gang.start});
@@ -81,7 +57,7 @@
     queue_.update(
         [this](const queued_job& job)
         {
-            return claims_.coverable(job.account, job.shape);
+            return plan_.coverable(job.account, job.shape);
         });
     for (const auto& account : source.client_accounts)
     {
@@ -98,20 +74,18 @@
     {
         return;
     }
-    for (auto* index : {&capacity_, &guaranteed_, &all_})
-    {
-        index->put(worker);
-    }
+    capacity_.put(worker);
+    all_.put(worker);
+    plan_.put_worker(worker);
     fleet_.reset();
     changed_ = true;
 }
 
 void job_scheduler::remove_worker(const std::string& id)
 {
-    for (auto* index : {&capacity_, &guaranteed_, &all_})
-    {
-        index->remove(id);
-    }
+    capacity_.remove(id);
+    all_.remove(id);
+    plan_.remove_worker(id);
     fleet_.reset();
 }
 
@@ -119,7 +93,8 @@
                                   bool counts)
 {
     const bool changed = all_.enable(id, enabled);
-    changed_ = guaranteed_.enable(id, enabled || counts) || changed || changed_;
+    changed_ =
+        plan_.enable_worker(id, enabled || counts) || changed || changed_;
 }
 
 const resources& job_scheduler::fleet()
@@ -175,7 +150,7 @@
 
 void job_scheduler::submit(queued_job job, bool front)
 {
-    job.coverable = claims_.coverable(job.account, job.shape);
+    job.coverable = plan_.coverable(job.account, job.shape);
     queue_.push(job, front);
     changed_ = true;
 }
@@ -218,11 +193,7 @@
     gang.start = now;
     gang.expected = expected_time(job);
     all_.take(placement, job.shape.each);
-    if (guaranteed)
-    {
-        guaranteed_.take(placement, job.shape.each);
-    }
-    else
+    if (!guaranteed)
     {
         borrowing_.insert(
             {id, placement, job.shape.each, gang_size(job.shape), now});
@@ -257,11 +228,7 @@
     placed_.erase(found);
     const auto& account = gang.job.account;
     all_.give(gang.placement, gang.job.shape.each);
-    if (gang.guaranteed)
-    {
-        guaranteed_.give(gang.placement, gang.job.shape.each);
-        claims_.release(id);
-    }
+    plan_.release(id);
     borrowing_.erase(id);
     borrowing_of_[account].erase(id);
     waiting_.erase(id);
@@ -283,23 +250,12 @@
     borrowing_.saved(id, now);
 }
 
-bool job_scheduler::fits_beside(const gang_placement& placement,
-                                const resources& each,
-                                const std::vector<shape_demand>& demands)
-{
-    guaranteed_.take(placement, each);
-    const bool fits =
-        fit_side_by_side(guaranteed_, data_centre_, demands, claim_orders);
-    guaranteed_.give(placement, each);
-    return fits;
-}
-
 void job_scheduler::promote(const std::string& account)
 {
     // A gang that started outside the guarantee moves inside when members of
     // the guarantee become free, unless it stands where another account's
     // guarantee would no longer fit.
-    if (!claims_.has_unclaimed(account))
+    if (!plan_.has_unclaimed(account))
     {
         return;
     }
@@ -308,22 +264,26 @@
     for (const auto& id : ids)
     {
         auto& gang = placed_.at(id);
-        if (gang.stopping || !claims_.claim(id, account, gang.job.shape))
+        const auto choices = plan_.choices(account, gang.job.shape);
+        if (gang.stopping || choices.empty())
         {
             continue;
         }
         if (++tries > promotion_tries)
         {
-            claims_.release(id);
             return;
         }
-        if (!fits_beside(gang.placement, gang.job.shape.each,
-                         claims_.unclaimed()))
+        const auto movable = std::find_if(choices.begin(), choices.end(),
+                                          [this](auto choice)
+                                          {
+                                              return plan_.movable(choice);
+                                          });
+        if (movable == choices.end() ||
+            !plan_.move_home(*movable, gang.placement))
         {
-            claims_.release(id);
             continue;
         }
-        guaranteed_.take(gang.placement, gang.job.shape.each);
+        plan_.claim(id, *movable, gang.placement);
         gang.guaranteed = true;
         borrowing_.erase(id);
         borrowing_of_[account].erase(id);
@@ -339,79 +299,94 @@
 }
 
 std::optional<reclaim_choice>
-job_scheduler::guaranteed_place(const queued_job& job, time_point now)
+job_scheduler::place_at_home(std::size_t gang, const gang_shape& job,
+                             const reclaim_view& view) const
 {
-    const auto& shape = job.shape;
-    const auto demands = claims_.unclaimed();
-    const auto accept = [&](const gang_placement& placement)
-    {
-        return fits_beside(placement, shape.each, demands);
-    };
-    auto free = all_.place(data_centre_, shape, options_of(policy_, true));
-    if (free && accept(*free))
-    {
-        return reclaim_choice{{}, std::move(*free), 0};
-    }
-    if (!policy_.reclaim)
-    {
-        return std::nullopt;
-    }
-    const reclaim_view view{all_, guaranteed_, borrowing_, data_centre_, now};
-    auto choice = choose_reclaim(view, shape, accept);
-    if (choice)
+    auto places = plan_.free_home(gang);
+    // Places that are free already come first.
+    std::stable_partition(
+        places.begin(), places.end(),
+        [this, &job](const auto& worker)
+        {
+            return fit_count(all_.free(worker).value_or(resources{}),
+                             job.each) > 0;
+        });
+    places.resize(job.members);
+    return reclaim_at(view, job.each, places);
+}
+
+std::optional<reclaim_choice>
+job_scheduler::place_inside(std::size_t gang, const gang_shape& job,
+                            const reclaim_view& view, bool reclaim)
+{
+    if (plan_.movable(gang))
     {
-        return choice;
+        const auto shape = plan_.shape_inside(gang, job);
+        const auto accept = [this, gang](const gang_placement& placement)
+        {
+            return plan_.move_home(gang, placement);
+        };
+        auto free = all_.place(data_centre_, shape, options_of(policy_, true));
+        if (free && accept(*free))
+        {
+            return reclaim_choice{{}, std::move(*free), 0};
+        }
+        auto choice =
+            reclaim ? choose_reclaim(view, shape, accept) : std::nullopt;
+        if (choice)
+        {
+            return choice;
+        }
     }
-    return planned_place(job, view);
+    auto choice = place_at_home(gang, job, view);
+    return choice && (reclaim || choice->victims.empty()) ? choice
+                                                          : std::nullopt;
 }
 
-std::optional<reclaim_choice>
-job_scheduler::planned_place(const queued_job& job, const reclaim_view& view)
+std::optional<job_scheduler::guaranteed_choice>
+job_scheduler::guaranteed_place(const queued_job& job, time_point now)
 {
-    // Lays out everything guaranteed, with this job's part as it was before
-    // the job claimed it, and takes the job's part of that.
-    claims_.release(job.id);
-    const auto demands = claims_.unclaimed();
-    claims_.claim(job.id, job.account, job.shape);
-    const auto plan =
-        place_side_by_side(guaranteed_, data_centre_, demands, claim_orders);
-    if (!plan)
-    {
-        // Guarantees that fit no more, since workers are lost, bind nobody.
-        return choose_reclaim(view, job.shape,
-                              [](const gang_placement&)
-                              {
-                                  return true;
-                              });
-    }
-    const auto part = claimed_part(demands, job);
-    auto placement = plan->at(part);
-    placement.resize(job.shape.members);
-    return reclaim_at(view, job.shape.each, placement);
+    auto gangs = plan_.choices(job.account, job.shape);
+    gangs.resize(std::min(gangs.size(), choices_tried));
+    const reclaim_view view{all_, plan_.pinned(), borrowing_, data_centre_,
+                            now};
+    // Any way that stops nothing comes before all that do.
+    for (const bool reclaim : {false, true})
+    {
+        for (const auto gang : gangs)
+        {
+            if (reclaim && !policy_.reclaim)
+            {
+                continue;
+            }
+            if (auto place = place_inside(gang, job.shape, view, reclaim))
+            {
+                return guaranteed_choice{gang, std::move(*place)};
+            }
+        }
+    }
+    return std::nullopt;
 }
 
 bool job_scheduler::start_guaranteed(const queued_job& job, time_point now,
                                      std::vector<start_decision>& result)
 {
     const auto id = job.id;
-    if (!claims_.claim(id, job.account, job.shape))
-    {
-        return false;
-    }
     const auto choice = guaranteed_place(job, now);
     if (!choice)
     {
-        claims_.release(id);
         return false;
     }
-    for (const auto& victim : choice->victims)
+    const auto& place_chosen = choice->place;
+    plan_.claim(id, choice->gang, place_chosen.placement);
+    for (const auto& victim : place_chosen.victims)
     {
         placed_.at(victim).stopping = true;
         borrowing_.erase(victim);
     }
-    place(job, choice->placement, true, now);
-    result.push_back({id, choice->placement, choice->victims, true});
-    if (!choice->victims.empty())
+    place(job, place_chosen.placement, true, now);
+    result.push_back({id, place_chosen.placement, place_chosen.victims, true});
+    if (!place_chosen.victims.empty())
     {
         waiting_.insert(id);
     }
@@ -448,7 +423,7 @@
         auto& standing = result[account.name];
         standing.weight = account.weight;
         standing.share = account.weight / std::max(1.0, total_weight_);
-        standing.unclaimed = claims_.has_unclaimed(account.name);
+        standing.unclaimed = plan_.has_unclaimed(account.name);
         const auto used = used_.find(account.name);
         standing.used = used == used_.end() ? 0 : used->second;
     }
@@ -486,6 +461,7 @@
         return result;
     }
     changed_ = false;
+    plan_.repair();
     promote_pending();
     if (reservation_ && now - reservation_->made > reservation_review)
     {
--- a/src/coordination/job_scheduler.hpp
+++ b/src/coordination/job_scheduler.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/clock.hpp"
-#include "coordination/guarantee_claims.hpp"
+#include "coordination/guarantee_plan.hpp"
 #include "coordination/job_queue.hpp"
 #include "coordination/run_time_estimator.hpp"
 #include "limpetstack/placement.hpp"
@@ -85,7 +85,7 @@
     bool knows(const std::string& id) const;
 
     std::size_t queue_length() const { return queue_.size(); }
-    bool guaranteed(const std::string& id) const { return claims_.holds(id); }
+    bool guaranteed(const std::string& id) const { return plan_.holds(id); }
     const worker_index& workers() const { return all_; }
 
 private:
@@ -110,12 +110,22 @@
 
     const resources& fleet();
     standings current_standings() const;
-    bool fits_beside(const gang_placement& placement, const resources& each,
-                     const std::vector<shape_demand>& demands);
-    std::optional<reclaim_choice> guaranteed_place(const queued_job& job,
-                                                   time_point now);
-    std::optional<reclaim_choice> planned_place(const queued_job& job,
-                                                const reclaim_view& view);
+    /// A way to run a job inside a guarantee.
+    struct guaranteed_choice
+    {
+        std::size_t gang = 0;
+        reclaim_choice place;
+    };
+
+    std::optional<guaranteed_choice> guaranteed_place(const queued_job& job,
+                                                      time_point now);
+    std::optional<reclaim_choice> place_inside(std::size_t gang,
+                                               const gang_shape& job,
+                                               const reclaim_view& view,
+                                               bool reclaim);
+    std::optional<reclaim_choice> place_at_home(std::size_t gang,
+                                                const gang_shape& job,
+                                                const reclaim_view& view) const;
     bool start_guaranteed(const queued_job& job, time_point now,
                           std::vector<start_decision>& result);
     bool start_borrowed(const queued_job& job, time_point now,
@@ -138,10 +148,9 @@
     double total_weight_ = 0;
     std::optional<resources> fleet_; // Sum of the live workers, when known.
     worker_index declared_;
-    worker_index capacity_;   // Live workers, nothing taken.
-    worker_index guaranteed_; // Live workers, only guaranteed work taken.
+    worker_index capacity_; // Live workers, nothing taken.
     worker_index all_;
-    guarantee_claims claims_;
+    guarantee_plan plan_;
     borrowing_table borrowing_;
     job_queue queue_;
     run_time_estimator times_;
--- a/test/job_scheduler-test.cpp
+++ b/test/job_scheduler-test.cpp
@@ -248,11 +248,11 @@
                             pick(0, static_cast<int>(accounts.size()) - 1));
         if (chosen == accounts.end() || pick(0, 2) > 0)
         {
-            // Other work, also of accounts beyond their guarantee.
-            const auto name =
-                chosen == accounts.end() || chosen->second.running.empty()
-                    ? "borrower"
-                    : chosen->first;
+            // Other work: of accounts without a guarantee, and of accounts
+            // inside their guarantee in part or beyond it.
+            const auto name = chosen == accounts.end() || pick(0, 1) == 0
+                                  ? "borrower"
+                                  : chosen->first;
             scheduler.submit(
                 job_of(id, name,
                        shape(static_cast<std::uint32_t>(pick(1, 4)),
