--- a/test/support/journal_cluster.cpp
+++ b/test/support/journal_cluster.cpp
@@ -1,7 +1,6 @@
 #include "support/journal_cluster.hpp"
 
 #include "state/request_id.hpp"
-#include "support/fake_peer_network.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -112,8 +111,7 @@
     }
     *self.alive = false;
     // Calls of this host may still be on the stack.
-    crashed_.push_back(std::move(self.node));
-    static_cast<void>(self.network.release()); // Used by the crashed node.
+    crashed_.emplace_back(std::move(self.network), std::move(self.node));
     if (self.disk)
     {
         // What the crashed process still tries to write is lost.
@@ -373,7 +371,7 @@
 
 void journal_cluster::step()
 {
-    if (depth_ > max_depth)
+    if (depth_ > max_depth || settling_)
     {
         return;
     }
@@ -420,6 +418,7 @@
 
 std::vector<std::string> journal_cluster::settle()
 {
+    settling_ = true;
     options_.drop_percent = 0;
     options_.delay_percent = 0;
     cuts_.clear();
@@ -492,7 +491,8 @@
     for (const auto& self : hosts_)
     {
         if (!self->node || self->cut_from_control ||
-            !self->node->content().writable())
+            !self->node->content().writable() ||
+            (self->disk && self->disk->tear_next))
         {
             return false;
         }
--- a/test/support/journal_cluster.hpp
+++ b/test/support/journal_cluster.hpp
@@ -4,6 +4,7 @@
 #include "coordination/journal_replicator.hpp"
 #include "coordination/ownership.hpp"
 #include "support/fake_journal_store.hpp"
+#include "support/fake_peer_network.hpp"
 #include "support/history_checker.hpp"
 
 #include <functional>
@@ -63,7 +64,6 @@
 
 private:
     struct host;
-    class port;
     class clock;
 
     void step();
@@ -85,7 +85,9 @@
     std::mt19937_64 random_;
     std::unique_ptr<clock> clock_;
     std::vector<std::unique_ptr<host>> hosts_;
-    std::vector<std::unique_ptr<journal_replicator>> crashed_;
+    std::vector<std::pair<std::unique_ptr<fake_peer_network>,
+                          std::unique_ptr<journal_replicator>>>
+        crashed_;
     std::set<std::pair<std::size_t, std::size_t>> cuts_;
     std::vector<std::pair<std::string, wire::journal_append>> late_;
     ownership ownership_;
@@ -96,6 +98,7 @@
     std::uint64_t order_ = 0;
     std::uint64_t issued_ = 0;
     int depth_ = 0;
+    bool settling_ = false;
 };
 
 } // namespace limpetstack
