--- a/src/coordination/journal_sender.cpp
+++ b/src/coordination/journal_sender.cpp
@@ -114,24 +114,25 @@
     send_result result;
     result.peer_epoch = response.epoch();
     result.reason = response.reason();
-    result.accepted = response.accepted() && response.epoch() == target.epoch;
+    const journal_point last{response.last_sequence(), response.last_epoch()};
+    const bool same = response.incarnation() == target.incarnation;
+    result.peer_has_more = same && !target.candidate &&
+                           response.store() == target.copy_store &&
+                           response.complete_epoch() == target.epoch &&
+                           last.sequence > recent_.end().sequence;
+    result.accepted = response.accepted() && response.epoch() == target.epoch &&
+                      !result.peer_has_more;
     if (result.accepted)
     {
         return result;
     }
     peer_store_ = response.store();
-    const journal_point last{response.last_sequence(), response.last_epoch()};
-    const bool same = response.incarnation() == target.incarnation;
     needs_full_copy_ = !same || !recent_.holds(last);
     peer_.reset();
     if (!needs_full_copy_)
     {
         peer_ = last;
     }
-    result.peer_has_more = same && !target.candidate &&
-                           response.store() == target.copy_store &&
-                           response.complete_epoch() == target.epoch &&
-                           last.sequence > recent_.end().sequence;
     return result;
 }
 
--- a/test/support/journal_cluster.cpp
+++ b/test/support/journal_cluster.cpp
@@ -379,7 +379,7 @@
 
 void journal_cluster::step()
 {
-    if (depth_ > max_depth || settling_)
+    if (depth_ > max_depth || settling_ || !options_.events_in_messages)
     {
         return;
     }
@@ -458,6 +458,16 @@
     return unknown;
 }
 
+fake_disk journal_cluster::disk(std::size_t index) const
+{
+    return *hosts_[index]->disk;
+}
+
+void journal_cluster::set_disk(std::size_t index, const fake_disk& content)
+{
+    *hosts_[index]->disk = content;
+}
+
 journal_replicator* journal_cluster::node(std::size_t index)
 {
     return hosts_[index]->node.get();
--- a/test/support/journal_cluster.hpp
+++ b/test/support/journal_cluster.hpp
@@ -28,6 +28,7 @@
     bool short_retention = false;
     int drop_percent = 5;  // Of requests, and again of responses.
     int delay_percent = 3; // Delivered later although the sender gave up.
+    bool events_in_messages = true; // Others act while a message is under way.
 };
 
 /// Hosts of one data centre with the real journal_replicator and ownership, on
@@ -55,6 +56,11 @@
     wire::transition_response call(std::size_t host, const std::string& id,
                                    wire::request_phase phase);
 
+    /// Returns a copy of what the host's disk holds, or puts it there while the
+    /// host is down.
+    fake_disk disk(std::size_t host) const;
+    void set_disk(std::size_t host, const fake_disk& content);
+
     journal_replicator* node(std::size_t host);
     std::size_t owner() const; // Index of the recorded owner.
     std::size_t copy() const;  // Index of the recorded copy, size() for none.
