Publish a replica's state before its callers continue

A caller whose membership command was accepted could still see the old membership, and a caller of a replica that halted could still see it lead, because callers were woken before the published view was replaced.

--- a/src/coordination/control_group_worker.cpp
+++ b/src/coordination/control_group_worker.cpp
@@ -99,8 +99,8 @@
             halt(status);
         }
     }
-    fail_lost_calls();
     publish();
+    fail_lost_calls();
 }
 
 bool control_group::refuse_if_failed(pending_call& call) const
--- a/src/state/log_store.cpp
+++ b/src/state/log_store.cpp
@@ -139,7 +139,7 @@
 log_store::open(const data_folder& folder, stored_log& content)
 {
     std::unique_ptr<log_store> store(new log_store(folder));
-    if (const auto status = store->load(content); !status.ok())
+    if (auto status = store->load(content); !status.ok())
     {
         return status;
     }
--- a/test/support/control_cluster.hpp
+++ b/test/support/control_cluster.hpp
@@ -55,6 +55,8 @@
 
     /// Proposes on the leader until the command is accepted.
     bool propose(const std::string& document);
+
+    /// Proposes a membership change until its outcome is definite.
     wire::command_outcome change(wire::member_change::kind kind,
                                  const wire::member& subject);
 
