--- a/test/support/config_cluster.cpp
+++ b/test/support/config_cluster.cpp
@@ -1,13 +1,13 @@
 #include "support/config_cluster.hpp"
 #include "coordination/stored_config.hpp"
-#include "support/stub_peer_network.hpp"
+#include "support/unreachable_network.hpp"
 
 #include <algorithm>
 
 namespace limpetstack
 {
 
-class config_cluster::network : public stub_peer_network
+class config_cluster::network : public unreachable_network
 {
 public:
     network(config_cluster& cluster, std::string from)
