--- a/test/support/journal_cluster.hpp
+++ b/test/support/journal_cluster.hpp
@@ -4,6 +4,7 @@
 #include "coordination/journal_replicator.hpp"
 #include "coordination/ownership.hpp"
 #include "support/fake_journal_store.hpp"
+#include "support/fake_peer_network.hpp"
 #include "support/history_checker.hpp"
 
 #include <functional>
@@ -23,8 +24,11 @@
     std::vector<bool> disks = {true, false, false}; // One entry per host.
     /// A further fault only when the journal has two complete hosts again.
     bool one_fault_at_a_time = false;
+    /// Finished requests are dropped after seconds, so that runs meet it.
+    bool short_retention = false;
     int drop_percent = 5;  // Of requests, and again of responses.
     int delay_percent = 3; // Delivered later although the sender gave up.
+    bool events_in_messages = true; // Others act while a message is under way.
 };
 
 /// Hosts of one data centre with the real journal_replicator and ownership, on
@@ -52,6 +56,11 @@
     wire::transition_response call(std::size_t host, const std::string& id,
                                    wire::request_phase phase);
 
+    /// Returns a copy of what the host's disk holds, or puts it there while the
+    /// host is down.
+    fake_disk disk(std::size_t host) const;
+    void set_disk(std::size_t host, const fake_disk& content);
+
     journal_replicator* node(std::size_t host);
     std::size_t owner() const; // Index of the recorded owner.
     std::size_t copy() const;  // Index of the recorded copy, size() for none.
@@ -63,7 +72,6 @@
 
 private:
     struct host;
-    class port;
     class clock;
 
     void step();
@@ -85,7 +93,9 @@
     std::mt19937_64 random_;
     std::unique_ptr<clock> clock_;
     std::vector<std::unique_ptr<host>> hosts_;
-    std::vector<std::unique_ptr<journal_replicator>> crashed_;
+    std::vector<std::pair<std::unique_ptr<fake_peer_network>,
+                          std::unique_ptr<journal_replicator>>>
+        crashed_;
     std::set<std::pair<std::size_t, std::size_t>> cuts_;
     std::vector<std::pair<std::string, wire::journal_append>> late_;
     ownership ownership_;
@@ -96,6 +106,7 @@
     std::uint64_t order_ = 0;
     std::uint64_t issued_ = 0;
     int depth_ = 0;
+    bool settling_ = false;
 };
 
 } // namespace limpetstack
