--- a/src/coordination/service_queue.cpp
+++ b/src/coordination/service_queue.cpp
@@ -259,7 +259,8 @@
 }
 
 // Returns the usable upstream with the smallest share of its slots in use. One
-// that was tried before is returned only when no other is ready.
+// that was tried before is returned only when all others are ejected or gone:
+// waiting for a probe could take the whole deadline.
 service_queue::slots* service_queue::choose(const std::set<std::string>& tried,
                                             time_point now)
 {
@@ -276,7 +277,9 @@
     {
         const auto distance = (position++ + count - start) % count;
         const bool was_tried = tried.count(item.first) > 0;
-        other_ready = other_ready || (item.second.entry && !was_tried);
+        other_ready = other_ready || (item.second.entry && !was_tried &&
+                                      health_.standing(item.first, now) !=
+                                          upstream_standing::ejected);
         if (!usable(item.second, now))
         {
             continue;
