--- a/src/coordination/gang.cpp
+++ b/src/coordination/gang.cpp
@@ -62,15 +62,23 @@
                        time_point answered)
 {
     m.seen = std::max(m.seen, sent);
-    m.lapse = answered + lease;
+    m.lapse = std::max(m.unanswered, answered + lease);
+}
+
+void miss_extension(gang_member& m, milliseconds lease, milliseconds delay,
+                    time_point sent)
+{
+    m.unanswered = std::max(m.unanswered, sent + delay + lease);
+    m.lapse = std::max(m.lapse, m.unanswered);
 }
 
 void call_batch::add(const gang& g, std::size_t member, std::uint64_t epoch,
-                     milliseconds lease)
+                     milliseconds lease, bool alone)
 {
     const auto& m = g.members[member];
-    const auto [at, added] =
-        positions_.emplace(std::pair(m.worker, lease), calls_.size());
+    const auto [at, added] = positions_.emplace(
+        std::tuple(m.worker, lease, alone ? g.record.id() : std::string()),
+        calls_.size());
     if (added)
     {
         worker_call call;
--- a/src/coordination/journal_replicator.cpp
+++ b/src/coordination/journal_replicator.cpp
@@ -44,16 +44,20 @@
     , counters_(counters)
     , recent_(end_of(*journal_))
     , copy_(*journal_, options_.data_centre)
-    , copy_sender_(network, counters, recent_,
-                   [this]
-                   {
-                       return whole_content();
-                   })
-    , candidate_sender_(network, counters, recent_,
-                        [this]
-                        {
-                            return whole_content();
-                        })
+    , copy_sender_(
+          network, counters, recent_,
+          [this]
+          {
+              return whole_content();
+          },
+          options_.message_bytes)
+    , candidate_sender_(
+          network, counters, recent_,
+          [this]
+          {
+              return whole_content();
+          },
+          options_.message_bytes)
 {
     next_retention_ = timers_.now() + options_.retention_interval;
     timer_ = timers_.every(options_.tick_interval,
@@ -424,10 +428,9 @@
     const auto bytes = requests.memory_bytes();
     if (bytes > options_.max_request_bytes)
     {
-        limits.max_count = std::min(
-            limits.max_count,
-            static_cast<std::size_t>(static_cast<double>(requests.size()) *
-                                     options_.max_request_bytes / bytes));
+        limits.max_count =
+            std::min(limits.max_count,
+                     requests.size() * options_.max_request_bytes / bytes);
     }
     const auto issued = requests.issue_times();
     const auto finished = journal_->jobs().finish_times();
