--- a/include/limpetstack/placement.hpp
+++ b/include/limpetstack/placement.hpp
@@ -45,7 +45,6 @@
 /// Which racks a placement may use and how it chooses between them.
 struct placement_options
 {
-    bool borrowed = false; // The gang is outside its account's guarantee.
     bool use_held = false; // Racks held for another gang are allowed.
     bool best_fit = true;  // False takes the first rack that fits.
 };
