--- a/test/programs/placement_bench.cpp
+++ b/test/programs/placement_bench.cpp
@@ -498,8 +498,12 @@
             continue;
         }
         printed = true;
-        print("completion_time", p.name,
-              name == "all" ? scenario : scenario + "-" + name,
+        auto label = scenario;
+        if (name != "all")
+        {
+            label.append("-").append(name);
+        }
+        print("completion_time", p.name, label,
               mean(policy.completion_s.at(name)),
               mean(baseline.completion_s.at(name)), against);
     }
@@ -560,7 +564,9 @@
                             std::chrono::steady_clock::now() - begin)
                             .count());
     }
-    std::nth_element(times.begin(), times.begin() + count / 2, times.end());
+    std::nth_element(times.begin(),
+                     times.begin() + static_cast<std::ptrdiff_t>(count / 2),
+                     times.end());
     return times[count / 2];
 }
 
