--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -98,7 +98,7 @@
     {
         file << "data_folder: " << data_folder(plan.host) << "\n";
     }
-    file << "peers:\n";
+    file << (plans_.size() > 1 ? "peers:\n" : "peers: []\n");
     for (const auto& other : plans_)
     {
         if (other.host == plan.host)
