--- a/test/programs/journal_bench.cpp
+++ b/test/programs/journal_bench.cpp
@@ -8,6 +8,8 @@
 #include "state/request_id.hpp"
 #include "support/fake_peer_network.hpp"
 
+#include <malloc.h>
+
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
@@ -27,6 +29,12 @@
               << " unit=" << unit << '\n';
 }
 
+// Bytes that the calling thread's allocations hold.
+double allocated_bytes()
+{
+    return static_cast<double>(::mallinfo2().uordblks);
+}
+
 double seconds_since(std::chrono::steady_clock::time_point start)
 {
     return std::chrono::duration<double>(std::chrono::steady_clock::now() -
@@ -167,16 +175,51 @@
     const auto count = static_cast<double>(requests);
     print(name + "_threads_" + std::to_string(threads),
           2 * count / seconds_since(begin), "records/s");
-    const auto& content = hosts.owner().content();
-    if (folder.empty())
+    if (!folder.empty())
     {
-        print("request_memory",
-              static_cast<double>(content.requests().memory_bytes()) / count,
+        print("request_disk",
+              static_cast<double>(hosts.owner().content().file_bytes()) / count,
               "bytes/request");
-        return;
     }
-    print("request_disk", static_cast<double>(content.file_bytes()) / count,
+}
+
+// Bytes that the allocator hands out for one finished request and one job.
+void measure_memory()
+{
+    const auto content = *journal::open_folder("");
+    auto before = allocated_bytes();
+    std::uint64_t sequence = 0;
+    const auto add = [&](wire::journal_record record)
+    {
+        record.set_sequence(++sequence);
+        if (!content->append({record}, 1, 1).ok())
+        {
+            std::exit(1);
+        }
+    };
+    for (std::uint64_t i = 0; i < job_count; ++i)
+    {
+        wire::journal_record record;
+        *record.mutable_request() = request(i, wire::request_done);
+        add(record);
+    }
+    const auto count = static_cast<double>(job_count);
+    print("request_memory", (allocated_bytes() - before) / count,
           "bytes/request");
+    before = allocated_bytes();
+    for (std::uint64_t i = 0; i < job_count; ++i)
+    {
+        wire::journal_record record;
+        *record.mutable_job() = job(i);
+        add(record);
+    }
+    print("job_memory", (allocated_bytes() - before) / count, "bytes/job");
+    print("request_memory_estimate",
+          static_cast<double>(content->requests().memory_bytes()) / count,
+          "bytes/request");
+    print("job_memory_estimate",
+          static_cast<double>(content->jobs().memory_bytes()) / count,
+          "bytes/job");
 }
 
 void measure_recovery(const std::string& folder)
@@ -201,9 +244,6 @@
             }
         }
         const auto count = static_cast<double>(job_count);
-        print("job_memory",
-              static_cast<double>(content->jobs().memory_bytes()) / count,
-              "bytes/job");
         print("job_disk", static_cast<double>(content->file_bytes()) / count,
               "bytes/job");
     }
@@ -229,6 +269,7 @@
             return 1;
         }
     }
+    measure_memory();
     for (const int threads : {1, 8, 32})
     {
         measure_writes("write_memory", "", threads, 20000);
