--- a/test/journal_copy-test.cpp
+++ b/test/journal_copy-test.cpp
@@ -55,11 +55,11 @@
     wire::journal_append_response send(const wire::journal_append& sent,
                                        std::uint64_t known_epoch = 0)
     {
-        return copy_.receive(sent, known_epoch, "a");
+        return receiver.receive(sent, known_epoch, "a");
     }
 
-    std::unique_ptr<journal> journal_ = *journal::open(nullptr, store);
-    journal_copy copy_{*journal_, "dc1"};
+    std::unique_ptr<journal> content = *journal::open(nullptr, store);
+    journal_copy receiver{*content, "dc1"};
 };
 
 // Guards against records taken from an owner of an earlier epoch.
@@ -102,12 +102,12 @@
     auto candidate = full_copy(5, 3);
     candidate.set_candidate(true);
     EXPECT_EQ(send(candidate).complete_epoch(), 0U);
-    EXPECT_EQ(copy_.candidate_epoch(), 5U);
+    EXPECT_EQ(receiver.candidate_epoch(), 5U);
     auto first = message(6, 3, 5, 4);
     first.set_owner_last(5);
     EXPECT_EQ(send(first).complete_epoch(), 0U);
     EXPECT_EQ(send(message(6, 4, 6, 5)).complete_epoch(), 6U);
-    EXPECT_EQ(copy_.candidate_epoch(), 0U);
+    EXPECT_EQ(receiver.candidate_epoch(), 0U);
 }
 
 // Guards against acknowledged records lost to a full copy that comes late.
@@ -124,14 +124,14 @@
     auto part = full_copy(5, 3);
     part.set_last_part(false);
     EXPECT_TRUE(send(part).accepted());
-    EXPECT_EQ(journal_->position().last_sequence, 0U);
+    EXPECT_EQ(content->position().last_sequence, 0U);
     part.set_part(1);
     part.set_copy_id(2);
     part.set_last_part(true);
     EXPECT_FALSE(send(part).accepted());
     part.set_copy_id(1);
     EXPECT_TRUE(send(part).accepted());
-    EXPECT_EQ(journal_->position().last_sequence, 3U);
+    EXPECT_EQ(content->position().last_sequence, 3U);
 }
 
 } // namespace
--- a/test/journal_replicator-test.cpp
+++ b/test/journal_replicator-test.cpp
@@ -181,6 +181,7 @@
     std::atomic<int> applied{0};
     std::atomic<int> unknown{0};
     std::vector<std::thread> workers;
+    workers.reserve(threads);
     for (int t = 0; t < threads; ++t)
     {
         workers.emplace_back(
--- a/test/ownership-test.cpp
+++ b/test/ownership-test.cpp
@@ -54,10 +54,10 @@
     within(milliseconds limit, const std::vector<wire::owner_record>& records,
            const std::vector<ownership_host>& hosts)
     {
-        for (const auto end = now_ + limit; now_ <= end;
-             now_ += milliseconds(1000))
+        for (const auto end = now + limit; now <= end;
+             now += milliseconds(1000))
         {
-            const auto proposals = decision_.propose(records, hosts, now_);
+            const auto proposals = decision.propose(records, hosts, now);
             if (!proposals.empty())
             {
                 return proposals.front();
@@ -66,8 +66,8 @@
         return std::nullopt;
     }
 
-    ownership decision_{ownership_options{}};
-    time_point now_{};
+    ownership decision{ownership_options{}};
+    time_point now{};
 };
 
 constexpr milliseconds minute(60000);
@@ -112,7 +112,7 @@
 {
     for (const int loss : {0, 1, 2})
     {
-        decision_ = ownership(ownership_options{});
+        decision = ownership(ownership_options{});
         auto hosts = good_hosts();
         hosts[0].live = loss != 0;
         hosts[0].entry.mutable_journal()->set_lost(loss == 1);
@@ -132,7 +132,7 @@
 {
     for (const int loss : {0, 1, 2})
     {
-        decision_ = ownership(ownership_options{});
+        decision = ownership(ownership_options{});
         auto hosts = good_hosts();
         hosts[0].live = false;
         hosts[1].live = loss != 0;
@@ -172,7 +172,7 @@
     hosts[0].live = false;
     ASSERT_TRUE(within(minute, {pair_record()}, hosts));
     EXPECT_TRUE(
-        decision_.propose({pair_record()}, hosts, now_ + milliseconds(1999))
+        decision.propose({pair_record()}, hosts, now + milliseconds(1999))
             .empty());
 }
 
--- a/test/support/journal_cluster.cpp
+++ b/test/support/journal_cluster.cpp
@@ -277,7 +277,7 @@
     }
     ++self.busy;
     ++depth_;
-    self.node.get()->tick();
+    self.node->tick();
     --depth_;
     --self.busy;
 }
