--- a/src/coordination/control_group.hpp
+++ b/src/coordination/control_group.hpp
@@ -73,6 +73,7 @@
     control_group(const control_group&) = delete;
     control_group& operator=(const control_group&) = delete;
 
+    /// Starts the thread; once only.
     void start();
 
     /// Ends the thread. Open calls end with `command_unknown` or
