--- a/include/limpetstack/placement.hpp
+++ b/include/limpetstack/placement.hpp
@@ -45,7 +45,6 @@
 /// Which racks a placement may use and how it chooses between them.
 struct placement_options
 {
-    bool borrowed = false; // The gang is outside its account's guarantee.
     bool use_held = false; // Racks held for another gang are allowed.
     bool best_fit = true;  // False takes the first rack that fits.
 };
@@ -81,8 +80,12 @@
     /// back, in case the worker returns.
     void remove(const std::string& id);
 
-    /// A disabled worker gets no new members.
-    void enable(const std::string& id, bool enabled);
+    /// A disabled worker gets no new members. Returns true when that changed
+    /// something.
+    bool enable(const std::string& id, bool enabled);
+
+    /// Returns true when the worker is present and enabled.
+    bool usable(const std::string& id) const;
 
     /// Racks that are held take only placements with `use_held`.
     void hold(const std::string& data_centre, const std::string& rack,
--- a/src/coordination/job_scheduler.hpp
+++ b/src/coordination/job_scheduler.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/clock.hpp"
-#include "coordination/guarantee_claims.hpp"
+#include "coordination/guarantee_plan.hpp"
 #include "coordination/job_queue.hpp"
 #include "coordination/run_time_estimator.hpp"
 #include "limpetstack/placement.hpp"
@@ -48,7 +48,10 @@
 
     void put_worker(const worker_capacity& worker);
     void remove_worker(const std::string& id);
-    void enable_worker(const std::string& id, bool enabled);
+
+    /// A disabled worker gets no new members. When it is to be back soon, it
+    /// still counts as room for guarantees.
+    void enable_worker(const std::string& id, bool enabled, bool counts);
 
     /// Returns why the job can never run, or an empty string.
     std::string refusal(const gang_shape& shape) const;
@@ -82,7 +85,7 @@
     bool knows(const std::string& id) const;
 
     std::size_t queue_length() const { return queue_.size(); }
-    bool guaranteed(const std::string& id) const { return claims_.holds(id); }
+    bool guaranteed(const std::string& id) const { return plan_.holds(id); }
     const worker_index& workers() const { return all_; }
 
 private:
@@ -107,12 +110,22 @@
 
     const resources& fleet();
     standings current_standings() const;
-    bool fits_beside(const gang_placement& placement, const resources& each,
-                     const std::vector<shape_demand>& demands);
-    std::optional<reclaim_choice> guaranteed_place(const queued_job& job,
-                                                   time_point now);
-    std::optional<reclaim_choice> planned_place(const queued_job& job,
-                                                const reclaim_view& view);
+    /// A way to run a job inside a guarantee.
+    struct guaranteed_choice
+    {
+        std::size_t gang = 0;
+        reclaim_choice place;
+    };
+
+    std::optional<guaranteed_choice> guaranteed_place(const queued_job& job,
+                                                      time_point now);
+    std::optional<reclaim_choice> place_inside(std::size_t gang,
+                                               const gang_shape& job,
+                                               const reclaim_view& view,
+                                               bool reclaim);
+    std::optional<reclaim_choice> place_at_home(std::size_t gang,
+                                                const gang_shape& job,
+                                                const reclaim_view& view) const;
     bool start_guaranteed(const queued_job& job, time_point now,
                           std::vector<start_decision>& result);
     bool start_borrowed(const queued_job& job, time_point now,
@@ -135,10 +148,9 @@
     double total_weight_ = 0;
     std::optional<resources> fleet_; // Sum of the live workers, when known.
     worker_index declared_;
-    worker_index capacity_;   // Live workers, nothing taken.
-    worker_index guaranteed_; // Live workers, only guaranteed work taken.
+    worker_index capacity_; // Live workers, nothing taken.
     worker_index all_;
-    guarantee_claims claims_;
+    guarantee_plan plan_;
     borrowing_table borrowing_;
     job_queue queue_;
     run_time_estimator times_;
