--- a/src/coordination/config_distributor.cpp
+++ b/src/coordination/config_distributor.cpp
@@ -321,7 +321,7 @@
     {
         *content.add_owners() = record;
     }
-    const auto status = file_->save(encode_stored_config(content));
+    auto status = file_->save(encode_stored_config(content));
     if (!status.ok())
     {
         metrics_.add("config_store_failures_total");
--- a/test/control_state-test.cpp
+++ b/test/control_state-test.cpp
@@ -182,7 +182,7 @@
                 ? owner(id, epoch - 3, back)
                 : write(id, whole.version() - std::min(back, whole.version()),
                         text);
-        const auto index = static_cast<std::uint64_t>(i + 1);
+        const auto index = static_cast<std::uint64_t>(i) + 1;
         const auto outcome = whole.apply(index, command);
         if (i >= snapshot_at)
         {
--- a/test/document-test.cpp
+++ b/test/document-test.cpp
@@ -66,10 +66,10 @@
     const auto result = parse_document(valid);
     ASSERT_TRUE(result.value);
     const document expected{
-        {{"dc1", 2, 6, 32, 128 * 1024, 8}},
+        {{"dc1", 2, 6, 32, 131072, 8}},
         {{"addis",
           4,
-          {{"dc1", 1, 4, 8, 8, 32 * 1024, adjacency::rack}},
+          {{"dc1", 1, 4, 8, 8, 32768, adjacency::rack}},
           {{"appraisal", false, std::chrono::milliseconds(5000), 1}}}}};
     EXPECT_EQ(*result.value, expected);
     const auto* account = find_account(*result.value, "addis");
