--- a/src/coordination/guarantee.cpp
+++ b/src/coordination/guarantee.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <map>
-#include <numeric>
 #include <random>
 #include <utility>
 
@@ -34,13 +33,16 @@
     }
 }
 
-/// Returns the positions of the demands in the order in which they are
-/// placed.
+/// Returns the positions of the demands in the order in which their gangs are
+/// placed, once for each gang.
 std::vector<std::size_t> ordered(const std::vector<shape_demand>& demands,
                                  std::size_t order)
 {
-    std::vector<std::size_t> positions(demands.size());
-    std::iota(positions.begin(), positions.end(), std::size_t{0});
+    std::vector<std::size_t> positions;
+    for (std::size_t i = 0; i < demands.size(); ++i)
+    {
+        positions.insert(positions.end(), demands[i].count, i);
+    }
     if (order > 2)
     {
         std::mt19937_64 random(order);
@@ -77,17 +79,13 @@
     options.use_held = true;
     for (const auto i : ordered(demands, order))
     {
-        for (std::uint32_t n = 0; n < demands[i].count; ++n)
+        auto placement = index.place(data_centre, demands[i].shape, options);
+        if (!placement)
         {
-            auto placement =
-                index.place(data_centre, demands[i].shape, options);
-            if (!placement)
-            {
-                return placed;
-            }
-            index.take(*placement, demands[i].shape.each);
-            placed.push_back({i, std::move(*placement)});
+            return placed;
         }
+        index.take(*placement, demands[i].shape.each);
+        placed.push_back({i, std::move(*placement)});
     }
     return placed;
 }
--- a/test/gang_coordinator-test.cpp
+++ b/test/gang_coordinator-test.cpp
@@ -13,6 +13,7 @@
 
 using test::fake_fleet;
 using test::fake_journal;
+using test::fleet_view;
 using test::job_store;
 using test::submission;
 
@@ -43,8 +44,10 @@
     void open()
     {
         journals.push_back(std::make_unique<fake_journal>(store, store.epoch));
+        views.push_back(std::make_unique<fleet_view>(fleet));
+        views.back()->cut_off = cut_off;
         owners.push_back(std::make_unique<gang_coordinator>(
-            "dc1", *journals.back(), fleet,
+            "dc1", *journals.back(), *views.back(),
             [this]
             {
                 return fleet.live();
@@ -93,7 +96,9 @@
     job_store store;
     std::shared_ptr<const document> config;
     std::map<std::string, std::uint32_t> members;
+    std::set<std::string> cut_off; // From the next owner.
     std::vector<std::unique_ptr<fake_journal>> journals;
+    std::vector<std::unique_ptr<fleet_view>> views;
     std::vector<std::unique_ptr<gang_coordinator>> owners;
 };
 
@@ -282,6 +287,29 @@
     }
 }
 
+// Guards against a second copy of a gang whose workers only the owner before
+// can reach, which does not know that it is none any more.
+TEST(invariant, gang_atomic_waits_for_a_fence)
+{
+    bed b;
+    b.fleet.run_time = milliseconds(60000);
+    b.submit(submission("a", 1, 3, 8, "rack"));
+    b.run(milliseconds(2000));
+    for (const auto& member : b.store.jobs.at("job-dc1-1-1").placement())
+    {
+        b.cut_off.insert(member.worker());
+    }
+    ++b.store.epoch;
+    b.open();
+    b.run(milliseconds(30000));
+    EXPECT_EQ(b.fleet.running()["job-dc1-1-1"], 3);
+    EXPECT_EQ(b.fleet.history().size(), 3U);
+    b.views.back()->cut_off.clear();
+    b.run(milliseconds(100000));
+    EXPECT_EQ(b.state(1), "done");
+    EXPECT_EQ(b.violation(lease), "");
+}
+
 /// Disturbs the bed at random for one simulated minute.
 void disturb(bed& b, std::mt19937_64& random, bool change_owner)
 {
@@ -384,7 +412,8 @@
     std::mt19937_64 random(seed);
     bed b(seed);
     b.fleet.lost_answers = 0.05;
-    b.fleet.late_requests = 0.1;
+    b.fleet.late_requests = 0.2;
+    b.fleet.delay = milliseconds(*rc::gen::element(500, 2900));
     disturb(b, random, false);
     RC_ASSERT(b.violation(lease + b.fleet.delay) == "");
 }
--- a/test/guarantee-test.cpp
+++ b/test/guarantee-test.cpp
@@ -59,6 +59,15 @@
     EXPECT_EQ(conflicts[0].accounts, std::vector<std::string>{"a"});
 }
 
+// Guards against a refusal of shapes that fit only when small gangs are not
+// placed last: two racks of seven hold 3 + 2 + 2 members each.
+TEST(guarantee, check_tries_other_orders)
+{
+    const auto config =
+        test::two_accounts(2, 7, 8, {guarantee(2, 3, 8), guarantee(4, 2, 8)});
+    EXPECT_TRUE(check_guarantees(config).empty());
+}
+
 /// Tries every way to place the gangs from `next` on.
 bool any_way(std::vector<std::vector<std::uint32_t>>& racks,
              const std::vector<guaranteed_shape>& gangs, std::size_t next)
--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -56,6 +56,24 @@
     EXPECT_EQ(index.largest_rack_gang("dc1", {8, 1, 10}), 4U);
 }
 
+// Guards against a whole free worker that is broken up since its rack has the
+// least room, while others are in use in part.
+TEST(placement, uses_workers_that_are_broken_up_already)
+{
+    auto index = fleet(2, 6);
+    for (const std::string worker : {"0", "1", "2", "3", "4"})
+    {
+        index.take({"r0-" + worker}, {8, 1, 10});
+    }
+    for (const std::string worker : {"0", "1", "2", "3", "4", "5"})
+    {
+        index.take({"r1-" + worker}, {6, 1, 10});
+    }
+    const auto placement = index.place("dc1", shape(1, 2), {});
+    ASSERT_TRUE(placement);
+    EXPECT_EQ(racks_of(index, *placement), std::set<std::string>{"r1"});
+}
+
 // Guards against gangs without adjacency that are spread over every rack.
 TEST(placement, any_gangs_use_few_racks)
 {
--- a/test/support/job_test_bed.hpp
+++ b/test/support/job_test_bed.hpp
@@ -153,6 +153,31 @@
     std::vector<run_interval> history_;
 };
 
+/// One owner's way to the fleet; it can be cut off from some workers.
+class fleet_view : public worker_control
+{
+public:
+    explicit fleet_view(fake_fleet& fleet)
+        : fleet_(fleet)
+    {
+    }
+
+    absl::StatusOr<std::vector<task_status>> call(worker_action action,
+                                                  const std::string& address,
+                                                  const worker_request& request,
+                                                  milliseconds timeout) override
+    {
+        return cut_off.count(address) > 0
+                   ? absl::DeadlineExceededError("cut off")
+                   : fleet_.call(action, address, request, timeout);
+    }
+
+    std::set<std::string> cut_off;
+
+private:
+    fake_fleet& fleet_;
+};
+
 /// A document with one data centre `dc1` of the fleet's shape and the accounts
 /// `a` (weight 1, the guarantee given) and `b` (weight 1, none), both with the
 /// service `s`.
