--- a/src/coordination/control_group_worker.cpp
+++ b/src/coordination/control_group_worker.cpp
@@ -76,6 +76,8 @@
             },
             [this](std::uint64_t commit)
             {
+                // A caller sees its own change in `members` afterwards.
+                publish();
                 apply_up_to(commit);
             },
             [this](const confirmed_read& read)
@@ -97,8 +99,8 @@
             halt(status);
         }
     }
-    fail_lost_calls();
     publish();
+    fail_lost_calls();
 }
 
 bool control_group::refuse_if_failed(pending_call& call) const
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -34,6 +34,13 @@
     return !id.empty() && id.size() <= max_id_length;
 }
 
+template <typename Entry>
+void add_entry(const held_entry<Entry>& held, Entry& out)
+{
+    out = *held.value;
+    out.set_sequence(held.sequence);
+}
+
 milliseconds beat_interval(const settings& own)
 {
     return std::min(milliseconds(500),
@@ -62,15 +69,14 @@
 
 membership::membership(const settings& own, registry& state,
                        peer_network& network, timer_service& timers,
-                       metrics& counters,
-                       std::function<std::uint64_t()> config_version,
+                       metrics& counters, describe_function describe,
                        std::uint64_t incarnation, std::uint64_t seed)
     : settings_(own)
     , registry_(state)
     , network_(network)
     , timers_(timers)
     , metrics_(counters)
-    , config_version_(std::move(config_version))
+    , describe_(std::move(describe))
     , incarnation_(incarnation)
     , random_(seed)
     , started_(timers.now())
@@ -130,7 +136,7 @@
     {
         const auto held = registry_.upstream(entry.id(), now);
         return held && held->value->incarnation() == entry.incarnation() &&
-               held->value->sequence() == entry.sequence();
+               held->sequence == entry.sequence();
     }
     metrics_.add("announcements_total{kind=\"upstream\",result=\"taken\"}");
     {
@@ -169,7 +175,7 @@
     {
         const auto held = registry_.worker(entry.id(), now);
         return held && held->value->incarnation() == entry.incarnation() &&
-               held->value->sequence() == entry.sequence();
+               held->sequence == entry.sequence();
     }
     metrics_.add("announcements_total{kind=\"worker\",result=\"taken\"}");
     const std::lock_guard lock(mutex_);
@@ -262,12 +268,14 @@
 
 wire::host_entry membership::own_entry()
 {
-    const auto version = config_version_ ? config_version_() : 0;
     wire::host_entry out;
     out.set_host(settings_.host);
     out.set_incarnation(incarnation_);
     out.set_has_disk(!settings_.data_folder.empty());
-    out.set_config_version(version);
+    if (describe_)
+    {
+        describe_(out);
+    }
     const std::lock_guard lock(mutex_);
     out.set_sequence(++sequence_);
     out.set_draining(draining_);
@@ -327,20 +335,20 @@
     const auto add_renewal = [&delta](const auto& held)
     {
         delta.add_renewed(held->contents);
-        delta.add_renewed_sequences(held->value->sequence());
+        delta.add_renewed_sequences(held->sequence);
     };
     for (const auto& id : batch.upstreams)
     {
         if (const auto held = registry_.upstream(id, now))
         {
-            *delta.add_upstreams() = *held->value;
+            add_entry(*held, *delta.add_upstreams());
         }
     }
     for (const auto& id : batch.workers)
     {
         if (const auto held = registry_.worker(id, now))
         {
-            *delta.add_workers() = *held->value;
+            add_entry(*held, *delta.add_workers());
         }
     }
     for (const auto& id : batch.renewed_upstreams)
--- a/src/daemon/operator_service.cpp
+++ b/src/daemon/operator_service.cpp
@@ -114,7 +114,8 @@
     {
         wire::job_query query;
         query.set_data_centre(data_centre);
-        for (const auto& job : work.list_jobs(query).jobs())
+        const auto found = work.list_jobs(query);
+        for (const auto& job : found.jobs())
         {
             list.push_back(to_json(job, data_centre));
         }
@@ -125,10 +126,9 @@
 json list_hosts(work_service& work)
 {
     json list = json::array();
-    for (const auto& known : work.soft_state().hosts())
+    for (const auto& known : work.known_hosts())
     {
-        list.push_back(
-            to_json(known.entry, work.hosts().is_live(known.entry.host())));
+        list.push_back(to_json(known.entry, known.live));
     }
     return list;
 }
