--- a/test/gang_coordinator-test.cpp
+++ b/test/gang_coordinator-test.cpp
@@ -224,6 +224,21 @@
     EXPECT_EQ(b.counters.counter("workers_quarantined_total"), 1U);
 }
 
+// Guards against an owner that keeps gangs running after it has lost the
+// journal, so that no other may start them.
+TEST(gang_coordinator, stops_renewing_when_ownership_is_lost)
+{
+    bed b;
+    b.fleet.run_time = milliseconds(60000);
+    b.submit(submission("a", 1, 3, 8, "rack"));
+    b.run(milliseconds(2000));
+    b.journals.back()->claims_ownership = false;
+    EXPECT_FALSE(b.submit(submission("a", 2, 1, 1)).available());
+    b.run(lease + step);
+    EXPECT_EQ(b.fleet.running()["job-dc1-1-1"], 0);
+    EXPECT_EQ(b.state(1), "running"); // The next owner decides.
+}
+
 // Guards against running gangs that are stopped when the owner changes.
 TEST(gang_coordinator, adopts_whole_gangs_and_requeues_the_rest)
 {
