Add the operators' console of forms

Pages without scripts on the operators' listener: entries are added and removed by buttons, errors stand beside their fields, and the document that comes out goes through the same validation and comparison of versions as limpetctl's.

--- a/src/daemon/operator_service.cpp
+++ b/src/daemon/operator_service.cpp
@@ -174,6 +174,10 @@
     {
         return change_config(control, change);
     };
+    handlers.check_document = [](const std::string& yaml)
+    {
+        return find_errors(parse_document(yaml));
+    };
     handlers.accounts = [&control]
     {
         return list_accounts(control);
--- a/src/transport/operator_api.cpp
+++ b/src/transport/operator_api.cpp
@@ -1,6 +1,8 @@
 #include "transport/operator_api.hpp"
 
+#include "limpetstack/document.hpp"
 #include "protocol/json_codec.hpp"
+#include "transport/console_api.hpp"
 #include "transport/operator_answer.hpp"
 
 #include <httplib.h>
@@ -97,6 +99,7 @@
                     handle_change(*given, request, response);
                 });
     add_health(server, given);
+    add_console(server, *given);
 }
 
 } // namespace
--- a/src/transport/operator_api.hpp
+++ b/src/transport/operator_api.hpp
@@ -6,11 +6,13 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace limpetstack
 {
 
 struct config_change;
+struct document_error;
 
 /// Status and body of a response to an operator.
 struct operator_answer;
@@ -21,6 +23,9 @@
 {
     std::function<operator_answer()> config;
     std::function<operator_answer(const config_change&)> change_config;
+    /// Returns every error of a document, without changing anything.
+    std::function<std::vector<document_error>(const std::string&)>
+        check_document;
     std::function<nlohmann::json()> accounts;
     std::function<nlohmann::json()> upstreams;
     std::function<nlohmann::json()> workers;
