--- a/src/daemon/operator_service.cpp
+++ b/src/daemon/operator_service.cpp
@@ -144,9 +144,13 @@
     return list;
 }
 
-operator_answer show_audit(control_service& control)
+operator_answer show_audit(control_service& control, std::uint64_t after,
+                           std::uint32_t limit)
 {
-    const auto audit = control.find_audit(wire::audit_request());
+    wire::audit_request request;
+    request.set_after_sequence(after);
+    request.set_limit(limit);
+    const auto audit = control.find_audit(request);
     if (!audit.ok())
     {
         return {503, {{"error", std::string(audit.status().message())}}};
@@ -203,9 +207,9 @@
         return operator_answer{200,
                                {{"members", to_json(control.find_members())}}};
     };
-    handlers.audit = [&control]
+    handlers.audit = [&control](std::uint64_t after, std::uint32_t limit)
     {
-        return show_audit(control);
+        return show_audit(control, after, limit);
     };
     handlers.metrics = [&counters]
     {
--- a/src/protocol/document_form.cpp
+++ b/src/protocol/document_form.cpp
@@ -187,14 +187,16 @@
     for (const auto& section : sections)
     {
         const auto list = entry.lists.find(section.key);
-        if (list == entry.lists.end() || list->second.empty())
+        const bool empty = list == entry.lists.end() || list->second.empty();
+        // The document's own lists are required, those of its entries are not.
+        if (empty && own != nullptr)
         {
             continue;
         }
         out << YAML::Key << section.key << YAML::Value << YAML::BeginSeq;
-        for (const auto& item : list->second)
+        for (std::size_t i = 0; !empty && i < list->second.size(); ++i)
         {
-            write_entry(out, item, &section, section.sections);
+            write_entry(out, list->second[i], &section, section.sections);
         }
         out << YAML::EndSeq;
     }
--- a/src/transport/operator_api.cpp
+++ b/src/transport/operator_api.cpp
@@ -5,6 +5,7 @@
 #include "transport/console_api.hpp"
 #include "transport/operator_answer.hpp"
 
+#include <absl/strings/numbers.h>
 #include <httplib.h>
 
 #include <memory>
@@ -37,6 +38,28 @@
     write(given.change_config(*change), response);
 }
 
+// Reads a number from the query; false when it is there and not a number.
+template <class Number>
+bool read_number(const Request& request, const char* name, Number& value)
+{
+    return !request.has_param(name) ||
+           absl::SimpleAtoi(request.get_param_value(name), &value);
+}
+
+void handle_audit(const operator_handlers& given, const Request& request,
+                  Response& response)
+{
+    std::uint64_t after = 0;
+    std::uint32_t limit = 0;
+    if (!read_number(request, "after", after) ||
+        !read_number(request, "limit", limit))
+    {
+        set_error(response, 400, "after and limit must be numbers");
+        return;
+    }
+    write(given.audit(after, limit), response);
+}
+
 void add_list(httplib::Server& server, const handlers_ptr& given,
               const std::string& name,
               std::function<json()> operator_handlers::*list)
@@ -87,12 +110,16 @@
 {
     add_answer(server, given, "/v1/config", &operator_handlers::config);
     add_answer(server, given, "/v1/members", &operator_handlers::members);
-    add_answer(server, given, "/v1/audit", &operator_handlers::audit);
     add_list(server, given, "accounts", &operator_handlers::accounts);
     add_list(server, given, "upstreams", &operator_handlers::upstreams);
     add_list(server, given, "workers", &operator_handlers::workers);
     add_list(server, given, "jobs", &operator_handlers::jobs);
     add_list(server, given, "hosts", &operator_handlers::hosts);
+    server.Get("/v1/audit",
+               [given](const Request& request, Response& response)
+               {
+                   handle_audit(*given, request, response);
+               });
     server.Post("/v1/config",
                 [given](const Request& request, Response& response)
                 {
--- a/src/transport/operator_api.hpp
+++ b/src/transport/operator_api.hpp
@@ -32,7 +32,9 @@
     std::function<nlohmann::json()> jobs;
     std::function<nlohmann::json()> hosts;
     std::function<operator_answer()> members;
-    std::function<operator_answer()> audit;
+    /// Takes the sequence after which records begin, and how many at most (0:
+    /// the server's limit).
+    std::function<operator_answer(std::uint64_t, std::uint32_t)> audit;
     std::function<std::string()> metrics;
     std::function<std::string()> not_ready; // Empty when ready, else why not.
 };
--- a/test/process/control-test.cpp
+++ b/test/process/control-test.cpp
@@ -412,5 +412,47 @@
     EXPECT_TRUE(in_force(system.hosts(), 5));
 }
 
+class console : public control_process
+{
+protected:
+    http_answer press(const std::string& action, std::uint64_t base_version,
+                      const std::string& weight,
+                      const std::string& request_id) const
+    {
+        const std::string body = "action=" + action + "&base_version=" +
+                                 std::to_string(base_version) +
+                                 "&request_id=" + request_id +
+                                 "&operator=clerk"
+                                 "&client_accounts%5B0%5D.name=addis"
+                                 "&client_accounts%5B0%5D.weight=" +
+                                 weight;
+        return post(system.operators("a2"), "/console", body,
+                    {{"Content-Type", "application/x-www-form-urlencoded"}},
+                    std::chrono::seconds(15));
+    }
+};
+
+// Guards against a console that applies what limpetctl would refuse, applies
+// a page twice, or hides a lost race.
+TEST_F(console, applies_checks_and_reports_conflicts)
+{
+    ASSERT_TRUE(group_formed());
+    EXPECT_EQ(press("check", 0, "none", "p0").status, 422);
+    EXPECT_EQ(press("apply", 0, "none", "p0").status, 422);
+    EXPECT_EQ(system.version_at("a2"), 0U);
+    const auto accepted = press("apply", 0, "3", "p1");
+    EXPECT_EQ(accepted.status, 200) << accepted.body;
+    const auto repeated = press("apply", 0, "3", "p1");
+    EXPECT_EQ(repeated.status, 200);
+    EXPECT_NE(repeated.body.find("Accepted as version 1"), std::string::npos);
+    ASSERT_TRUE(in_force(system.hosts(), 1));
+    const auto late = press("apply", 0, "4", "p2");
+    EXPECT_EQ(late.status, 422);
+    EXPECT_NE(late.body.find("clerk was faster"), std::string::npos)
+        << late.body;
+    const auto shown = get(system.operators("b2"), "/console");
+    EXPECT_NE(shown.body.find("value=\"addis\""), std::string::npos);
+}
+
 } // namespace
 } // namespace limpetstack::test
--- a/test/support/http.cpp
+++ b/test/support/http.cpp
@@ -52,9 +52,16 @@
                  const std::string& body, const http_headers& headers,
                  std::chrono::milliseconds timeout)
 {
-    const httplib::Headers fields(headers.begin(), headers.end());
+    httplib::Headers fields(headers.begin(), headers.end());
+    std::string type = "application/json";
+    const auto given = fields.find("Content-Type");
+    if (given != fields.end())
+    {
+        type = given->second;
+        fields.erase(given);
+    }
     return to_answer(client_for(address, timeout)
-                         .Post(path.c_str(), fields, body, "application/json"));
+                         .Post(path.c_str(), fields, body, type.c_str()));
 }
 
 } // namespace limpetstack::test
