--- a/src/protocol/document_form.cpp
+++ b/src/protocol/document_form.cpp
@@ -27,7 +27,7 @@
 {
     const form_section fleet{
         "fleet",
-        "Racks of equal workers",
+        "Rack group",
         {{"data_centre", "Data centre", "", {}},
          {"racks", "Racks", "1", {}},
          {"workers_per_rack", "Workers in a rack", "6", {}},
