--- a/test/dispatcher-test.cpp
+++ b/test/dispatcher-test.cpp
@@ -212,8 +212,9 @@
     const auto subject = path.make_dispatcher();
     path.upstreams.close();
     std::atomic<int> done{0};
-    std::vector<std::thread> callers;
     constexpr int requests = 12;
+    std::vector<std::thread> callers;
+    callers.reserve(requests);
     for (int i = 0; i < requests; ++i)
     {
         callers.emplace_back(
@@ -310,6 +311,7 @@
         const auto b = path.make_dispatcher();
         history answers;
         std::vector<std::thread> callers;
+        callers.reserve(std::size_t{3} * ids);
         for (int i = 0; i < 3 * ids; ++i)
         {
             callers.emplace_back(
--- a/test/programs/soft_state_bench.cpp
+++ b/test/programs/soft_state_bench.cpp
@@ -47,7 +47,7 @@
     const int period =
         static_cast<int>(cluster.at(0).own.timing.announcement_lease.count()) /
         3 / step_ms;
-    const auto round = static_cast<std::uint64_t>(step / period + 1);
+    const auto round = static_cast<std::uint64_t>(step / period) + 1;
     const auto pick = [&]() -> membership&
     {
         return *cluster.at(cluster.random_below(what.daemons)).hosts;
--- a/test/request_coordinator-test.cpp
+++ b/test/request_coordinator-test.cpp
@@ -241,6 +241,7 @@
     path.announce("u");
     path.upstreams.close();
     std::vector<std::thread> callers;
+    callers.reserve(8);
     std::atomic<int> limited{0};
     std::atomic<int> finished{0};
     for (int i = 0; i < 8; ++i)
--- a/test/service_queue-test.cpp
+++ b/test/service_queue-test.cpp
@@ -66,6 +66,7 @@
     std::atomic<int> at_once{0};
     std::atomic<int> most{0};
     std::vector<std::thread> threads;
+    threads.reserve(8);
     for (int i = 0; i < 8; ++i)
     {
         threads.emplace_back(
@@ -137,6 +138,7 @@
 TEST_F(service_queue_test, full_queue_refuses)
 {
     std::vector<std::thread> threads;
+    threads.reserve(8);
     for (int i = 0; i < 8; ++i)
     {
         threads.emplace_back(
--- a/test/support/soft_state_cluster.cpp
+++ b/test/support/soft_state_cluster.cpp
@@ -58,6 +58,7 @@
     , random_(seed)
 {
     std::vector<peer_settings> peers;
+    peers.reserve(static_cast<std::size_t>(hosts));
     for (int i = 0; i < hosts; ++i)
     {
         peers.push_back({"h" + std::to_string(i),
--- a/test/upstream_client-test.cpp
+++ b/test/upstream_client-test.cpp
@@ -70,7 +70,8 @@
         sockaddr_in name{};
         name.sin_family = AF_INET;
         name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(socket_, reinterpret_cast<sockaddr*>(&name), sizeof name);
+        [[maybe_unused]] const int bound =
+            ::bind(socket_, reinterpret_cast<sockaddr*>(&name), sizeof name);
         ::listen(socket_, 8);
         socklen_t size = sizeof name;
         ::getsockname(socket_, reinterpret_cast<sockaddr*>(&name), &size);
@@ -337,6 +338,7 @@
             --at_once;
         });
     std::vector<std::thread> threads;
+    threads.reserve(6);
     for (int i = 0; i < 6; ++i)
     {
         threads.emplace_back(
