--- a/src/coordination/reclaim.cpp
+++ b/src/coordination/reclaim.cpp
@@ -114,8 +114,9 @@
     double size = 0;
     for (const auto& worker : gang.placement)
     {
-        size += workers.count(worker) *
-                (gang.each.accelerators + core_size * gang.each.cores);
+        size += workers.count(worker) > 0
+                    ? gang.each.accelerators + core_size * gang.each.cores
+                    : 0;
     }
     return size;
 }
