--- a/test/dispatcher-test.cpp
+++ b/test/dispatcher-test.cpp
@@ -245,6 +245,8 @@
         EXPECT_EQ(refused.reason(), reason_dispatcher_stopping);
         EXPECT_GT(refused.retry_after_ms(), 0U);
     }
+    // Gives a stop that does not wait the time to return.
+    std::this_thread::sleep_for(short_time);
     EXPECT_FALSE(stopped);
     path.upstreams.open();
     for (auto& caller : callers)
