Let the stand-in answer with another request's content; fix a timer race

In the mode wrong_id it now sends another request's answer.

The timer service read the cancelled flag without the lock that guards its write; ThreadSanitizer reported it.

--- a/src/base/system_timer_service.cpp
+++ b/src/base/system_timer_service.cpp
@@ -1,5 +1,6 @@
 #include "base/system_timer_service.hpp"
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -18,7 +19,7 @@
     timer_service::callback run;
     // Held while the callback runs, so that cancelling waits for it.
     std::recursive_mutex running;
-    bool cancelled = false;
+    std::atomic<bool> cancelled{false};
 };
 
 } // namespace
--- a/test/programs/fake-upstream.cpp
+++ b/test/programs/fake-upstream.cpp
@@ -121,10 +121,12 @@
         response.status = 500;
         return;
     }
-    const std::string body = json{
-        {"id", id},
-        {"upstream", options_.id},
-        {"echo", request.body}}.dump();
+    // With wrong_id, the whole answer is that of another request.
+    const bool foreign = mode == "wrong_id";
+    const std::string body = json{{"id", foreign ? "other-" + id : id},
+                                  {"upstream", options_.id},
+                                  {"echo", foreign ? "other" : request.body}}
+                                 .dump();
     if (mode != "truncate" && mode != "close")
     {
         response.set_content(body, "application/json");
