--- a/src/transport/operator_api.hpp
+++ b/src/transport/operator_api.hpp
@@ -6,11 +6,13 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace limpetstack
 {
 
 struct config_change;
+struct document_error;
 
 /// Status and body of a response to an operator.
 struct operator_answer;
@@ -21,13 +23,18 @@
 {
     std::function<operator_answer()> config;
     std::function<operator_answer(const config_change&)> change_config;
+    /// Returns every error of a document, without changing anything.
+    std::function<std::vector<document_error>(const std::string&)>
+        check_document;
     std::function<nlohmann::json()> accounts;
     std::function<nlohmann::json()> upstreams;
     std::function<nlohmann::json()> workers;
     std::function<nlohmann::json()> jobs;
     std::function<nlohmann::json()> hosts;
     std::function<operator_answer()> members;
-    std::function<operator_answer()> audit;
+    /// Takes the sequence after which records begin, and how many at most (0:
+    /// the server's limit).
+    std::function<operator_answer(std::uint64_t, std::uint32_t)> audit;
     std::function<std::string()> metrics;
     std::function<std::string()> not_ready; // Empty when ready, else why not.
 };
