--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -240,7 +240,7 @@
                        const auto list = system.ask(host, "/v1/upstreams");
                        if (!list.is_object() ||
                            list["upstreams"].size() !=
-                               static_cast<std::size_t>(4 * given.upstreams) ||
+                               4 * static_cast<std::size_t>(given.upstreams) ||
                            post(system.callers(host), "/v1/request-ids", "")
                                    .status != 200)
                        {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -303,7 +303,7 @@
     signal(SIGPIPE, SIG_IGN);
 
     daemon_parts parts(own);
-    const auto status = start(parts, found_group);
+    auto status = start(parts, found_group);
     if (status.ok())
     {
         log_event(log_level::info, "daemon_started",
--- a/test/process/bad_input-test.cpp
+++ b/test/process/bad_input-test.cpp
@@ -150,7 +150,7 @@
 TEST_F(bad_input, malformed_http)
 {
     start();
-    for (const std::string text :
+    for (const std::string& text :
          {std::string("\x16\x03\x01garbage\r\n\r\n"),
           std::string("GET\r\n\r\n"), std::string(100000, 'x') + "\r\n\r\n",
           std::string("POST /v1/upstreams HTTP/1.1\r\nContent-Length: -5"
--- a/test/process/job-test.cpp
+++ b/test/process/job-test.cpp
@@ -155,6 +155,7 @@
             }
         }
         std::vector<member_interval> result;
+        result.reserve(found.size());
         for (const auto& [key, interval] : found)
         {
             result.push_back(interval);
@@ -252,6 +253,7 @@
 {
     prepare(6, document_with_borrower());
     std::vector<std::string> borrowing;
+    borrowing.reserve(6);
     for (int i = 0; i < 6; ++i)
     {
         borrowing.push_back(submit(
--- a/test/support/request_history.cpp
+++ b/test/support/request_history.cpp
@@ -47,7 +47,7 @@
     {
         return "";
     }
-    const auto error = call.status == 200 ? check_answer(call) : "";
+    auto error = call.status == 200 ? check_answer(call) : "";
     if (!error.empty())
     {
         return error;
@@ -95,7 +95,7 @@
     }
     for (const auto& call : calls)
     {
-        const auto error = check_call(call, ids[call.id], once);
+        auto error = check_call(call, ids[call.id], once);
         if (!error.empty())
         {
             return error;
