Wait for the accepted version before the next change in process tests

Two tests failed repeatedly: they read the base version from a host in the half second in which the host has not the last accepted version in force, which the requirement allows, and heard a conflict. The tests now wait until it is in force, which is stricter than before. The accepting host also asks for the new version at once, so that an operator's next read there shows it.

--- a/src/daemon/operator_service.cpp
+++ b/src/daemon/operator_service.cpp
@@ -90,7 +90,13 @@
     command.set_time_ms(wall_clock_ms());
     *command.mutable_document() = make_apply_document(
         change.base_version, change.document, *parsed.value);
-    return to_answer(control.client().submit(command, change_timeout));
+    const auto outcome = control.client().submit(command, change_timeout);
+    if (outcome.code() == wire::command_accepted)
+    {
+        // An operator who reads the configuration here next sees the change.
+        control.config().poll();
+    }
+    return to_answer(outcome);
 }
 
 json list_accounts(control_service& control)
--- a/test/process/control-test.cpp
+++ b/test/process/control-test.cpp
@@ -84,11 +84,17 @@
         return "";
     }
 
-    // Applies documents one after the other until `version` is committed.
+    // Waits until the last accepted version is in force at the host, then
+    // applies documents one after the other until `version` is accepted.
     bool apply_up_to(const std::string& host, std::uint64_t version,
-                     const std::string& prefix) const
+                     const std::string& prefix)
     {
-        auto current = system.version_at(host);
+        if (accepted > 0 && !in_force({host}, accepted))
+        {
+            ADD_FAILURE() << host << " does not get version " << accepted;
+            return false;
+        }
+        auto current = accepted;
         while (current < version)
         {
             const auto outcome = system.apply(
@@ -101,6 +107,7 @@
             }
             current = outcome.value("version", 0ULL);
         }
+        accepted = current;
         return true;
     }
 
@@ -123,6 +130,7 @@
 
     const std::string folder;
     deployment system;
+    std::uint64_t accepted = 0; // Last version that apply_up_to got accepted.
 };
 
 /// Watches the version in force at every host and notes any that goes down.
