Move the deployment harness and the demo to experiment/

The demo and the load program use it as much as the process tests do; it is a tool for experiments, and test/ holds tests, their fakes and the stand-ins.

--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -2,8 +2,8 @@
 // second, latencies, and each daemon's processor time and memory, one line
 // each. The load is bounded in time.
 
-#include "support/deployment.hpp"
-#include "support/http.hpp"
+#include "experiment/deployment.hpp"
+#include "experiment/http.hpp"
 
 #include <CLI/CLI.hpp>
 #include <httplib.h>
--- a/test/support/announcer.cpp
+++ b/experiment/announcer.cpp
@@ -1,6 +1,6 @@
-#include "support/announcer.hpp"
+#include "experiment/announcer.hpp"
 
-#include "support/http.hpp"
+#include "experiment/http.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/test/programs/demo.cpp
+++ b/experiment/demo/demo.cpp
@@ -2,8 +2,8 @@
 // requests and a gang job through it, and prints what it saw. Exits 0 only if
 // every step held.
 
-#include "support/deployment.hpp"
-#include "support/http.hpp"
+#include "experiment/deployment.hpp"
+#include "experiment/http.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/test/support/deployment.cpp
+++ b/experiment/deployment.cpp
@@ -1,6 +1,6 @@
-#include "support/deployment.hpp"
+#include "experiment/deployment.hpp"
 
-#include "support/http.hpp"
+#include "experiment/http.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/test/support/deployment.hpp
+++ b/experiment/deployment.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "support/process.hpp"
-#include "support/relay.hpp"
+#include "experiment/process.hpp"
+#include "experiment/relay.hpp"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/test/support/http.cpp
+++ b/experiment/http.cpp
@@ -1,4 +1,4 @@
-#include "support/http.hpp"
+#include "experiment/http.hpp"
 
 #include <httplib.h>
 
--- a/test/support/process.cpp
+++ b/experiment/process.cpp
@@ -1,4 +1,4 @@
-#include "support/process.hpp"
+#include "experiment/process.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/test/support/relay.cpp
+++ b/experiment/relay.cpp
@@ -1,6 +1,6 @@
-#include "support/relay.hpp"
+#include "experiment/relay.hpp"
 
-#include "support/process.hpp"
+#include "experiment/process.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/test/document_form-test.cpp
+++ b/test/document_form-test.cpp
@@ -1,7 +1,7 @@
 #include "protocol/document_form.hpp"
 
+#include "experiment/deployment.hpp"
 #include "limpetstack/document.hpp"
-#include "support/deployment.hpp"
 
 #include <gtest/gtest.h>
 
--- a/test/process/bad_input-test.cpp
+++ b/test/process/bad_input-test.cpp
@@ -1,8 +1,8 @@
 // Bad input to a real daemon: each gets a clear error, and nothing else
 // suffers.
 
-#include "support/deployment.hpp"
-#include "support/http.hpp"
+#include "experiment/deployment.hpp"
+#include "experiment/http.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
--- a/test/process/control-test.cpp
+++ b/test/process/control-test.cpp
@@ -1,7 +1,7 @@
 // Configuration and control group under failures of real processes.
 
-#include "support/deployment.hpp"
-#include "support/http.hpp"
+#include "experiment/deployment.hpp"
+#include "experiment/http.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
--- a/test/process/job-test.cpp
+++ b/test/process/job-test.cpp
@@ -1,8 +1,8 @@
 // The job path under failures of real processes, by history checking.
 
-#include "support/deployment.hpp"
+#include "experiment/deployment.hpp"
+#include "experiment/http.hpp"
 #include "support/gang_history.hpp"
-#include "support/http.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
--- a/test/process/request-test.cpp
+++ b/test/process/request-test.cpp
@@ -1,7 +1,7 @@
 // The request path under failures of real processes, by history checking.
 
-#include "support/deployment.hpp"
-#include "support/http.hpp"
+#include "experiment/deployment.hpp"
+#include "experiment/http.hpp"
 #include "support/request_history.hpp"
 
 #include <gtest/gtest.h>
--- a/test/programs/fake-upstream.cpp
+++ b/test/programs/fake-upstream.cpp
@@ -1,7 +1,7 @@
 // Stand-in for an upstream: runs requests in a limited number of slots,
 // announces itself, and fails on demand. Its history is at GET /history.
 
-#include "support/announcer.hpp"
+#include "experiment/announcer.hpp"
 
 #include <CLI/CLI.hpp>
 #include <httplib.h>
--- a/test/programs/fake-worker.cpp
+++ b/test/programs/fake-worker.cpp
@@ -3,7 +3,7 @@
 // Its history is at GET /history.
 
 #include "base/clock.hpp"
-#include "support/announcer.hpp"
+#include "experiment/announcer.hpp"
 
 #include <CLI/CLI.hpp>
 #include <httplib.h>
--- a/test/support/request_history.cpp
+++ b/test/support/request_history.cpp
@@ -1,7 +1,7 @@
 #include "support/request_history.hpp"
 
-#include "support/deployment.hpp"
-#include "support/http.hpp"
+#include "experiment/deployment.hpp"
+#include "experiment/http.hpp"
 
 #include <nlohmann/json.hpp>
 
