Report checkpointed progress only from the worker stand-in

It reported live progress, so that a gang that was restarted after a crash continued too far ahead; the interface says that progress is what was saved.

--- a/test/programs/fake-worker.cpp
+++ b/test/programs/fake-worker.cpp
@@ -134,7 +134,7 @@
                                  {"state", subject.state},
                                  {"cores_used_milli", subject.cores * 700},
                                  {"memory_used_mib", subject.memory_mib / 2},
-                                 {"progress", progress_of(subject, now)}});
+                                 {"progress", subject.progress}});
         }
     }
     return {{"id", options_.id},
@@ -360,7 +360,7 @@
                                {"member", key.second},
                                {"attempt", found->second.attempt},
                                {"state", found->second.state},
-                               {"progress", progress_of(found->second, now)}});
+                               {"progress", found->second.progress}});
         }
     }
     response.set_content(json{{"tasks", results}}.dump(), "application/json");
