Give each test its own folder for files

In a clean clone, command_test.apply_reports_each_outcome read an empty document: its tests shared one file name and ran at the same time in two processes. A fault of limpetctl was ruled out, the test passes alone. The tests of the settings file had the same fault towards a second run beside it.

--- a/test/commands-test.cpp
+++ b/test/commands-test.cpp
@@ -2,6 +2,7 @@
 #include "ctl/operator_client.hpp"
 #include "state/audit_trail.hpp"
 #include "support/fake_operator_transport.hpp"
+#include "support/temporary_folder.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -20,7 +21,6 @@
 struct command_test : testing::Test
 {
     command_test() { std::ofstream(path) << "fleet: []\n"; }
-    ~command_test() override { std::remove(path.c_str()); }
 
     exit_code run(command_line line)
     {
@@ -45,7 +45,9 @@
         transport.replies["a"].push_back({status, body.dump(), false, ""});
     }
 
-    const std::string path = testing::TempDir() + "commands-test.yaml";
+    // Tests of this file may run at the same time, in processes of their own.
+    const temporary_folder folder;
+    const std::string path = folder.path("document.yaml");
     fake_operator_transport transport;
     std::ostringstream out;
     std::ostringstream errors;
--- a/test/settings_file-test.cpp
+++ b/test/settings_file-test.cpp
@@ -1,5 +1,7 @@
 #include "protocol/settings_file.hpp"
 
+#include "support/temporary_folder.hpp"
+
 #include <gtest/gtest.h>
 
 #include <cstdio>
@@ -113,12 +115,12 @@
     EXPECT_TRUE(contains(missing.errors[0].message,
                          "/nonexistent/limpetstack.yaml: can not be read: No "
                          "such file"));
-    const auto path = testing::TempDir() + "settings_file-test.yaml";
+    const temporary_folder folder;
+    const auto path = folder.path("settings.yaml");
     std::ofstream(path) << valid;
     EXPECT_TRUE(load_settings(path).value);
     std::ofstream(path) << valid + "---\n" + valid;
     EXPECT_TRUE(contains(load_settings(path).errors.at(0).message, path));
-    std::remove(path.c_str());
     EXPECT_FALSE(load_settings(testing::TempDir()).value);
 }
 
