Run the fleet on the platform: replicated state, scheduler, adapter

The daemon limpetstack-fleetd keeps jobs, placements, ends, workers and the document in a replicated log over the hosts with disks, schedules on the leader under an epoch taken from the term, and passes callers' requests from hosts without disks. platform/ decodes and encodes the platform's formats.

--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace limpetstack
 {
@@ -20,6 +21,17 @@
         std::chrono::steady_clock::now());
 }
 
+/// Returns the time since the host started, which also passes while the host is
+/// suspended. Leases and leadership are measured with it.
+inline time_point boot_now()
+{
+    std::timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(milliseconds(
+        static_cast<milliseconds::rep>(time.tv_sec) * 1000 +
+        static_cast<milliseconds::rep>(time.tv_nsec) / 1000000));
+}
+
 /// Returns the wall clock in milliseconds since 1970, for records only.
 inline std::int64_t wall_clock_ms()
 {
--- /dev/null
+++ b/src/daemon/fleet/core_node.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "coordination/fleet/consensus_runner.hpp"
+#include "coordination/fleet/fleet_scheduler.hpp"
+#include "coordination/fleet/fleet_service.hpp"
+#include "coordination/fleet/member_policy.hpp"
+#include "coordination/fleet/worker_fleet.hpp"
+#include "daemon/fleet/disk_thread.hpp"
+#include "daemon/fleet/node_settings.hpp"
+#include "daemon/fleet/replica_identity.hpp"
+#include "transport/frame_link.hpp"
+#include "transport/http_server.hpp"
+#include "transport/http_worker_port.hpp"
+#include "transport/peer_links.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace limpetstack::fleet
+{
+
+/// A host with a disk: replica of the fleet's state, interface for workers and
+/// operators and, while it leads, the scheduler. For the thread that runs `io`.
+class core_node
+{
+public:
+    core_node(boost::asio::io_context& io, const node_settings& settings,
+              const external_protocol& protocol, replica_storage storage);
+    ~core_node();
+    core_node(const core_node&) = delete;
+    core_node& operator=(const core_node&) = delete;
+
+    /// Opens the listeners; false when an address can not be used.
+    bool start();
+
+    /// Takes changed settings; only the seeds may change.
+    void reload(const node_settings& settings);
+
+    /// Hands the leadership over and stops taking calls.
+    void stop();
+
+private:
+    // Everything that exists only while this host leads.
+    struct leadership
+    {
+        leadership(core_node& node, std::uint64_t term);
+        http_worker_port port;
+        worker_fleet workers;
+        fleet_scheduler scheduler;
+        fleet_service service;
+        time_point since;
+    };
+
+    void on_tick();
+    void schedule_tick();
+    void on_peer_frame(const std::shared_ptr<frame_connection>& from,
+                       const peer_frame& frame);
+    void on_link_frame(const peer_frame& frame);
+    void on_consensus(const wire::consensus_message& message);
+    void send_message(const wire::consensus_message& message);
+    void note_sighting(const hello& from, const ping& message);
+    void follow_leadership();
+    void begin_leadership();
+    void work();
+    void manage_members();
+    void use_document();
+    void update_targets();
+    host_status status() const;
+    void push_status();
+    std::string leader_address() const;
+    void serve_call(const forwarded_call& call, answer_handler done);
+    void handle_control(http_server_request request, http_responder respond);
+    void forward_to_leader(forwarded_call call, http_responder respond);
+    void fail_forwarded();
+
+    boost::asio::io_context& io_;
+    node_settings settings_;
+    const external_protocol& protocol_;
+    replica_storage storage_;
+    disk_thread disk_;
+    fleet_state state_;
+    std::optional<fleet_document> document_;
+    std::unique_ptr<consensus_runner> runner_;
+    std::unique_ptr<leadership> leading_;
+    std::uint64_t confirming_term_ = 0;
+    std::unique_ptr<peer_links> links_;
+    frame_listener listener_;
+    http_server control_;
+    boost::asio::steady_timer timer_;
+    std::map<std::uint64_t, host_sighting> sightings_;
+    std::map<std::uint64_t, std::string> addresses_; // By replica.
+    std::set<std::string> heard_members_;
+    std::vector<std::weak_ptr<frame_connection>> subscribers_;
+    struct forwarded
+    {
+        http_responder respond;
+        time_point until;
+    };
+    std::map<std::uint64_t, forwarded> forwarded_;
+    std::uint64_t next_call_ = 1;
+    time_point members_checked_;
+    std::string last_leader_;
+    bool stopping_ = false;
+    bool working_ = false;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/src/daemon/fleet/disk_thread.cpp
@@ -0,0 +1,34 @@
+#include "daemon/fleet/disk_thread.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace limpetstack::fleet
+{
+
+disk_thread::disk_thread(boost::asio::io_context& io)
+    : io_(io)
+    , pool_(1)
+{
+}
+
+disk_thread::~disk_thread()
+{
+    pool_.join();
+}
+
+void disk_thread::run(std::function<absl::Status()> job,
+                      std::function<void(absl::Status)> done)
+{
+    boost::asio::post(
+        pool_,
+        [this, job = std::move(job), done = std::move(done)]() mutable
+        {
+            auto status = job();
+            boost::asio::post(io_, [done = std::move(done), status]
+                              { done(status); });
+        });
+}
+
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/src/daemon/fleet/disk_thread.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "coordination/fleet/consensus_runner.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+namespace limpetstack::fleet
+{
+
+/// Runs disk jobs on one thread and reports back on the io context.
+class disk_thread : public disk_queue
+{
+public:
+    explicit disk_thread(boost::asio::io_context& io);
+    ~disk_thread() override;
+
+    void run(std::function<absl::Status()> job,
+             std::function<void(absl::Status)> done) override;
+
+private:
+    boost::asio::io_context& io_;
+    boost::asio::thread_pool pool_;
+};
+
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/src/protocol/external_protocol.hpp
@@ -0,0 +1,264 @@
+#pragma once
+
+#include "fleet.pb.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpetstack::fleet
+{
+
+/// How a queue's policy service is asked which workers may run a step.
+struct advice_policy
+{
+    std::int64_t decision_ms = 0;   // Fixed part of a call's duration.
+    std::int64_t per_worker_ms = 0; // Added for each worker that is named.
+    std::int64_t valid_ms = 0;      // How long a ticket may be used.
+};
+
+/// A queue of jobs. Callers select it by host and path prefix.
+struct queue_config
+{
+    std::string name;
+    std::string host;
+    std::string prefix;
+    std::string service;
+    std::int64_t priority = 0; // 0 is the most urgent.
+    std::uint32_t attempts = 1;
+    double stretch = 1;           // Objective as a multiple of the work.
+    std::int64_t slo_ms = 0;      // Added to the objective.
+    std::int64_t timeout_ms = 0;  // Of one call.
+    bool public_access = false;   // Callers need no key.
+    std::optional<advice_policy> advice;
+};
+
+struct service_config
+{
+    std::string name;
+    bool guards_capacity = false; // Its workers refuse what does not fit.
+    bool standby = false;         // Its machines are off.
+};
+
+struct account_config
+{
+    std::string name;
+    std::vector<std::string> keys;
+    std::int64_t guaranteed_accelerators = 0;
+};
+
+/// Bounds on what one caller's connection may use.
+struct caller_limits
+{
+    std::uint32_t max_header_bytes = 16384;
+    std::uint32_t max_body_bytes = 262144;
+    std::uint32_t header_timeout_ms = 3000;
+    std::uint32_t idle_timeout_ms = 15000;
+};
+
+struct fleet_document
+{
+    std::uint64_t version = 0;
+    std::vector<queue_config> queues;
+    std::map<std::string, service_config> services;
+    std::vector<account_config> accounts;
+    std::map<std::string, std::string> account_of_key;
+    caller_limits limits;
+};
+
+/// A worker's report about itself.
+struct worker_report
+{
+    worker_record worker;
+    std::uint64_t sequence = 0;
+    std::int64_t clock_ms = 0;     // The worker's steady clock when sent.
+    std::int64_t remaining_ms = 0; // While draining: at least this long.
+};
+
+/// A run that a worker lists as present.
+struct listed_run
+{
+    run_ref run;
+    std::string checkpoint;
+    int percent = 0;
+    std::int64_t load = 0; // Tail in ms when it serves, else cpu_milli in use.
+};
+
+/// A run that a worker lists as ended.
+struct listed_end
+{
+    std::uint64_t number = 0; // Rises from 1 within an incarnation.
+    run_ref run;
+    run_end end = run_failed;
+    std::string checkpoint;
+};
+
+struct worker_lists
+{
+    std::int64_t clock_ms = 0;
+    std::int64_t born_ms = 0; // 0 when the worker did not say.
+    std::vector<listed_run> running;
+    std::vector<listed_end> ended;
+};
+
+/// How a worker took an order.
+enum class order_result
+{
+    accepted,
+    newer_epoch,  // The worker has seen a higher epoch.
+    old_run,      // This run, or a later one, ended or was stopped there.
+    expired,      // The order's lease was over on arrival.
+    no_room,
+    bad_ticket,
+    invalid,
+    unhealthy,    // It did nothing.
+    other_worker, // Another incarnation answered.
+    unknown       // It may have been carried out, or may be later.
+};
+
+struct order_answer
+{
+    order_result result = order_result::unknown;
+    std::int64_t clock_ms = 0; // 0 when the answer holds none.
+};
+
+/// An HTTP request to a worker or to another outside system.
+struct outgoing_call
+{
+    std::string method;
+    std::string target;
+    std::string body;
+    std::vector<std::pair<std::string, std::string>> headers;
+};
+
+struct start_order
+{
+    run_ref run;
+    std::string worker;
+    std::string payload;
+    std::int64_t until_ms = 0; // On the worker's clock.
+    std::uint64_t epoch = 0;
+    std::string checkpoint;
+    std::string ticket;
+};
+
+struct hold_order
+{
+    std::string worker;
+    std::uint64_t epoch = 0;
+    std::uint64_t last_seen = 0;
+    std::optional<std::int64_t> until_ms; // Nothing: the lease stays as it is.
+    std::int64_t wait_ms = 0;
+};
+
+/// What a call on the control interface asks for.
+enum class control_request
+{
+    report_worker,
+    remove_worker,
+    put_document,
+    get_document,
+    start_wave,
+    wave_state,
+    unknown
+};
+
+struct control_target
+{
+    control_request kind = control_request::unknown;
+    std::string id; // Worker or wave.
+};
+
+enum class job_phase
+{
+    queued,
+    running,
+    complete,
+    failed,
+    cancelled
+};
+
+/// Tickets that the policy service returned.
+struct advice_answer
+{
+    std::vector<std::pair<std::string, std::string>> tickets; // Worker, ticket.
+    std::int64_t valid_ms = 0;
+};
+
+/// A machine as the provider lists it.
+struct listed_machine
+{
+    std::string machine;
+    std::string service;
+    std::string state;
+    std::string worker;
+};
+
+struct machine_page
+{
+    std::vector<listed_machine> machines;
+    std::string next_page;
+};
+
+/// The formats that outside parties speak. Implementations decode and encode
+/// only. Decoding errors are kInvalidArgument with the field's name.
+class external_protocol
+{
+public:
+    virtual ~external_protocol() = default;
+
+    virtual absl::StatusOr<fleet_document>
+    decode_document(std::string_view body) const = 0;
+    virtual absl::StatusOr<job_spec>
+    decode_job(std::string_view body) const = 0;
+    virtual absl::StatusOr<worker_report>
+    decode_report(const std::string& id, std::string_view body) const = 0;
+    virtual absl::StatusOr<maintenance_wave>
+    decode_wave(std::string_view body) const = 0;
+    virtual control_target decode_target(std::string_view method,
+                                         std::string_view target) const = 0;
+    /// Returns the key of an authorization header, empty when there is none.
+    virtual std::string decode_key(std::string_view authorization) const = 0;
+    virtual bool is_job_id(std::string_view text) const = 0;
+
+    virtual std::string encode_phase(job_phase phase) const = 0;
+    virtual std::string encode_pending(std::uint64_t jobs) const = 0;
+    virtual std::string encode_wave_state(bool complete) const = 0;
+    virtual std::string
+    encode_report_answer(const std::string& address) const = 0;
+    virtual std::string encode_error(std::string_view message) const = 0;
+
+    virtual outgoing_call encode_start(const start_order& order) const = 0;
+    virtual outgoing_call encode_stop(const run_ref& run,
+                                      const std::string& worker,
+                                      std::uint64_t epoch) const = 0;
+    virtual outgoing_call encode_hold(const hold_order& order) const = 0;
+    virtual outgoing_call encode_pace(const run_ref& run,
+                                      const std::string& worker, int percent,
+                                      std::uint64_t epoch) const = 0;
+    virtual outgoing_call
+    encode_advice(const std::string& job, std::uint32_t occurrence,
+                  std::uint32_t step,
+                  const std::vector<std::string>& workers) const = 0;
+    virtual outgoing_call encode_machine_list(const std::string& page) const = 0;
+    virtual outgoing_call encode_maintenance(const std::string& machine,
+                                             std::uint64_t wave,
+                                             const std::string& holder,
+                                             std::uint64_t epoch) const = 0;
+
+    virtual order_answer decode_order(unsigned status,
+                                      std::string_view body) const = 0;
+    virtual absl::StatusOr<worker_lists>
+    decode_lists(std::string_view body) const = 0;
+    virtual absl::StatusOr<advice_answer>
+    decode_advice(std::string_view body) const = 0;
+    virtual absl::StatusOr<machine_page>
+    decode_machines(std::string_view body) const = 0;
+};
+
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/src/state/fleet_state.hpp
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "fleet.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace limpetstack::fleet
+{
+
+/// One incarnation of a worker: its id and the start of its process.
+struct incarnation
+{
+    std::string worker;
+    std::int64_t born_ms = 0;
+};
+
+inline bool operator==(const incarnation& a, const incarnation& b)
+{
+    return a.born_ms == b.born_ms && a.worker == b.worker;
+}
+inline bool operator<(const incarnation& a, const incarnation& b)
+{
+    return std::tie(a.worker, a.born_ms) < std::tie(b.worker, b.born_ms);
+}
+
+/// A run that may be present on a worker.
+struct active_run
+{
+    std::uint32_t run = 0;
+    incarnation where;
+};
+
+struct subtask_state
+{
+    bool done = false;
+    std::uint32_t last_run = 0;
+    std::uint32_t failures = 0;
+    std::string checkpoint;
+    std::vector<active_run> active;
+};
+
+struct step_state
+{
+    std::vector<subtask_state> subtasks;
+    std::uint32_t failures = 0; // Of a gang.
+    std::uint32_t last_failed_run = 0;
+    std::string checkpoint; // Of a gang.
+    std::uint32_t done_count = 0;
+    std::uint32_t active_count = 0;
+};
+
+struct occurrence_state
+{
+    std::vector<step_state> steps;
+    bool done = false;
+};
+
+struct job_state
+{
+    accepted_job job;
+    std::uint64_t order = 0; // Order of acceptance.
+    bool cancelled = false;
+    bool failed = false;
+    bool complete = false;
+    bool started = false;
+    std::int64_t finished_ms = 0;
+    std::uint32_t done_occurrences = 0;
+    std::map<std::uint32_t, occurrence_state> occurrences;
+
+    bool ended() const { return cancelled || failed || complete; }
+};
+
+/// What applying one command did.
+enum class applied
+{
+    changed,
+    unchanged, // A repetition, or overtaken; acknowledged as before.
+    refused
+};
+
+/// The replicated state of the fleet: the document, jobs with the runs that
+/// may be present on workers, workers and maintenance waves. Equal commands
+/// give equal states; nothing depends on clocks. For one thread.
+class fleet_state
+{
+public:
+    applied apply(const fleet_command& command);
+
+    std::string snapshot() const;
+
+    /// Replaces the state; returns false when `data` is not a snapshot.
+    bool restore(const std::string& data);
+
+    const stored_document& document() const { return document_; }
+    const std::map<std::string, job_state>& jobs() const { return jobs_; }
+    const std::map<std::string, worker_record>& workers() const
+    {
+        return workers_;
+    }
+    const std::map<std::uint64_t, maintenance_wave>& waves() const
+    {
+        return waves_;
+    }
+
+    const job_state* find_job(const std::string& id) const;
+    const step_state* find_step(const run_ref& run) const;
+    const subtask_state* find_subtask(const run_ref& run) const;
+
+    /// Returns true when the run may be present on that incarnation.
+    bool is_active(const run_ref& run, const incarnation& where) const;
+
+private:
+    applied put_document(const stored_document& document);
+    applied accept(const accepted_job& job);
+    applied cancel(const std::string& id);
+    applied place(const placement& placed);
+    applied end(const ended_run& ended);
+    applied put_worker(const worker_record& worker);
+    applied remove_worker(const worker_ref& worker);
+    applied fail(const finished_job& job);
+    applied finish(const finished_job& job);
+    applied begin_maintenance(const wave_step& begun);
+    occurrence_state& occurrence(job_state& job, std::uint32_t number);
+    static void note_done(job_state& job, occurrence_state& occurrence,
+                          step_state& step, const step_spec& spec,
+                          subtask_state& subtask);
+
+    stored_document document_;
+    std::map<std::string, job_state> jobs_;
+    std::map<std::string, worker_record> workers_;
+    std::map<std::uint64_t, maintenance_wave> waves_;
+    std::uint64_t next_order_ = 1;
+};
+
+/// Returns how often the steps of a job run; at least 1.
+std::uint32_t occurrence_count(const job_spec& spec);
+
+/// Returns true when every subtask of the step has ended as done.
+bool is_done(const step_state& step);
+
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/src/transport/http_channel.cpp
@@ -0,0 +1,230 @@
+#include "transport/http_channel.hpp"
+
+#include "transport/address.hpp"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <deque>
+#include <optional>
+
+namespace limpetstack
+{
+namespace
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+
+// A lost opening packet is sent again after a second; waiting for more than
+// one repetition is longer than any call's timeout.
+constexpr std::chrono::milliseconds connect_timeout{700};
+
+constexpr std::uint64_t max_answer_bytes = 8U << 20U;
+
+} // namespace
+
+class http_channel::implementation
+    : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(boost::asio::io_context& io, const std::string& address)
+        : io_(io)
+        , address_(address)
+        , endpoint_(parse_endpoint(address))
+    {
+    }
+
+    void send(http::request<http::string_body> request,
+              std::chrono::milliseconds timeout, callback done)
+    {
+        calls_.push_back({std::move(request), timeout, std::move(done)});
+        if (calls_.size() == 1)
+        {
+            next();
+        }
+    }
+
+    void abandon()
+    {
+        calls_.clear();
+        abandoned_ = true;
+        stream_.reset();
+    }
+
+    std::size_t backlog() const { return calls_.size(); }
+    std::size_t connects() const { return connects_; }
+
+private:
+    struct call
+    {
+        http::request<http::string_body> request;
+        std::chrono::milliseconds timeout;
+        callback done;
+    };
+
+    void next()
+    {
+        if (abandoned_ || calls_.empty())
+        {
+            return;
+        }
+        if (!endpoint_)
+        {
+            boost::asio::post(io_, [self = shared_from_this()]
+                              { self->finish({0, "", false}); });
+            return;
+        }
+        if (stream_)
+        {
+            write();
+            return;
+        }
+        ++connects_;
+        buffer_.clear();
+        stream_ = std::make_shared<beast::tcp_stream>(io_);
+        stream_->expires_after(connect_timeout);
+        stream_->async_connect(
+            *endpoint_,
+            [self = shared_from_this(), stream = stream_](
+                beast::error_code error)
+            {
+                if (self->stream_ != stream)
+                {
+                    return;
+                }
+                if (error)
+                {
+                    self->stream_.reset();
+                    self->finish({0, "", false});
+                    return;
+                }
+                beast::error_code ignored;
+                stream->socket().set_option(tcp::no_delay(true), ignored);
+                self->write();
+            });
+    }
+
+    void write()
+    {
+        stream_->expires_after(calls_.front().timeout);
+        http::async_write(*stream_, calls_.front().request,
+                          [self = shared_from_this(), stream = stream_](
+                              beast::error_code error, std::size_t)
+                          {
+                              if (self->stream_ != stream)
+                              {
+                                  return;
+                              }
+                              if (error)
+                              {
+                                  self->stream_.reset();
+                                  self->finish({});
+                                  return;
+                              }
+                              self->read();
+                          });
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->body_limit(max_answer_bytes);
+        http::async_read(
+            *stream_, buffer_, *parser_,
+            [self = shared_from_this(), stream = stream_](
+                beast::error_code error, std::size_t)
+            {
+                if (self->stream_ != stream)
+                {
+                    return;
+                }
+                if (error)
+                {
+                    self->stream_.reset();
+                    self->finish({});
+                    return;
+                }
+                auto& answer = self->parser_->get();
+                if (answer.keep_alive())
+                {
+                    stream->expires_never();
+                }
+                else
+                {
+                    self->stream_.reset();
+                }
+                self->finish({answer.result_int(),
+                              std::move(answer.body()), true});
+            });
+    }
+
+    void finish(const http_channel_answer& answer)
+    {
+        if (abandoned_ || calls_.empty())
+        {
+            return;
+        }
+        const auto done = std::move(calls_.front().done);
+        calls_.pop_front();
+        const auto self = shared_from_this();
+        done(answer);
+        next();
+    }
+
+    boost::asio::io_context& io_;
+    std::string address_;
+    std::optional<tcp::endpoint> endpoint_;
+    std::shared_ptr<beast::tcp_stream> stream_;
+    beast::flat_buffer buffer_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    std::deque<call> calls_;
+    std::size_t connects_ = 0;
+    bool abandoned_ = false;
+};
+
+http_channel::http_channel(boost::asio::io_context& io,
+                           const std::string& address)
+    : implementation_(std::make_shared<implementation>(io, address))
+{
+}
+
+http_channel::~http_channel()
+{
+    implementation_->abandon();
+}
+
+void http_channel::send(std::string method, std::string target,
+                        const headers& extra, std::string body,
+                        std::chrono::milliseconds timeout, callback done)
+{
+    http::request<http::string_body> request;
+    request.version(11);
+    request.method_string(method);
+    request.target(target);
+    request.set(http::field::host, "localhost");
+    if (!body.empty())
+    {
+        request.set(http::field::content_type, "application/json");
+    }
+    for (const auto& [name, value] : extra)
+    {
+        request.set(name, value);
+    }
+    request.body() = std::move(body);
+    request.prepare_payload();
+    implementation_->send(std::move(request), timeout, std::move(done));
+}
+
+std::size_t http_channel::backlog() const
+{
+    return implementation_->backlog();
+}
+
+std::size_t http_channel::connects() const
+{
+    return implementation_->connects();
+}
+
+} // namespace limpetstack
--- /dev/null
+++ b/src/transport/http_worker_port.cpp
@@ -0,0 +1,131 @@
+#include "transport/http_worker_port.hpp"
+
+#include "base/clock.hpp"
+#include "base/log.hpp"
+
+#include <utility>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+// Answers come within a few milliseconds; an order without one by then is
+// repeated on a new connection.
+constexpr milliseconds order_timeout{500};
+
+// Beyond the time that a waiting call may take.
+constexpr milliseconds hold_slack{600};
+
+constexpr unsigned status_ok = 200;
+
+} // namespace
+
+http_worker_port::http_worker_port(boost::asio::io_context& io,
+                                   const external_protocol& protocol)
+    : io_(io)
+    , protocol_(protocol)
+{
+}
+
+http_worker_port::channels&
+http_worker_port::channels_of(const worker_record& worker)
+{
+    auto& item = channels_[worker.id()];
+    if (item.address != worker.address())
+    {
+        item.address = worker.address();
+        item.orders = std::make_unique<http_channel>(io_, item.address);
+        item.waiting = std::make_unique<http_channel>(io_, item.address);
+    }
+    return item;
+}
+
+void http_worker_port::forget(const worker_record& worker)
+{
+    channels_.erase(worker.id());
+}
+
+void http_worker_port::send_order(
+    http_channel& channel, const outgoing_call& call,
+    std::function<void(const order_answer&)> done)
+{
+    channel.send(call.method, call.target, call.headers, call.body,
+                 order_timeout,
+                 [this, done = std::move(done)](
+                     const http_channel_answer& answer)
+                 {
+                     done(answer.status == 0
+                              ? order_answer()
+                              : protocol_.decode_order(answer.status,
+                                                       answer.body));
+                 });
+}
+
+void http_worker_port::start(const worker_record& worker,
+                             const start_order& order,
+                             std::function<void(const order_answer&)> done)
+{
+    send_order(*channels_of(worker).orders, protocol_.encode_start(order),
+               std::move(done));
+}
+
+void http_worker_port::stop(const worker_record& worker, const run_ref& run,
+                            std::uint64_t epoch,
+                            std::function<void(const order_answer&)> done)
+{
+    send_order(*channels_of(worker).orders,
+               protocol_.encode_stop(run, worker.id(), epoch), std::move(done));
+}
+
+void http_worker_port::send_hold(http_channel& channel, const hold_order& order,
+                                 std::function<void(const hold_answer&)> done)
+{
+    const auto call = protocol_.encode_hold(order);
+    channel.send(
+        call.method, call.target, call.headers, call.body,
+        milliseconds(order.wait_ms) + hold_slack,
+        [this, worker = order.worker,
+         done = std::move(done)](const http_channel_answer& answer)
+        {
+            hold_answer out;
+            if (answer.status == status_ok)
+            {
+                auto lists = protocol_.decode_lists(answer.body);
+                if (lists.ok())
+                {
+                    out.result = order_result::accepted;
+                    out.lists = std::move(*lists);
+                }
+                else
+                {
+                    log_event(log_level::warning, "lists_refused",
+                              {{"worker", worker},
+                               {"reason",
+                                std::string(lists.status().message())}});
+                }
+            }
+            else if (answer.status != 0)
+            {
+                out.result =
+                    protocol_.decode_order(answer.status, answer.body).result;
+            }
+            done(out);
+        });
+}
+
+void http_worker_port::hold(const worker_record& worker,
+                            const hold_order& order,
+                            std::function<void(const hold_answer&)> done)
+{
+    send_hold(*channels_of(worker).waiting, order, std::move(done));
+}
+
+void http_worker_port::look(const worker_record& worker,
+                            const hold_order& order,
+                            std::function<void(const hold_answer&)> done)
+{
+    send_hold(*channels_of(worker).orders, order, std::move(done));
+}
+
+} // namespace limpetstack::fleet
