Stop a run that its worker does not list before ending it

Ruled out: lists that were asked for before the start (the check compares the times), and the former leader (frozen until later).

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -552,6 +552,15 @@
         }
         propose_end(run, run_never, "", reason);
     };
+    if (answer.result != order_result::accepted || run.start_attempts > 1)
+    {
+        log_event(log_level::info, "start_answered",
+                  {{"job", run.ref.job()},
+                   {"run", key},
+                   {"worker", run.where.worker},
+                   {"result", name_of(answer.result)},
+                   {"attempt", absl::StrCat(run.start_attempts)}});
+    }
     switch (answer.result)
     {
     case order_result::accepted:
@@ -664,7 +673,8 @@
         {
             propose_end(run, run_never, "", "displaced");
         }
-        else if (worker != nullptr && run.phase != run_phase::present)
+        else if (worker != nullptr &&
+                 (run.doubtful || run.phase != run_phase::present))
         {
             look(*worker, now);
         }
@@ -768,7 +778,7 @@
     constexpr std::size_t ends_per_page = 500;
     if (answer.lists.ended.size() < ends_per_page)
     {
-        end_missing(*worker, seen, sent);
+        end_missing(*worker, seen, sent, now);
     }
     if (worker->pending_ends.empty())
     {
@@ -836,33 +846,37 @@
 }
 
 // Ends runs that the worker would have to list if they were or could become
-// present: `sent` is when the lists were asked for.
+// present: `sent` is when the lists were asked for. An order without an answer
+// may be carried out much later, so that only a stop makes an absence final.
 void worker_fleet::end_missing(worker_session& worker,
                                const std::set<std::string>& seen,
-                               time_point sent)
+                               time_point sent, time_point now)
 {
     const auto keys = worker.runs;
     for (const auto& key : keys)
     {
-        auto& run = runs_.at(key);
-        if (seen.count(key) > 0 || run.end_proposed)
+        const auto found = runs_.find(key);
+        if (found == runs_.end() || seen.count(key) > 0 ||
+            found->second.end_proposed)
         {
             continue;
         }
+        auto& run = found->second;
+        const bool sent_out = run.phase == run_phase::starting ||
+                              run.phase == run_phase::present;
         if (run.phase == run_phase::adopted)
         {
             // Orders of earlier epochs have no effect any more.
             propose_end(run, run_never, "", "absent_after_takeover");
         }
-        else if (run.phase == run_phase::present && run.since < sent)
+        else if (sent_out && run.stop_acknowledged && run.since <= sent)
         {
-            propose_end(run, run.stop_acknowledged ? run_stopped : run_lapsed,
-                        "", "absent");
+            propose_end(run, run_stopped, "", "absent_after_stop");
         }
-        else if (run.phase == run_phase::starting && run.stop_acknowledged &&
-                 run.since <= sent)
+        else if (run.phase == run_phase::present && run.since < sent)
         {
-            propose_end(run, run_never, "", "stopped_unseen");
+            run.doubtful = true;
+            stop(key, "absent", now);
         }
     }
 }
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -68,6 +68,7 @@
     bool stop_sent = false;
     bool stop_acknowledged = false;
     bool end_proposed = false;
+    bool doubtful = false;  // Missing in lists that should hold it.
     bool displaced = false; // Its worker was born again meanwhile.
     int start_attempts = 0;
     time_point since;      // Of the phase.
@@ -184,7 +185,7 @@
     void take_running(worker_session& worker, const worker_lists& lists,
                       std::set<std::string>& seen, time_point now);
     void end_missing(worker_session& worker, const std::set<std::string>& seen,
-                     time_point sent);
+                     time_point sent, time_point now);
     void retry_orders(worker_session& worker, time_point now);
     bool needs_hold(const worker_session& worker) const;
     void lose_incarnation(const incarnation& where, const char* reason,
--- a/src/protocol/external_protocol.hpp
+++ b/src/protocol/external_protocol.hpp
@@ -121,6 +121,9 @@
     unknown       // It may have been carried out, or may be later.
 };
 
+/// Returns the result's name for log lines.
+const char* name_of(order_result result);
+
 struct order_answer
 {
     order_result result = order_result::unknown;
--- /dev/null
+++ b/test/support/fake_worker_port.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "coordination/fleet/worker_port.hpp"
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace limpetstack::fleet
+{
+
+/// Keeps the orders that were sent until the test answers them.
+class fake_worker_port : public worker_port
+{
+public:
+    using order_callback = std::function<void(const order_answer&)>;
+    using hold_callback = std::function<void(const hold_answer&)>;
+
+    struct sent_start
+    {
+        start_order order;
+        order_callback done;
+    };
+    struct sent_stop
+    {
+        std::string worker;
+        run_ref run;
+        order_callback done;
+    };
+    struct sent_hold
+    {
+        hold_order order;
+        hold_callback done;
+    };
+
+    void start(const worker_record&, const start_order& order,
+               order_callback done) override
+    {
+        starts.push_back({order, std::move(done)});
+    }
+    void stop(const worker_record& worker, const run_ref& run, std::uint64_t,
+              order_callback done) override
+    {
+        stops.push_back({worker.id(), run, std::move(done)});
+    }
+    void hold(const worker_record&, const hold_order& order,
+              hold_callback done) override
+    {
+        holds.push_back({order, std::move(done)});
+    }
+    void look(const worker_record&, const hold_order& order,
+              hold_callback done) override
+    {
+        looks.push_back({order, std::move(done)});
+    }
+    void forget(const worker_record& worker) override
+    {
+        forgotten.push_back(worker.id());
+    }
+
+    std::deque<sent_start> starts;
+    std::deque<sent_stop> stops;
+    std::deque<sent_hold> holds;
+    std::deque<sent_hold> looks;
+    std::deque<std::string> forgotten;
+};
+
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/test/support/fleet_bed.cpp
@@ -0,0 +1,146 @@
+#include "support/fleet_bed.hpp"
+
+#include <utility>
+
+namespace limpetstack::fleet
+{
+
+fleet_bed::fleet_bed()
+{
+    document.version = 1;
+    service_config service;
+    service.name = "service";
+    document.services["service"] = service;
+    const auto add_queue = [this](const char* name, std::int64_t priority)
+    {
+        queue_config queue;
+        queue.name = name;
+        queue.service = "service";
+        queue.priority = priority;
+        queue.attempts = 2;
+        queue.stretch = 3;
+        queue.slo_ms = 1000;
+        document.queues.push_back(queue);
+    };
+    add_queue("urgent", 0);
+    add_queue("normal", 1);
+    add_queue("low", 2);
+    account_config account;
+    account.name = "account";
+    account.guaranteed_accelerators = 16;
+    document.accounts.push_back(account);
+    lead();
+}
+
+void fleet_bed::lead()
+{
+    ++epoch;
+    proposals.clear();
+    const auto propose = [this](fleet_command command)
+    { proposals.push_back(std::move(command)); };
+    scheduler.reset();
+    workers = std::make_unique<worker_fleet>(
+        worker_fleet_options(), state, port, propose, [this] { return now; },
+        epoch);
+    scheduler = std::make_unique<fleet_scheduler>(fleet_scheduler_options(),
+                                                  state, *workers, propose);
+    scheduler->use_document(document);
+}
+
+void fleet_bed::apply(const fleet_command& command)
+{
+    const auto result = state.apply(command);
+    workers->on_applied(command, result, now);
+    scheduler->on_applied(command, result, now);
+}
+
+void fleet_bed::commit()
+{
+    while (!proposals.empty())
+    {
+        const auto command = std::move(proposals.front());
+        proposals.pop_front();
+        apply(command);
+    }
+    workers->advance(now);
+    if (!proposals.empty())
+    {
+        commit();
+    }
+}
+
+void fleet_bed::pass(milliseconds time)
+{
+    now += time;
+    wall_ms += time.count();
+    commit();
+}
+
+void fleet_bed::add_worker(const std::string& id, const std::string& rack,
+                           std::int64_t born_ms)
+{
+    fleet_command command;
+    auto& worker = *command.mutable_worker();
+    worker.set_id(id);
+    worker.set_born_ms(born_ms);
+    worker.set_service("service");
+    worker.set_address("10.0.0.1:80");
+    worker.set_rack(rack);
+    worker.mutable_capacity()->set_cpu_milli(32000);
+    worker.mutable_capacity()->set_memory_mb(131072);
+    worker.mutable_capacity()->set_accelerators(8);
+    apply(command);
+    report(id);
+}
+
+void fleet_bed::report(const std::string& id)
+{
+    worker_report report;
+    report.worker = state.workers().at(id);
+    report.clock_ms = worker_clock();
+    report.sequence = static_cast<std::uint64_t>(worker_clock());
+    workers->note_report(report, now);
+}
+
+void fleet_bed::submit(const std::string& id, const step_spec& step,
+                       const std::string& queue, const std::string& account)
+{
+    fleet_command command;
+    auto& job = *command.mutable_accept();
+    job.set_id(id);
+    job.set_queue(queue);
+    job.set_account(account);
+    job.set_service("service");
+    job.set_attempts(2);
+    *job.mutable_spec()->add_steps() = step;
+    apply(command);
+}
+
+void fleet_bed::schedule()
+{
+    scheduler->run_round(now, wall_ms);
+    commit();
+}
+
+step_spec make_step(std::uint32_t count, std::int64_t accelerators, bool gang)
+{
+    step_spec step;
+    step.set_subtask_count(count);
+    step.mutable_need()->set_accelerators(accelerators);
+    step.mutable_need()->set_cpu_milli(1000);
+    step.mutable_need()->set_memory_mb(1000);
+    step.set_estimate_ms(5000);
+    step.set_gang(gang);
+    return step;
+}
+
+run_ref make_run(const std::string& job, std::uint32_t index, std::uint32_t run)
+{
+    run_ref ref;
+    ref.set_job(job);
+    ref.set_index(index);
+    ref.set_run(run);
+    return ref;
+}
+
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/test/support/fleet_bed.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "coordination/fleet/fleet_scheduler.hpp"
+#include "coordination/fleet/worker_fleet.hpp"
+#include "fake_worker_port.hpp"
+#include "state/fleet_state.hpp"
+
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace limpetstack::fleet
+{
+
+/// A leader's state and orders on a manual clock: proposals are committed when
+/// the test says so.
+class fleet_bed
+{
+public:
+    fleet_bed();
+
+    /// Starts a leader under the next epoch, over the state that is there.
+    void lead();
+
+    /// Applies what was proposed until nothing is proposed any more.
+    void commit();
+
+    void pass(milliseconds time);
+
+    /// Applies a command that some leader proposed.
+    void apply(const fleet_command& command);
+
+    /// Adds a worker of 32 cores, 128 GB and 8 accelerators.
+    void add_worker(const std::string& id, const std::string& rack,
+                    std::int64_t born_ms = 1);
+    void report(const std::string& id);
+
+    /// Accepts a job of one step.
+    void submit(const std::string& id, const step_spec& step,
+                const std::string& queue = "normal",
+                const std::string& account = "account");
+
+    /// Runs the scheduler and commits what it decides.
+    void schedule();
+
+    std::int64_t worker_clock() const { return now.time_since_epoch().count(); }
+
+    fleet_state state;
+    fake_worker_port port;
+    std::deque<fleet_command> proposals;
+    time_point now{milliseconds(1000000)};
+    std::int64_t wall_ms = 1700000000000;
+    fleet_document document;
+    std::unique_ptr<worker_fleet> workers;
+    std::unique_ptr<fleet_scheduler> scheduler;
+    std::uint64_t epoch = 0;
+};
+
+/// Returns a step of `count` subtasks that take `accelerators` each.
+step_spec make_step(std::uint32_t count, std::int64_t accelerators,
+                    bool gang = false);
+
+run_ref make_run(const std::string& job, std::uint32_t index,
+                 std::uint32_t run);
+
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/test/worker_fleet-test.cpp
@@ -0,0 +1,182 @@
+#include "coordination/fleet/worker_fleet.hpp"
+
+#include "support/fleet_bed.hpp"
+
+#include <gtest/gtest.h>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+hold_answer lists_at(std::int64_t clock_ms)
+{
+    hold_answer answer;
+    answer.result = order_result::accepted;
+    answer.lists.clock_ms = clock_ms;
+    answer.lists.born_ms = 1;
+    return answer;
+}
+
+order_answer order_at(order_result result, std::int64_t clock_ms)
+{
+    return {result, clock_ms};
+}
+
+void answer_hold(fleet_bed& bed, const hold_answer& answer)
+{
+    ASSERT_FALSE(bed.port.holds.empty());
+    const auto hold = bed.port.holds.front();
+    bed.port.holds.pop_front();
+    hold.done(answer);
+    bed.commit();
+}
+
+// One worker that has answered, and one subtask whose start was sent to it.
+void start_one(fleet_bed& bed)
+{
+    bed.add_worker("w1", "r1");
+    bed.commit();
+    answer_hold(bed, lists_at(bed.worker_clock()));
+    bed.submit("job", make_step(1, 1));
+    bed.schedule();
+    ASSERT_EQ(bed.port.starts.size(), 1U);
+}
+
+const std::string first_run = "job.0.0.0#1";
+
+// Guards against an order before its placement is committed, which a later
+// leader would not know of.
+TEST(worker_fleet, start_follows_commit)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    bed.commit();
+    answer_hold(bed, lists_at(bed.worker_clock()));
+    bed.submit("job", make_step(1, 1));
+    bed.scheduler->run_round(bed.now, bed.wall_ms);
+    bed.workers->advance(bed.now);
+    EXPECT_TRUE(bed.port.starts.empty());
+    bed.commit();
+    EXPECT_EQ(bed.port.starts.size(), 1U);
+}
+
+// Guards against a second run beside a first one whose start got no answer, was
+// taken for absent, and arrived later.
+TEST(worker_fleet, absent_run_ends_only_after_a_stop)
+{
+    fleet_bed bed;
+    start_one(bed);
+    // The first attempt is lost, the repetition is answered as present.
+    auto start = bed.port.starts.front();
+    bed.port.starts.clear();
+    bed.pass(milliseconds(500));
+    start.done(order_at(order_result::unknown, 0));
+    ASSERT_EQ(bed.port.starts.size(), 1U);
+    start = bed.port.starts.front();
+    start.done(order_at(order_result::accepted, bed.worker_clock()));
+    bed.pass(milliseconds(10));
+    // The lists that were asked for before say nothing; later ones do.
+    answer_hold(bed, lists_at(bed.worker_clock()));
+    bed.pass(milliseconds(10));
+    answer_hold(bed, lists_at(bed.worker_clock()));
+    EXPECT_TRUE(bed.workers->runs().count(first_run));
+    ASSERT_EQ(bed.port.stops.size(), 1U);
+    bed.port.stops.front().done(
+        order_at(order_result::accepted, bed.worker_clock()));
+    ASSERT_EQ(bed.port.looks.size(), 1U);
+    bed.port.looks.front().done(lists_at(bed.worker_clock()));
+    bed.commit();
+    EXPECT_FALSE(bed.workers->runs().count(first_run));
+}
+
+// Guards against an end that is forgotten by the worker before it is committed.
+TEST(worker_fleet, ends_are_noted_after_commit)
+{
+    fleet_bed bed;
+    start_one(bed);
+    bed.port.starts.front().done(
+        order_at(order_result::accepted, bed.worker_clock()));
+    bed.pass(milliseconds(10));
+    auto lists = lists_at(bed.worker_clock());
+    lists.lists.ended.push_back({7, make_run("job", 0, 1), run_done, ""});
+    const auto hold = bed.port.holds.front();
+    bed.port.holds.pop_front();
+    hold.done(lists);
+    bed.workers->advance(bed.now);
+    EXPECT_TRUE(bed.port.holds.empty());
+    bed.commit();
+    ASSERT_EQ(bed.port.holds.size(), 1U);
+    EXPECT_EQ(bed.port.holds.front().order.last_seen, 7U);
+    EXPECT_EQ(bed.state.find_job("job")->done_occurrences, 1U);
+}
+
+// Guards against a second run while the lease of a silent worker may still
+// hold on its slow clock.
+TEST(worker_fleet, silent_worker_keeps_its_runs_until_the_lease_is_over)
+{
+    fleet_bed bed;
+    start_one(bed);
+    bed.port.starts.front().done(
+        order_at(order_result::accepted, bed.worker_clock()));
+    bed.pass(milliseconds(6100));
+    EXPECT_TRUE(bed.workers->runs().count(first_run));
+    bed.pass(milliseconds(300));
+    EXPECT_FALSE(bed.workers->runs().count(first_run));
+    EXPECT_EQ(bed.state.find_subtask(make_run("job", 0, 1))->failures, 0U);
+}
+
+// Guards against a takeover that starts again what the lists of the worker show
+// as present.
+TEST(worker_fleet, takeover_adopts_listed_runs_and_ends_absent_ones)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    bed.commit();
+    answer_hold(bed, lists_at(bed.worker_clock()));
+    bed.submit("job", make_step(2, 1));
+    bed.schedule();
+    ASSERT_EQ(bed.port.starts.size(), 2U);
+    bed.port.holds.clear();
+    bed.lead();
+    bed.report("w1");
+    bed.commit();
+    auto lists = lists_at(bed.worker_clock());
+    lists.lists.running.push_back({make_run("job", 1, 1), "", 10, 0});
+    answer_hold(bed, lists);
+    EXPECT_FALSE(bed.workers->runs().count(first_run));
+    EXPECT_TRUE(bed.workers->runs().count("job.0.0.1#1"));
+    EXPECT_TRUE(
+        bed.state.find_subtask(make_run("job", 0, 1))->active.empty());
+}
+
+// Guards against orders of a leader after a worker has seen a later one.
+TEST(worker_fleet, newer_epoch_ends_the_orders)
+{
+    fleet_bed bed;
+    start_one(bed);
+    bed.port.starts.front().done(order_at(order_result::newer_epoch, 0));
+    EXPECT_TRUE(bed.workers->deposed());
+}
+
+// Guards against a gang that runs with some of its members.
+TEST(worker_fleet, gang_with_a_refused_member_is_stopped)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    bed.commit();
+    answer_hold(bed, lists_at(bed.worker_clock()));
+    bed.submit("job", make_step(2, 1, true));
+    bed.schedule();
+    ASSERT_EQ(bed.port.starts.size(), 2U);
+    bed.port.starts[0].done(
+        order_at(order_result::accepted, bed.worker_clock()));
+    bed.port.starts[1].done(
+        order_at(order_result::no_room, bed.worker_clock()));
+    bed.commit();
+    ASSERT_EQ(bed.port.stops.size(), 1U);
+    EXPECT_EQ(bed.port.stops.front().run.index(), 0U);
+}
+
+} // namespace
+} // namespace limpetstack::fleet
