--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -27,9 +27,9 @@
 {
     std::timespec time{};
     clock_gettime(CLOCK_BOOTTIME, &time);
-    return time_point(milliseconds(
-        static_cast<milliseconds::rep>(time.tv_sec) * 1000 +
-        static_cast<milliseconds::rep>(time.tv_nsec) / 1000000));
+    return time_point(
+        milliseconds(static_cast<milliseconds::rep>(time.tv_sec) * 1000 +
+                     static_cast<milliseconds::rep>(time.tv_nsec) / 1000000));
 }
 
 /// Returns the wall clock in milliseconds since 1970, for records only.
--- a/src/coordination/fleet/consensus_runner.cpp
+++ b/src/coordination/fleet/consensus_runner.cpp
@@ -365,19 +365,22 @@
         core_.compact(applied_, state_.snapshot(), kept_entries));
     const auto first_kept = core_.log().base_index() + 1;
     saving_ = true;
-    disk_.run([this, snapshot, first_kept]
-              { return storage_.compact(*snapshot, first_kept); },
-              [this](const absl::Status& status)
-              {
-                  saving_ = false;
-                  if (!status.ok())
-                  {
-                      failed_ = true;
-                      effects_.on_disk_error(status);
-                      return;
-                  }
-                  pump();
-              });
+    disk_.run(
+        [this, snapshot, first_kept]
+        {
+            return storage_.compact(*snapshot, first_kept);
+        },
+        [this](const absl::Status& status)
+        {
+            saving_ = false;
+            if (!status.ok())
+            {
+                failed_ = true;
+                effects_.on_disk_error(status);
+                return;
+            }
+            pump();
+        });
 }
 
 } // namespace limpetstack::fleet
--- a/src/coordination/fleet/consensus_runner.hpp
+++ b/src/coordination/fleet/consensus_runner.hpp
@@ -31,9 +31,9 @@
 /// What a proposal came to.
 enum class proposal_outcome
 {
-    applied, // Committed; the second argument tells what it did.
+    applied,    // Committed; the second argument tells what it did.
     not_leader, // Never appended.
-    unknown  // Leadership was lost before the commit was seen.
+    unknown     // Leadership was lost before the commit was seen.
 };
 
 /// Drives one replica: proposals are appended in groups, state is durable
@@ -104,7 +104,7 @@
     std::uint64_t compacted_ = 0;
     std::size_t bytes_since_snapshot_ = 0;
     std::vector<std::pair<fleet_command, outcome_handler>> waiting_;
-    std::map<std::uint64_t, pending_group> groups_; // By log index.
+    std::map<std::uint64_t, pending_group> groups_;            // By log index.
     std::map<std::uint64_t, std::function<void(bool)>> reads_; // By ticket.
     std::vector<std::pair<std::uint64_t, std::function<void(bool)>>>
         confirmed_; // Waiting to be applied up to an index.
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -55,7 +55,10 @@
 {
     return std::all_of(spec.after().begin(), spec.after().end(),
                        [state](std::uint32_t step)
-                       { return state != nullptr && is_done(state->steps[step]); });
+                       {
+                           return state != nullptr &&
+                                  is_done(state->steps[step]);
+                       });
 }
 
 } // namespace
@@ -336,11 +339,12 @@
             command.mutable_fail()->set_job(id);
             command.mutable_fail()->set_at_ms(wall_ms);
             propose_(std::move(command));
-            log_event(log_level::info, "job_failed",
-                      {{"job", id},
-                       {"reason", "attempts used up"},
-                       {"attempts", absl::StrCat(queue.attempts)},
-                       {"document", absl::StrCat(state_.document().version())}});
+            log_event(
+                log_level::info, "job_failed",
+                {{"job", id},
+                 {"reason", "attempts used up"},
+                 {"attempts", absl::StrCat(queue.attempts)},
+                 {"document", absl::StrCat(state_.document().version())}});
         }
         return;
     }
@@ -349,9 +353,8 @@
     {
         if (spec.repeat_count() > 0)
         {
-            const auto due =
-                spec.first_run_ms() +
-                static_cast<std::int64_t>(k) * spec.interval_ms();
+            const auto due = spec.first_run_ms() +
+                             static_cast<std::int64_t>(k) * spec.interval_ms();
             if (due > wall_ms)
             {
                 timed_[id] = due;
@@ -397,8 +400,8 @@
             ref.set_occurrence(occurrence);
             ref.set_step(step);
             ref.set_index(i);
-            ref.set_run(
-                (state == nullptr ? 0 : state->subtasks[i].last_run) + 1);
+            ref.set_run((state == nullptr ? 0 : state->subtasks[i].last_run) +
+                        1);
             // A placement may have been proposed already.
             const auto prefix = subtask_key(ref) + "#";
             const auto live = workers_.runs().lower_bound(prefix);
@@ -447,8 +450,8 @@
         std::int64_t most = 0;
         for (const auto& step : job.job.spec().steps())
         {
-            most = std::max(most, step.need().accelerators() *
-                                      step.subtask_count());
+            most = std::max(most,
+                            step.need().accelerators() * step.subtask_count());
         }
         use[job.job.account()] += most;
     }
@@ -511,9 +514,9 @@
         near_patience * ((item.queue.stretch - 1) * estimate + allowance);
     if (item.queue.priority == 0)
     {
-        patience = std::min(
-            patience, reclaim_patience *
-                          static_cast<double>(options_.reclaim.count()));
+        patience = std::min(patience,
+                            reclaim_patience *
+                                static_cast<double>(options_.reclaim.count()));
     }
     request.far_allowed =
         static_cast<double>((now - item.since).count()) >= patience;
@@ -527,16 +530,15 @@
         const auto found = failed_on_.find(subtask_key(ref));
         if (found != failed_on_.end())
         {
-            request.avoided.insert(found->second.begin(),
-                                   found->second.end());
+            request.avoided.insert(found->second.begin(), found->second.end());
         }
     }
     return request;
 }
 
-std::vector<worker_room>
-fleet_scheduler::rooms_for(const demand_key& key, const demand& item,
-                           time_point now) const
+std::vector<worker_room> fleet_scheduler::rooms_for(const demand_key& key,
+                                                    const demand& item,
+                                                    time_point now) const
 {
     std::vector<worker_room> rooms;
     rooms.reserve(workers_.workers().size());
@@ -563,7 +565,9 @@
             room.of_step = static_cast<std::uint32_t>(std::count_if(
                 worker.runs.lower_bound(prefix), worker.runs.end(),
                 [&prefix](const std::string& run)
-                { return run.compare(0, prefix.size(), prefix) == 0; }));
+                {
+                    return run.compare(0, prefix.size(), prefix) == 0;
+                }));
         }
         rooms.push_back(room);
     }
@@ -647,9 +651,8 @@
     {
         if (run.gang)
         {
-            const auto gang = absl::StrCat(run.ref.job(), ".",
-                                           run.ref.occurrence(), ".",
-                                           run.ref.step());
+            const auto gang = absl::StrCat(
+                run.ref.job(), ".", run.ref.occurrence(), ".", run.ref.step());
             gang_costs[gang] += cost_of(run);
         }
     }
@@ -667,15 +670,14 @@
         {
             const auto limit = guarantees_.find(job->job.account());
             const auto used = urgent_accelerators_.find(job->job.account());
-            stoppable = used != urgent_accelerators_.end() &&
-                        (limit == guarantees_.end() ||
-                         used->second > limit->second);
+            stoppable =
+                used != urgent_accelerators_.end() &&
+                (limit == guarantees_.end() || used->second > limit->second);
         }
         if (stoppable)
         {
-            const auto gang = absl::StrCat(run.ref.job(), ".",
-                                           run.ref.occurrence(), ".",
-                                           run.ref.step());
+            const auto gang = absl::StrCat(
+                run.ref.job(), ".", run.ref.occurrence(), ".", run.ref.step());
             const double scale = priority == 0 ? 1e6 : 1;
             victims[run.where.worker].push_back(
                 {id, run.need,
@@ -727,7 +729,8 @@
 void fleet_scheduler::run_round(time_point now, std::int64_t wall_ms)
 {
     constexpr milliseconds idle_interval{100};
-    if (document_ == nullptr || (!changed_ && now - last_round_ < idle_interval))
+    if (document_ == nullptr ||
+        (!changed_ && now - last_round_ < idle_interval))
     {
         return;
     }
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -19,8 +19,8 @@
 /// Factors of the deployment that placement depends on.
 struct fleet_scheduler_options
 {
-    double far_factor = 3;          // Slow-down away from the preferred rack.
-    milliseconds reclaim{2900};     // Bound for starts inside a guarantee.
+    double far_factor = 3;           // Slow-down away from the preferred rack.
+    milliseconds reclaim{2900};      // Bound for starts inside a guarantee.
     milliseconds keep_ended{130000}; // How long an ended job can be asked for.
 };
 
@@ -91,9 +91,8 @@
     std::vector<demand_key> ranked(time_point now) const;
     int urgency(const demand& item) const;
     placement_request request_for(const demand& item, time_point now) const;
-    std::vector<worker_room> rooms_for(const demand_key& key,
-                                       const demand& item,
-                                       time_point now) const;
+    std::vector<worker_room>
+    rooms_for(const demand_key& key, const demand& item, time_point now) const;
     bool place(const demand_key& key, demand& item, time_point now);
     void commit(demand& item, const std::vector<worker_room>& rooms,
                 const std::vector<std::size_t>& chosen, time_point now);
@@ -110,7 +109,7 @@
     std::map<std::string, const queue_config*> queues_;
     std::map<std::string, std::int64_t> guarantees_; // Accelerators by account.
     std::map<demand_key, demand> demands_;
-    std::set<std::string> dirty_;  // Jobs whose demands must be refreshed.
+    std::set<std::string> dirty_;   // Jobs whose demands must be refreshed.
     std::set<std::string> closing_; // Jobs with a proposal that ends them.
     std::map<std::string, std::int64_t> timed_; // Jobs and their next due time.
     std::map<std::string, std::int64_t> ended_; // Jobs to be forgotten later.
--- a/src/coordination/fleet/fleet_service.cpp
+++ b/src/coordination/fleet/fleet_service.cpp
@@ -253,8 +253,8 @@
     auto spec = protocol_.decode_job(call.body());
     if (!spec.ok())
     {
-        done(plain(400, protocol_.encode_error(
-                            std::string(spec.status().message()))));
+        done(plain(
+            400, protocol_.encode_error(std::string(spec.status().message()))));
         return;
     }
     fleet_command command;
@@ -273,13 +273,13 @@
             [id, queue = queue.name, account,
              version = parts_.document()->version](applied result)
             {
-                log_event(log_level::info, "job_accepted",
-                          {{"job", id},
-                           {"queue", queue},
-                           {"account", account},
-                           {"document", absl::StrCat(version)},
-                           {"repeated",
-                            result == applied::changed ? "no" : "yes"}});
+                log_event(
+                    log_level::info, "job_accepted",
+                    {{"job", id},
+                     {"queue", queue},
+                     {"account", account},
+                     {"document", absl::StrCat(version)},
+                     {"repeated", result == applied::changed ? "no" : "yes"}});
                 return plain(200);
             });
 }
@@ -291,10 +291,10 @@
     propose(std::move(command), done,
             [id](applied result)
             {
-                log_event(log_level::info, "job_cancel",
-                          {{"job", id},
-                           {"known",
-                            result == applied::refused ? "no" : "yes"}});
+                log_event(
+                    log_level::info, "job_cancel",
+                    {{"job", id},
+                     {"known", result == applied::refused ? "no" : "yes"}});
                 return plain(result == applied::refused ? 410 : 200);
             });
 }
@@ -373,8 +373,7 @@
         {
             // A worker that drains does not come back; a report that was
             // delayed may still say that it is ready.
-            record.set_draining(record.draining() ||
-                                known->second.draining());
+            record.set_draining(record.draining() || known->second.draining());
             if (same_report(known->second, record))
             {
                 parts_.note_report(*report);
@@ -416,10 +415,10 @@
     propose(std::move(command), done,
             [id](applied result)
             {
-                log_event(log_level::info, "worker_left",
-                          {{"worker", id},
-                           {"known",
-                            result == applied::changed ? "yes" : "no"}});
+                log_event(
+                    log_level::info, "worker_left",
+                    {{"worker", id},
+                     {"known", result == applied::changed ? "yes" : "no"}});
                 return plain(200);
             });
 }
@@ -462,14 +461,18 @@
     auto wave = protocol_.decode_wave(call.body());
     if (!wave.ok())
     {
-        done(plain(400, protocol_.encode_error(
-                            std::string(wave.status().message()))));
+        done(plain(
+            400, protocol_.encode_error(std::string(wave.status().message()))));
         return;
     }
     fleet_command command;
     wave->set_due_ms(wave->due_ms() + parts_.wall_ms());
     *command.mutable_wave() = *wave;
-    propose(std::move(command), done, [](applied) { return plain(200); });
+    propose(std::move(command), done,
+            [](applied)
+            {
+                return plain(200);
+            });
 }
 
 void fleet_service::wave_state(const std::string& id,
--- a/src/coordination/fleet/lease_clock.hpp
+++ b/src/coordination/fleet/lease_clock.hpp
@@ -61,8 +61,8 @@
         }
         if (granted_until_ > 0 && reading_)
         {
-            const auto left = std::max<std::int64_t>(
-                granted_until_ - reading_->clock_ms, 0);
+            const auto left =
+                std::max<std::int64_t>(granted_until_ - reading_->clock_ms, 0);
             const auto at = reading_->at + stretched(left);
             latest = latest ? std::max(*latest, at) : at;
         }
--- a/src/coordination/fleet/member_policy.cpp
+++ b/src/coordination/fleet/member_policy.cpp
@@ -110,13 +110,13 @@
     if (live < options.voters && !candidates.empty() &&
         voters.size() < static_cast<std::size_t>(max_voters))
     {
-        const auto* const best = *std::min_element(
-            candidates.begin(), candidates.end(),
-            [&](const wire::member* a, const wire::member* b)
-            {
-                return voters_in[a->data_centre()] <
-                       voters_in[b->data_centre()];
-            });
+        const auto* const best =
+            *std::min_element(candidates.begin(), candidates.end(),
+                              [&](const wire::member* a, const wire::member* b)
+                              {
+                                  return voters_in[a->data_centre()] <
+                                         voters_in[b->data_centre()];
+                              });
         return change_of(wire::member_change::promote, best->id());
     }
     if (voters.size() <= options.voters)
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -28,13 +28,15 @@
     const auto rank = [&](std::size_t i)
     {
         const auto& room = rooms[i];
-        return std::make_tuple(
-            request.avoided.count(room.worker->record.id()),
-            room.free.accelerators, room.free.memory_mb, room.free.cpu_milli);
+        return std::make_tuple(request.avoided.count(room.worker->record.id()),
+                               room.free.accelerators, room.free.memory_mb,
+                               room.free.cpu_milli);
     };
     std::stable_sort(order.begin(), order.end(),
                      [&](std::size_t a, std::size_t b)
-                     { return rank(a) < rank(b); });
+                     {
+                         return rank(a) < rank(b);
+                     });
     return order;
 }
 
@@ -125,7 +127,8 @@
     {
         if (need > 0)
         {
-            count = std::min(count, std::max<std::int64_t>(available, 0) / need);
+            count =
+                std::min(count, std::max<std::int64_t>(available, 0) / need);
         }
     };
     limit(free.cpu_milli, request.need.cpu_milli);
@@ -162,9 +165,9 @@
     room_indices far;
     for (const auto i : order)
     {
-        auto& part =
-            rooms[i].worker->record.rack() == request.preferred_rack ? near
-                                                                     : far;
+        auto& part = rooms[i].worker->record.rack() == request.preferred_rack
+                         ? near
+                         : far;
         part.push_back(i);
     }
     auto chosen = fill(rooms, request, near);
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -22,7 +22,7 @@
 struct placement_request
 {
     std::uint32_t count = 0;
-    amounts need; // Of each.
+    amounts need;       // Of each.
     bool whole = false; // All at once or none.
     bool same_rack = false;
     bool far_allowed = false; // Other racks than the preferred ones will do.
--- a/src/coordination/fleet/victim_choice.cpp
+++ b/src/coordination/fleet/victim_choice.cpp
@@ -27,7 +27,10 @@
     std::vector<victim> order =
         victims == nullptr ? std::vector<victim>() : *victims;
     std::sort(order.begin(), order.end(),
-              [](const victim& a, const victim& b) { return a.cost < b.cost; });
+              [](const victim& a, const victim& b)
+              {
+                  return a.cost < b.cost;
+              });
     std::size_t next = 0;
     auto single = request;
     single.count = 1;
@@ -68,14 +71,15 @@
     }
     std::stable_sort(openings.begin(), openings.end(),
                      [](const opening& a, const opening& b)
-                     { return a.rank < b.rank; });
+                     {
+                         return a.rank < b.rank;
+                     });
     victim_plan plan;
     for (std::size_t i = 0; i < request.count; ++i)
     {
         const auto& place = openings[i];
         plan.cost += place.cost;
-        plan.keys.insert(plan.keys.end(), place.keys.begin(),
-                         place.keys.end());
+        plan.keys.insert(plan.keys.end(), place.keys.begin(), place.keys.end());
         auto& kept = plan.rooms[rooms[place.room].worker->record.id()];
         kept = kept + request.need;
     }
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -19,6 +19,9 @@
 // Between two attempts of a stop or a hold that failed.
 constexpr milliseconds order_retry_delay{150};
 
+// Between two looks for a run that was stopped and is not listed as ended.
+constexpr milliseconds look_interval{500};
+
 // A worker that refused a start gets no placement for this long.
 constexpr milliseconds refusal_pause{1000};
 
@@ -126,9 +129,9 @@
 {
     auto& worker =
         workers_
-            .insert_or_assign(record.id(),
-                              worker_session(lease_clock(
-                                  options_.clock_slowness, options_.max_lease)))
+            .insert_or_assign(
+                record.id(), worker_session(lease_clock(options_.clock_slowness,
+                                                        options_.max_lease)))
             .first->second;
     worker.record = record;
     worker.capacity = to_amounts(record.capacity());
@@ -148,8 +151,7 @@
     live.started_at = now;
     if (const auto* const job = state_.find_job(run.job()))
     {
-        const auto& step =
-            job->job.spec().steps(static_cast<int>(run.step()));
+        const auto& step = job->job.spec().steps(static_cast<int>(run.step()));
         live.need = counted_need(step);
         live.gang = step.gang();
         live.checkpointable = step.checkpointable();
@@ -301,8 +303,7 @@
             const auto found = workers_.find(command.remove_worker().id());
             if (found != workers_.end())
             {
-                lose_incarnation({found->first,
-                                  found->second.record.born_ms()},
+                lose_incarnation({found->first, found->second.record.born_ms()},
                                  "worker_left", now);
                 port_.forget(found->second.record);
                 workers_.erase(found);
@@ -361,8 +362,8 @@
 std::vector<std::string> worker_fleet::gang_members(const run_ref& ref) const
 {
     std::vector<std::string> keys;
-    const auto prefix = absl::StrCat(ref.job(), ".", ref.occurrence(), ".",
-                                     ref.step(), ".");
+    const auto prefix =
+        absl::StrCat(ref.job(), ".", ref.occurrence(), ".", ref.step(), ".");
     for (auto at = runs_.lower_bound(prefix);
          at != runs_.end() && at->first.compare(0, prefix.size(), prefix) == 0;
          ++at)
@@ -452,11 +453,13 @@
         }
         const auto* const step = state_.find_step(found->second.ref);
         const auto members = gang_members(found->second.ref);
-        const bool whole =
-            step != nullptr && members.size() == step->subtasks.size() &&
-            std::none_of(members.begin(), members.end(),
-                         [this](const std::string& member)
-                         { return runs_.at(member).stop_wanted; });
+        const bool whole = step != nullptr &&
+                           members.size() == step->subtasks.size() &&
+                           std::none_of(members.begin(), members.end(),
+                                        [this](const std::string& member)
+                                        {
+                                            return runs_.at(member).stop_wanted;
+                                        });
         if (!whole)
         {
             found->second.stop_wanted = true;
@@ -471,8 +474,7 @@
     for (const auto& key : keys)
     {
         const auto found = runs_.find(key);
-        if (found == runs_.end() ||
-            found->second.phase != run_phase::committed)
+        if (found == runs_.end() || found->second.phase != run_phase::committed)
         {
             continue;
         }
@@ -519,8 +521,8 @@
                    {"epoch", absl::StrCat(epoch_)}});
     }
     port_.start(worker.record, order,
-                [this, key, alive = std::weak_ptr<int>(alive_)](
-                    const order_answer& answer)
+                [this, key,
+                 alive = std::weak_ptr<int>(alive_)](const order_answer& answer)
                 {
                     if (!alive.expired())
                     {
@@ -614,8 +616,8 @@
 
 void worker_fleet::send_stop(live_run& run, time_point now)
 {
-    if (run.end_proposed || run.phase == run_phase::proposed ||
-        run.stop_sent || run.stop_acknowledged)
+    if (run.end_proposed || run.phase == run_phase::proposed || run.stop_sent ||
+        run.stop_acknowledged)
     {
         return;
     }
@@ -634,8 +636,8 @@
     run.since = now;
     const auto key = key_of(run.ref);
     port_.stop(found->second.record, run.ref, epoch_,
-               [this, key, alive = std::weak_ptr<int>(alive_)](
-                   const order_answer& answer)
+               [this, key,
+                alive = std::weak_ptr<int>(alive_)](const order_answer& answer)
                {
                    if (!alive.expired())
                    {
@@ -673,11 +675,6 @@
         {
             propose_end(run, run_never, "", "displaced");
         }
-        else if (worker != nullptr &&
-                 (run.doubtful || run.phase != run_phase::present))
-        {
-            look(*worker, now);
-        }
         return;
     }
     run.stop_sent = false; // Sent again by `advance`.
@@ -825,8 +822,7 @@
             continue;
         }
         auto& run = found->second;
-        if (run.phase == run_phase::starting ||
-            run.phase == run_phase::adopted)
+        if (run.phase == run_phase::starting || run.phase == run_phase::adopted)
         {
             run.phase = run_phase::present;
             run.since = now;
@@ -862,14 +858,15 @@
             continue;
         }
         auto& run = found->second;
-        const bool sent_out = run.phase == run_phase::starting ||
-                              run.phase == run_phase::present;
+        const bool sent_out =
+            run.phase == run_phase::starting || run.phase == run_phase::present;
         if (run.phase == run_phase::adopted)
         {
             // Orders of earlier epochs have no effect any more.
             propose_end(run, run_never, "", "absent_after_takeover");
         }
-        else if (sent_out && run.stop_acknowledged && run.since <= sent)
+        else if (sent_out && run.stop_acknowledged &&
+                 run.since + options_.stop_time <= sent)
         {
             propose_end(run, run_stopped, "", "absent_after_stop");
         }
@@ -919,6 +916,7 @@
 
 void worker_fleet::retry_orders(worker_session& worker, time_point now)
 {
+    bool look_wanted = false;
     const auto keys = worker.runs;
     for (const auto& key : keys)
     {
@@ -927,6 +925,18 @@
         {
             send_stop(run, now);
         }
+        // A run that was there is listed as ended by now.
+        if (run.stop_acknowledged && !run.end_proposed && !run.displaced &&
+            now - run.since >= options_.stop_time &&
+            now - run.looked_at >= look_interval)
+        {
+            run.looked_at = now;
+            look_wanted = true;
+        }
+    }
+    if (look_wanted)
+    {
+        look(worker, now);
     }
 }
 
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -24,6 +24,7 @@
     milliseconds report_interval{1500};
     double clock_slowness = 0.02;
     milliseconds hold_wait{2000};
+    milliseconds stop_time{900}; // Longest time that a stop takes.
 };
 
 /// What is needed of one worker, or free on it.
@@ -72,6 +73,7 @@
     bool displaced = false; // Its worker was born again meanwhile.
     int start_attempts = 0;
     time_point since;      // Of the phase.
+    time_point looked_at;  // When the lists were asked for after its stop.
     time_point started_at; // When it became present.
     std::string checkpoint;
     int percent = 0;
@@ -89,21 +91,21 @@
 
     worker_record record;
     amounts capacity;
-    amounts used;     // By all live runs.
+    amounts used; // By all live runs.
     lease_clock clock;
     std::set<std::string> runs; // Keys of the live runs.
     std::uint64_t last_sequence = 0;
     time_point last_report;
-    std::uint64_t last_seen = 0;  // Ends up to this number are committed.
-    std::uint64_t listed_end = 0; // Highest number in the last lists.
+    std::uint64_t last_seen = 0;        // Ends up to this number are committed.
+    std::uint64_t listed_end = 0;       // Highest number in the last lists.
     std::uint64_t acknowledged_end = 0; // Last number the worker was told.
     std::set<std::string> pending_ends; // Listed, proposed, not committed.
-    bool confirmed = false;       // Has answered under this leader's epoch.
+    bool confirmed = false; // Has answered under this leader's epoch.
     bool holding = false;
     int hold_failures = 0;
-    time_point retry_at;     // No hold before this time.
-    time_point last_answer;  // Of a hold or look.
-    time_point avoid_until;  // No placement before this time.
+    time_point retry_at;    // No hold before this time.
+    time_point last_answer; // Of a hold or look.
+    time_point avoid_until; // No placement before this time.
     int failures_in_row = 0;
 };
 
--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -56,19 +56,28 @@
 
 core_node::leadership::leadership(core_node& node, std::uint64_t term)
     : port(node.io_, node.protocol_)
-    , workers(node.settings_.workers, node.state_, port,
-              [&node](fleet_command command)
-              { node.runner_->propose(std::move(command), {}); },
-              boot_now, term)
+    , workers(
+          node.settings_.workers, node.state_, port,
+          [&node](fleet_command command)
+          {
+              node.runner_->propose(std::move(command), {});
+          },
+          boot_now, term)
     , scheduler(node.settings_.scheduler, node.state_, workers,
                 [&node](fleet_command command)
-                { node.runner_->propose(std::move(command), {}); })
+                {
+                    node.runner_->propose(std::move(command), {});
+                })
     , service(node.protocol_, node.state_,
               {[&node](fleet_command command,
                        consensus_runner::outcome_handler done)
-               { node.runner_->propose(std::move(command), std::move(done)); },
+               {
+                   node.runner_->propose(std::move(command), std::move(done));
+               },
                [&node](std::function<void(bool)> done)
-               { node.runner_->read(std::move(done)); },
+               {
+                   node.runner_->read(std::move(done));
+               },
                [&node](const worker_report& report)
                {
                    if (node.leading_)
@@ -77,7 +86,9 @@
                    }
                },
                [&node]
-               { return node.document_ ? &*node.document_ : nullptr; },
+               {
+                   return node.document_ ? &*node.document_ : nullptr;
+               },
                wall_clock_ms, node.settings_.control_address})
     , since(boot_now())
 {
@@ -94,17 +105,24 @@
     , protocol_(protocol)
     , storage_(std::move(storage))
     , disk_(io)
-    , listener_(io, [this](const std::shared_ptr<frame_connection>& from,
-                           const peer_frame& frame)
-                { on_peer_frame(from, frame); })
+    , listener_(io,
+                [this](const std::shared_ptr<frame_connection>& from,
+                       const peer_frame& frame)
+                {
+                    on_peer_frame(from, frame);
+                })
     , control_(io, "",
                [this](http_server_request request, http_responder respond)
-               { handle_control(std::move(request), std::move(respond)); })
+               {
+                   handle_control(std::move(request), std::move(respond));
+               })
     , timer_(io)
 {
     consensus_runner::effects effects;
     effects.send = [this](const wire::consensus_message& message)
-    { send_message(message); };
+    {
+        send_message(message);
+    };
     effects.on_applied = [this](const fleet_command& command, applied result)
     {
         if (command.has_put_document() && result == applied::changed)
@@ -155,7 +173,9 @@
             return out;
         },
         [this](const std::string&, const peer_frame& frame)
-        { on_link_frame(frame); },
+        {
+            on_link_frame(frame);
+        },
         [](const std::string& address, bool up)
         {
             log_event(log_level::info, up ? "peer_up" : "peer_down",
@@ -215,8 +235,8 @@
 {
     timer_.expires_after(tick_interval);
     timer_.async_wait(
-        [this, alive = std::weak_ptr<int>(alive_)](
-            boost::system::error_code error)
+        [this,
+         alive = std::weak_ptr<int>(alive_)](boost::system::error_code error)
         {
             if (!error && !alive.expired())
             {
@@ -268,8 +288,7 @@
     if (leader != last_leader_)
     {
         log_event(log_level::info, "leader_changed",
-                  {{"leader", leader},
-                   {"term", absl::StrCat(core.term())}});
+                  {{"leader", leader}, {"term", absl::StrCat(core.term())}});
         last_leader_ = leader;
         push_status();
     }
@@ -383,7 +402,7 @@
     const auto* const member =
         find_member(runner_->core().log().members(), message.to());
     const auto known = addresses_.find(message.to());
-    const auto address = member != nullptr          ? member->peer_address()
+    const auto address = member != nullptr           ? member->peer_address()
                          : known != addresses_.end() ? known->second
                                                      : std::string();
     peer_frame frame;
@@ -431,9 +450,11 @@
     case peer_frame::kPing:
     {
         note_sighting(frame.ping().from(), frame.ping());
-        const bool known =
-            std::any_of(subscribers_.begin(), subscribers_.end(),
-                        [&](const auto& item) { return item.lock() == from; });
+        const bool known = std::any_of(subscribers_.begin(), subscribers_.end(),
+                                       [&](const auto& item)
+                                       {
+                                           return item.lock() == from;
+                                       });
         if (!known)
         {
             subscribers_.push_back(from);
@@ -569,8 +590,11 @@
     follow_leadership();
     if (leading_ && !stopping_)
     {
-        serve_call(call, [respond](const forwarded_answer& answer)
-                   { respond(to_http(answer)); });
+        serve_call(call,
+                   [respond](const forwarded_answer& answer)
+                   {
+                       respond(to_http(answer));
+                   });
         return;
     }
     forward_to_leader(std::move(call), std::move(respond));
--- a/src/daemon/fleet/disk_thread.cpp
+++ b/src/daemon/fleet/disk_thread.cpp
@@ -26,8 +26,11 @@
         [this, job = std::move(job), done = std::move(done)]() mutable
         {
             auto status = job();
-            boost::asio::post(io_, [done = std::move(done), status]
-                              { done(status); });
+            boost::asio::post(io_,
+                              [done = std::move(done), status]
+                              {
+                                  done(status);
+                              });
         });
 }
 
--- a/src/daemon/fleet/entry_node.cpp
+++ b/src/daemon/fleet/entry_node.cpp
@@ -13,8 +13,8 @@
 namespace
 {
 
-constexpr peer_links_options link_options{
-    milliseconds(500), milliseconds(1200), milliseconds(200)};
+constexpr peer_links_options link_options{milliseconds(500), milliseconds(1200),
+                                          milliseconds(200)};
 
 constexpr milliseconds check_interval{100};
 
@@ -39,12 +39,14 @@
     , settings_(settings)
     , callers_(io, deadline_header,
                [this](http_server_request request, http_responder respond)
-               { take_call(std::move(request), std::move(respond)); })
+               {
+                   take_call(std::move(request), std::move(respond));
+               })
     , ready_(io, "",
              [this](const http_server_request&, const http_responder& respond)
              {
-                 const bool ready = !stopping_ && !leader_.empty() &&
-                                    document_version_ > 0;
+                 const bool ready =
+                     !stopping_ && !leader_.empty() && document_version_ > 0;
                  respond({ready ? 200U : 503U, "{}", 0});
              })
     , timer_(io)
@@ -59,8 +61,13 @@
             return out;
         },
         [this](const std::string& address, const peer_frame& frame)
-        { on_frame(address, frame); },
-        [this](const std::string& address, bool up) { on_link(address, up); });
+        {
+            on_frame(address, frame);
+        },
+        [this](const std::string& address, bool up)
+        {
+            on_link(address, up);
+        });
     update_targets();
 }
 
@@ -172,15 +179,15 @@
     calls_.erase(found);
     if (out.status >= 400 && out.status != 410)
     {
-        log_event(log_level::info, "call_refused",
-                  {{"target", item.call.target()},
-                   {"method", item.call.method()},
-                   {"status", absl::StrCat(out.status)},
-                   {"reason", reason},
-                   {"leader", leader_},
-                   {"term", absl::StrCat(leader_term_)},
-                   {"held_ms",
-                    absl::StrCat((boot_now() - item.arrived).count())}});
+        log_event(
+            log_level::info, "call_refused",
+            {{"target", item.call.target()},
+             {"method", item.call.method()},
+             {"status", absl::StrCat(out.status)},
+             {"reason", reason},
+             {"leader", leader_},
+             {"term", absl::StrCat(leader_term_)},
+             {"held_ms", absl::StrCat((boot_now() - item.arrived).count())}});
     }
     item.respond(std::move(out));
 }
@@ -258,9 +265,9 @@
     {
         if (leader_ != address)
         {
-            log_event(log_level::info, "leader_known",
-                      {{"leader", address},
-                       {"term", absl::StrCat(status.term())}});
+            log_event(
+                log_level::info, "leader_known",
+                {{"leader", address}, {"term", absl::StrCat(status.term())}});
         }
         leader_ = address;
         leader_term_ = status.term();
@@ -297,8 +304,8 @@
 {
     timer_.expires_after(check_interval);
     timer_.async_wait(
-        [this, alive = std::weak_ptr<int>(alive_)](
-            boost::system::error_code error)
+        [this,
+         alive = std::weak_ptr<int>(alive_)](boost::system::error_code error)
         {
             if (!error && !alive.expired())
             {
--- a/src/daemon/fleet/entry_node.hpp
+++ b/src/daemon/fleet/entry_node.hpp
@@ -45,7 +45,7 @@
         fleet::forwarded_call call;
         http_responder respond;
         time_point arrived;
-        time_point until;  // When the caller's time is over.
+        time_point until;    // When the caller's time is over.
         std::string sent_to; // Leader's address; empty while it waits for one.
         bool was_sent = false;
     };
--- a/src/daemon/fleet/fleet_daemon.cpp
+++ b/src/daemon/fleet/fleet_daemon.cpp
@@ -49,9 +49,9 @@
             auto storage = open_replica(settings_);
             if (!storage.ok())
             {
-                log_event(log_level::error, "storage_unusable",
-                          {{"reason",
-                            std::string(storage.status().message())}});
+                log_event(
+                    log_level::error, "storage_unusable",
+                    {{"reason", std::string(storage.status().message())}});
                 return false;
             }
             core_ = std::make_unique<core_node>(
--- a/src/daemon/fleet/node_settings.hpp
+++ b/src/daemon/fleet/node_settings.hpp
@@ -22,9 +22,9 @@
     std::string control_address; // Empty unless the host serves control.
     std::string peer_address;    // Where other hosts reach this one.
     std::string metrics_address;
-    std::vector<std::string> seeds; // Peer addresses of hosts with a disk.
-    bool first_start = false;       // Of the whole deployment.
-    std::string data_folder;        // Empty without a disk.
+    std::vector<std::string> seeds;   // Peer addresses of hosts with a disk.
+    bool first_start = false;         // Of the whole deployment.
+    std::string data_folder;          // Empty without a disk.
     std::size_t tolerated_losses = 1; // Of hosts with a disk, at once.
     std::string advice_address;
     std::string provider_address;
--- a/src/protocol/external_protocol.hpp
+++ b/src/protocol/external_protocol.hpp
@@ -31,10 +31,10 @@
     std::string service;
     std::int64_t priority = 0; // 0 is the most urgent.
     std::uint32_t attempts = 1;
-    double stretch = 1;           // Objective as a multiple of the work.
-    std::int64_t slo_ms = 0;      // Added to the objective.
-    std::int64_t timeout_ms = 0;  // Of one call.
-    bool public_access = false;   // Callers need no key.
+    double stretch = 1;          // Objective as a multiple of the work.
+    std::int64_t slo_ms = 0;     // Added to the objective.
+    std::int64_t timeout_ms = 0; // Of one call.
+    bool public_access = false;  // Callers need no key.
     std::optional<advice_policy> advice;
 };
 
@@ -110,9 +110,9 @@
 enum class order_result
 {
     accepted,
-    newer_epoch,  // The worker has seen a higher epoch.
-    old_run,      // This run, or a later one, ended or was stopped there.
-    expired,      // The order's lease was over on arrival.
+    newer_epoch, // The worker has seen a higher epoch.
+    old_run,     // This run, or a later one, ended or was stopped there.
+    expired,     // The order's lease was over on arrival.
     no_room,
     bad_ticket,
     invalid,
@@ -248,7 +248,8 @@
     encode_advice(const std::string& job, std::uint32_t occurrence,
                   std::uint32_t step,
                   const std::vector<std::string>& workers) const = 0;
-    virtual outgoing_call encode_machine_list(const std::string& page) const = 0;
+    virtual outgoing_call
+    encode_machine_list(const std::string& page) const = 0;
     virtual outgoing_call encode_maintenance(const std::string& machine,
                                              std::uint64_t wave,
                                              const std::string& holder,
--- a/src/state/fleet_state.cpp
+++ b/src/state/fleet_state.cpp
@@ -193,18 +193,19 @@
     auto& step = at->second.steps[run.step()];
     auto& subtask = step.subtasks[run.index()];
     const incarnation where{ended.worker(), ended.born_ms()};
-    const auto active = std::find_if(
-        subtask.active.begin(), subtask.active.end(),
-        [&](const active_run& item)
-        { return item.run == run.run() && item.where == where; });
+    const auto active =
+        std::find_if(subtask.active.begin(), subtask.active.end(),
+                     [&](const active_run& item)
+                     {
+                         return item.run == run.run() && item.where == where;
+                     });
     if (active == subtask.active.end())
     {
         return applied::unchanged;
     }
     subtask.active.erase(active);
     --step.active_count;
-    const auto& spec =
-        job.job.spec().steps(static_cast<int>(run.step()));
+    const auto& spec = job.job.spec().steps(static_cast<int>(run.step()));
     if (!ended.checkpoint().empty())
     {
         subtask.checkpoint = ended.checkpoint();
@@ -246,8 +247,7 @@
 applied fleet_state::remove_worker(const worker_ref& worker)
 {
     const auto found = workers_.find(worker.id());
-    if (found == workers_.end() ||
-        found->second.born_ms() != worker.born_ms())
+    if (found == workers_.end() || found->second.born_ms() != worker.born_ms())
     {
         return applied::unchanged;
     }
@@ -341,7 +341,9 @@
     return subtask != nullptr &&
            std::any_of(subtask->active.begin(), subtask->active.end(),
                        [&](const active_run& item)
-                       { return item.run == run.run() && item.where == where; });
+                       {
+                           return item.run == run.run() && item.where == where;
+                       });
 }
 
 std::string fleet_state::snapshot() const
@@ -355,7 +357,9 @@
     }
     std::sort(ordered.begin(), ordered.end(),
               [](const job_state* a, const job_state* b)
-              { return a->order < b->order; });
+              {
+                  return a->order < b->order;
+              });
     for (const auto* job : ordered)
     {
         auto& saved = *out.add_jobs();
--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -72,8 +72,11 @@
         }
         if (!endpoint_)
         {
-            boost::asio::post(io_, [self = shared_from_this()]
-                              { self->finish({0, "", false}); });
+            boost::asio::post(io_,
+                              [self = shared_from_this()]
+                              {
+                                  self->finish({0, "", false});
+                              });
             return;
         }
         if (stream_)
@@ -85,25 +88,25 @@
         buffer_.clear();
         stream_ = std::make_shared<beast::tcp_stream>(io_);
         stream_->expires_after(connect_timeout);
-        stream_->async_connect(
-            *endpoint_,
-            [self = shared_from_this(), stream = stream_](
-                beast::error_code error)
-            {
-                if (self->stream_ != stream)
-                {
-                    return;
-                }
-                if (error)
-                {
-                    self->stream_.reset();
-                    self->finish({0, "", false});
-                    return;
-                }
-                beast::error_code ignored;
-                stream->socket().set_option(tcp::no_delay(true), ignored);
-                self->write();
-            });
+        stream_->async_connect(*endpoint_,
+                               [self = shared_from_this(),
+                                stream = stream_](beast::error_code error)
+                               {
+                                   if (self->stream_ != stream)
+                                   {
+                                       return;
+                                   }
+                                   if (error)
+                                   {
+                                       self->stream_.reset();
+                                       self->finish({0, "", false});
+                                       return;
+                                   }
+                                   beast::error_code ignored;
+                                   stream->socket().set_option(
+                                       tcp::no_delay(true), ignored);
+                                   self->write();
+                               });
     }
 
     void write()
@@ -131,33 +134,32 @@
     {
         parser_.emplace();
         parser_->body_limit(max_answer_bytes);
-        http::async_read(
-            *stream_, buffer_, *parser_,
-            [self = shared_from_this(), stream = stream_](
-                beast::error_code error, std::size_t)
-            {
-                if (self->stream_ != stream)
-                {
-                    return;
-                }
-                if (error)
-                {
-                    self->stream_.reset();
-                    self->finish({});
-                    return;
-                }
-                auto& answer = self->parser_->get();
-                if (answer.keep_alive())
-                {
-                    stream->expires_never();
-                }
-                else
-                {
-                    self->stream_.reset();
-                }
-                self->finish({answer.result_int(),
-                              std::move(answer.body()), true});
-            });
+        http::async_read(*stream_, buffer_, *parser_,
+                         [self = shared_from_this(), stream = stream_](
+                             beast::error_code error, std::size_t)
+                         {
+                             if (self->stream_ != stream)
+                             {
+                                 return;
+                             }
+                             if (error)
+                             {
+                                 self->stream_.reset();
+                                 self->finish({});
+                                 return;
+                             }
+                             auto& answer = self->parser_->get();
+                             if (answer.keep_alive())
+                             {
+                                 stream->expires_never();
+                             }
+                             else
+                             {
+                                 self->stream_.reset();
+                             }
+                             self->finish({answer.result_int(),
+                                           std::move(answer.body()), true});
+                         });
     }
 
     void finish(const http_channel_answer& answer)
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -25,8 +25,8 @@
     std::string host(value.substr(0, value.find(':')));
     for (auto& letter : host)
     {
-        letter = static_cast<char>(
-            std::tolower(static_cast<unsigned char>(letter)));
+        letter =
+            static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
     }
     return host;
 }
@@ -77,10 +77,12 @@
         waiting_ = true;
         stream_.expires_after(
             std::chrono::milliseconds(state_->limits.idle_timeout_ms));
-        http::async_read(stream_, buffer_, *parser_,
-                         [self = shared_from_this()](beast::error_code error,
-                                                     std::size_t)
-                         { self->on_read(error); });
+        http::async_read(
+            stream_, buffer_, *parser_,
+            [self = shared_from_this()](beast::error_code error, std::size_t)
+            {
+                self->on_read(error);
+            });
     }
 
     void close_if_idle()
@@ -112,9 +114,8 @@
         if (error)
         {
             close_after_ = true;
-            if (error.category() == http::make_error_code(
-                                        http::error::bad_method)
-                                        .category())
+            if (error.category() ==
+                http::make_error_code(http::error::bad_method).category())
             {
                 write({400, R"({"error":"not an HTTP request"})", 0});
             }
@@ -156,8 +157,9 @@
         response_->set(http::field::content_type, answer.content_type);
         if (answer.retry_after_ms > 0)
         {
-            response_->set(http::field::retry_after,
-                           std::to_string((answer.retry_after_ms + 999) / 1000));
+            response_->set(
+                http::field::retry_after,
+                std::to_string((answer.retry_after_ms + 999) / 1000));
         }
         response_->body() = std::move(answer.body);
         close_after_ = close_after_ || state_->draining;
@@ -165,10 +167,12 @@
         response_->prepare_payload();
         stream_.expires_after(
             std::chrono::milliseconds(state_->limits.idle_timeout_ms));
-        http::async_write(stream_, *response_,
-                          [self = shared_from_this()](beast::error_code error,
-                                                      std::size_t)
-                          { self->on_written(error); });
+        http::async_write(
+            stream_, *response_,
+            [self = shared_from_this()](beast::error_code error, std::size_t)
+            {
+                self->on_written(error);
+            });
     }
 
     void on_written(beast::error_code error)
--- a/src/transport/http_worker_port.cpp
+++ b/src/transport/http_worker_port.cpp
@@ -46,20 +46,18 @@
     channels_.erase(worker.id());
 }
 
-void http_worker_port::send_order(
-    http_channel& channel, const outgoing_call& call,
-    std::function<void(const order_answer&)> done)
+void http_worker_port::send_order(http_channel& channel,
+                                  const outgoing_call& call,
+                                  std::function<void(const order_answer&)> done)
 {
-    channel.send(call.method, call.target, call.headers, call.body,
-                 order_timeout,
-                 [this, done = std::move(done)](
-                     const http_channel_answer& answer)
-                 {
-                     done(answer.status == 0
-                              ? order_answer()
-                              : protocol_.decode_order(answer.status,
-                                                       answer.body));
-                 });
+    channel.send(
+        call.method, call.target, call.headers, call.body, order_timeout,
+        [this, done = std::move(done)](const http_channel_answer& answer)
+        {
+            done(answer.status == 0
+                     ? order_answer()
+                     : protocol_.decode_order(answer.status, answer.body));
+        });
 }
 
 void http_worker_port::start(const worker_record& worker,
@@ -99,10 +97,10 @@
                 }
                 else
                 {
-                    log_event(log_level::warning, "lists_refused",
-                              {{"worker", worker},
-                               {"reason",
-                                std::string(lists.status().message())}});
+                    log_event(
+                        log_level::warning, "lists_refused",
+                        {{"worker", worker},
+                         {"reason", std::string(lists.status().message())}});
                 }
             }
             else if (answer.status != 0)
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -79,8 +79,8 @@
         {
             lose(item);
         }
-        else if (item->connection && now - item->pinged >=
-                                         options_.ping_interval)
+        else if (item->connection &&
+                 now - item->pinged >= options_.ping_interval)
         {
             send_ping(*item);
         }
@@ -130,23 +130,23 @@
     item->heard = boot_now();
     const auto socket = std::make_shared<tcp::socket>(io_);
     item->dialling = socket;
-    socket->async_connect(
-        *endpoint,
-        [this, item, socket, alive = std::weak_ptr<int>(alive_)](
-            error_code error)
-        {
-            if (alive.expired() || item->dialling != socket)
-            {
-                return;
-            }
-            item->dialling.reset();
-            if (error || !item->wanted)
-            {
-                item->dial_at = boot_now() + options_.redial_delay;
-                return;
-            }
-            on_connected(item, std::move(*socket));
-        });
+    socket->async_connect(*endpoint,
+                          [this, item, socket,
+                           alive = std::weak_ptr<int>(alive_)](error_code error)
+                          {
+                              if (alive.expired() || item->dialling != socket)
+                              {
+                                  return;
+                              }
+                              item->dialling.reset();
+                              if (error || !item->wanted)
+                              {
+                                  item->dial_at =
+                                      boot_now() + options_.redial_delay;
+                                  return;
+                              }
+                              on_connected(item, std::move(*socket));
+                          });
 }
 
 void peer_links::on_connected(const std::shared_ptr<target>& item,
--- a/test/support/fleet_bed.cpp
+++ b/test/support/fleet_bed.cpp
@@ -37,10 +37,16 @@
     ++epoch;
     proposals.clear();
     const auto propose = [this](fleet_command command)
-    { proposals.push_back(std::move(command)); };
+    {
+        proposals.push_back(std::move(command));
+    };
     scheduler.reset();
     workers = std::make_unique<worker_fleet>(
-        worker_fleet_options(), state, port, propose, [this] { return now; },
+        worker_fleet_options(), state, port, propose,
+        [this]
+        {
+            return now;
+        },
         epoch);
     scheduler = std::make_unique<fleet_scheduler>(fleet_scheduler_options(),
                                                   state, *workers, propose);
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -84,6 +84,11 @@
     ASSERT_EQ(bed.port.stops.size(), 1U);
     bed.port.stops.front().done(
         order_at(order_result::accepted, bed.worker_clock()));
+    // A run that was there would be listed as ended after the longest stop.
+    bed.pass(milliseconds(500));
+    EXPECT_TRUE(bed.port.looks.empty());
+    bed.pass(milliseconds(500));
+    EXPECT_TRUE(bed.workers->runs().count(first_run));
     ASSERT_EQ(bed.port.looks.size(), 1U);
     bed.port.looks.front().done(lists_at(bed.worker_clock()));
     bed.commit();
@@ -146,8 +151,7 @@
     answer_hold(bed, lists);
     EXPECT_FALSE(bed.workers->runs().count(first_run));
     EXPECT_TRUE(bed.workers->runs().count("job.0.0.1#1"));
-    EXPECT_TRUE(
-        bed.state.find_subtask(make_run("job", 0, 1))->active.empty());
+    EXPECT_TRUE(bed.state.find_subtask(make_run("job", 0, 1))->active.empty());
 }
 
 // Guards against orders of a leader after a worker has seen a later one.
