--- a/src/coordination/fleet/fleet_service.cpp
+++ b/src/coordination/fleet/fleet_service.cpp
@@ -70,7 +70,8 @@
 {
 }
 
-void fleet_service::handle(const forwarded_call& call, answer_handler done)
+void fleet_service::handle(const forwarded_call& call,
+                           const answer_handler& done)
 {
     if (call.from_caller())
     {
@@ -357,7 +358,7 @@
                             std::string(report.status().message()))));
         return;
     }
-    const auto accepted =
+    auto accepted =
         plain(200, protocol_.encode_report_answer(parts_.report_address));
     const auto known = state_.workers().find(id);
     auto record = report->worker;
@@ -391,7 +392,7 @@
     fleet_command command;
     *command.mutable_worker() = record;
     propose(std::move(command), done,
-            [this, report = *report, accepted](applied)
+            [this, report = *report, accepted](applied) -> forwarded_answer
             {
                 parts_.note_report(report);
                 return accepted;
--- a/src/coordination/fleet/fleet_service.hpp
+++ b/src/coordination/fleet/fleet_service.hpp
@@ -34,7 +34,7 @@
     fleet_service(const external_protocol& protocol, const fleet_state& state,
                   fleet_service_parts parts);
 
-    void handle(const forwarded_call& call, answer_handler done);
+    void handle(const forwarded_call& call, const answer_handler& done);
 
 private:
     struct selected_queue
--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -561,7 +561,8 @@
 
 // --------------------------------------------------------------------- calls
 
-void core_node::serve_call(const forwarded_call& call, answer_handler done)
+void core_node::serve_call(const forwarded_call& call,
+                           const answer_handler& done)
 {
     // A host that was suspended finds out first whether it still leads.
     runner_->tick(boot_now());
@@ -573,7 +574,7 @@
         done(answer);
         return;
     }
-    leading_->service.handle(call, std::move(done));
+    leading_->service.handle(call, done);
     work();
 }
 
--- a/src/daemon/fleet/core_node.hpp
+++ b/src/daemon/fleet/core_node.hpp
@@ -76,7 +76,7 @@
     host_status status() const;
     void push_status();
     std::string leader_address() const;
-    void serve_call(const forwarded_call& call, answer_handler done);
+    void serve_call(const forwarded_call& call, const answer_handler& done);
     void handle_control(http_server_request request, http_responder respond);
     void forward_to_leader(forwarded_call call, http_responder respond);
     void fail_forwarded();
--- /dev/null
+++ b/test/fleet_scheduler-test.cpp
@@ -0,0 +1,187 @@
+#include "coordination/fleet/fleet_scheduler.hpp"
+
+#include "support/fleet_bed.hpp"
+
+#include <gtest/gtest.h>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+void confirm_workers(fleet_bed& bed)
+{
+    bed.commit();
+    while (!bed.port.holds.empty())
+    {
+        const auto hold = bed.port.holds.front();
+        bed.port.holds.pop_front();
+        hold_answer answer;
+        answer.result = order_result::accepted;
+        answer.lists.clock_ms = bed.worker_clock();
+        hold.done(answer);
+    }
+}
+
+// Ends a run that was started, as its worker would list it.
+void end_run(fleet_bed& bed, const run_ref& run, run_end end)
+{
+    const auto& live = bed.workers->runs().at(worker_fleet::key_of(run));
+    fleet_command command;
+    auto& ended = *command.mutable_end();
+    *ended.mutable_run() = run;
+    ended.set_worker(live.where.worker);
+    ended.set_born_ms(live.where.born_ms);
+    ended.set_end(end);
+    bed.apply(command);
+    bed.commit();
+}
+
+// Guards against a step that starts before the steps that it follows.
+TEST(fleet_scheduler, later_step_waits_for_the_earlier_one)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    confirm_workers(bed);
+    fleet_command command;
+    auto& job = *command.mutable_accept();
+    job.set_id("job");
+    job.set_queue("normal");
+    *job.mutable_spec()->add_steps() = make_step(1, 1);
+    *job.mutable_spec()->add_steps() = make_step(1, 1);
+    job.mutable_spec()->mutable_steps(1)->add_after(0);
+    bed.apply(command);
+    bed.schedule();
+    ASSERT_EQ(bed.port.starts.size(), 1U);
+    EXPECT_EQ(bed.port.starts.back().order.run.step(), 0U);
+    end_run(bed, make_run("job", 0, 1), run_done);
+    bed.schedule();
+    ASSERT_EQ(bed.port.starts.size(), 2U);
+    EXPECT_EQ(bed.port.starts.back().order.run.step(), 1U);
+}
+
+// Guards against runs beyond the attempts of a queue, and against a job that
+// can not be done and is never shown as failed.
+TEST(fleet_scheduler, job_fails_after_its_attempts)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    confirm_workers(bed);
+    bed.submit("job", make_step(1, 1));
+    bed.schedule();
+    end_run(bed, make_run("job", 0, 1), run_failed);
+    bed.schedule();
+    end_run(bed, make_run("job", 0, 2), run_failed);
+    bed.schedule();
+    EXPECT_TRUE(bed.state.find_job("job")->failed);
+    EXPECT_EQ(bed.port.starts.size(), 2U);
+}
+
+// Guards against an occurrence that starts before it is due.
+TEST(fleet_scheduler, timed_job_waits_for_its_time)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    confirm_workers(bed);
+    fleet_command command;
+    auto& job = *command.mutable_accept();
+    job.set_id("job");
+    job.set_queue("normal");
+    job.mutable_spec()->set_repeat_count(2);
+    job.mutable_spec()->set_first_run_ms(bed.wall_ms + 1000);
+    job.mutable_spec()->set_interval_ms(3000);
+    *job.mutable_spec()->add_steps() = make_step(1, 1);
+    bed.apply(command);
+    bed.schedule();
+    bed.pass(milliseconds(900));
+    bed.schedule();
+    EXPECT_TRUE(bed.port.starts.empty());
+    bed.pass(milliseconds(200));
+    bed.report("w1");
+    bed.schedule();
+    EXPECT_EQ(bed.port.starts.size(), 1U);
+    bed.pass(milliseconds(3000));
+    bed.report("w1");
+    bed.schedule();
+    EXPECT_EQ(bed.port.starts.size(), 2U);
+}
+
+// Guards against a guarantee that waits for less urgent work to end.
+TEST(fleet_scheduler, guaranteed_work_reclaims_its_room)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    confirm_workers(bed);
+    bed.submit("low", make_step(8, 1), "low");
+    bed.schedule();
+    ASSERT_EQ(bed.port.starts.size(), 8U);
+    for (auto& start : bed.port.starts)
+    {
+        start.done({order_result::accepted, bed.worker_clock()});
+    }
+    bed.submit("urgent", make_step(1, 8, true), "urgent");
+    bed.schedule();
+    EXPECT_EQ(bed.port.stops.size(), 8U);
+    EXPECT_EQ(bed.port.starts.size(), 8U);
+    for (std::uint32_t i = 0; i < 8; ++i)
+    {
+        end_run(bed, make_run("low", i, 1), run_stopped);
+    }
+    bed.schedule();
+    ASSERT_EQ(bed.port.starts.size(), 9U);
+    EXPECT_EQ(bed.port.starts.back().order.run.job(), "urgent");
+}
+
+// Guards against work on a worker beyond its capacity.
+TEST(fleet_scheduler, capacity_is_never_exceeded)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    confirm_workers(bed);
+    bed.submit("a", make_step(5, 3));
+    bed.schedule();
+    EXPECT_EQ(bed.port.starts.size(), 2U);
+}
+
+// Guards against runs of a cancelled job that go on, or start.
+TEST(fleet_scheduler, cancelled_job_is_stopped)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    confirm_workers(bed);
+    bed.submit("job", make_step(9, 1));
+    bed.schedule();
+    ASSERT_EQ(bed.port.starts.size(), 8U);
+    for (auto& start : bed.port.starts)
+    {
+        start.done({order_result::accepted, bed.worker_clock()});
+    }
+    fleet_command cancel;
+    cancel.mutable_cancel()->set_job("job");
+    bed.apply(cancel);
+    EXPECT_EQ(bed.port.stops.size(), 8U);
+    bed.schedule();
+    EXPECT_EQ(bed.port.starts.size(), 8U);
+}
+
+// Guards against a lasting step that stays away after it has ended.
+TEST(fleet_scheduler, lasting_step_starts_again)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    confirm_workers(bed);
+    auto step = make_step(1, 1);
+    step.set_lasting(true);
+    bed.submit("job", step);
+    bed.schedule();
+    for (std::uint32_t run = 1; run <= 5; ++run)
+    {
+        ASSERT_EQ(bed.port.starts.size(), run);
+        end_run(bed, make_run("job", 0, run), run_failed);
+        bed.schedule();
+    }
+    EXPECT_FALSE(bed.state.find_job("job")->ended());
+}
+
+} // namespace
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/test/placement_choice-test.cpp
@@ -0,0 +1,136 @@
+#include "coordination/fleet/placement_choice.hpp"
+
+#include "coordination/fleet/victim_choice.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+class placement_choice : public ::testing::Test
+{
+protected:
+    // Adds a worker with `accelerators` of 8 free.
+    void add(const std::string& id, const std::string& rack,
+             std::int64_t accelerators)
+    {
+        auto session = std::make_unique<worker_session>(
+            lease_clock(0.02, milliseconds(6000)));
+        session->record.set_id(id);
+        session->record.set_rack(rack);
+        session->record.set_service("service");
+        rooms.push_back({session.get(), {32000, 131072, accelerators}, 0});
+        sessions.push_back(std::move(session));
+    }
+    static placement_request request(std::uint32_t count, std::int64_t need)
+    {
+        placement_request out;
+        out.count = count;
+        out.need = {1000, 1000, need};
+        out.service = "service";
+        return out;
+    }
+    std::set<std::string> names(const std::vector<std::size_t>& chosen) const
+    {
+        std::set<std::string> out;
+        for (const auto i : chosen)
+        {
+            out.insert(rooms[i].worker->record.id());
+        }
+        return out;
+    }
+
+    std::vector<std::unique_ptr<worker_session>> sessions;
+    std::vector<worker_room> rooms;
+};
+
+// Guards against small work that takes the last whole workers.
+TEST_F(placement_choice, small_work_fills_used_workers_first)
+{
+    add("whole", "r1", 8);
+    add("used", "r1", 3);
+    EXPECT_EQ(names(choose_workers(rooms, request(2, 1))),
+              std::set<std::string>{"used"});
+}
+
+// Guards against a gang that starts with some of its members.
+TEST_F(placement_choice, gang_is_placed_whole_or_not)
+{
+    add("a", "r1", 8);
+    add("b", "r2", 4);
+    auto gang = request(2, 8);
+    gang.whole = true;
+    EXPECT_TRUE(choose_workers(rooms, gang).empty());
+    EXPECT_EQ(choose_workers(rooms, request(2, 8)).size(), 1U);
+}
+
+// Guards against a gang that is spread over racks while one rack has room.
+TEST_F(placement_choice, adjacent_gang_takes_the_tightest_rack)
+{
+    add("a1", "r1", 8);
+    add("a2", "r1", 8);
+    add("a3", "r1", 8);
+    add("b1", "r2", 8);
+    add("b2", "r2", 8);
+    auto gang = request(2, 8);
+    gang.whole = true;
+    gang.same_rack = true;
+    EXPECT_EQ(names(choose_workers(rooms, gang)),
+              (std::set<std::string>{"b1", "b2"}));
+    gang.count = 4;
+    EXPECT_TRUE(choose_workers(rooms, gang).empty());
+    gang.far_allowed = true;
+    EXPECT_EQ(choose_workers(rooms, gang).size(), 4U);
+}
+
+TEST_F(placement_choice, preferred_rack_comes_first_and_may_be_insisted_on)
+{
+    add("near", "r1", 1);
+    add("far", "r2", 8);
+    auto wanted = request(2, 1);
+    wanted.preferred_rack = "r1";
+    EXPECT_EQ(names(choose_workers(rooms, wanted)),
+              std::set<std::string>{"near"});
+    wanted.far_allowed = true;
+    EXPECT_EQ(choose_workers(rooms, wanted).size(), 2U);
+}
+
+TEST_F(placement_choice, label_and_limit_per_worker_hold)
+{
+    add("a", "r1", 8);
+    add("b", "r1", 8);
+    sessions[1]->record.add_labels("kind");
+    auto wanted = request(4, 1);
+    wanted.required_label = "kind";
+    wanted.max_per_worker = 3;
+    rooms[1].of_step = 1;
+    const auto chosen = choose_workers(rooms, wanted);
+    EXPECT_EQ(names(chosen), std::set<std::string>{"b"});
+    EXPECT_EQ(chosen.size(), 2U);
+}
+
+// Guards against stopping dear work where cheap work would do, and against
+// stopping anything when it makes too little room.
+TEST_F(placement_choice, cheapest_victims_make_room)
+{
+    add("a", "r1", 0);
+    add("b", "r1", 0);
+    std::map<std::string, std::vector<victim>> victims;
+    victims["a"] = {{"a-dear", {1000, 1000, 8}, 100}};
+    victims["b"] = {{"b-small", {1000, 1000, 2}, 1},
+                    {"b-large", {1000, 1000, 6}, 10}};
+    const auto plan = choose_victims(rooms, victims, request(1, 8));
+    ASSERT_TRUE(plan);
+    EXPECT_EQ(plan->keys, (std::vector<std::string>{"b-small", "b-large"}));
+    EXPECT_EQ(plan->rooms.at("b").accelerators, 8);
+    EXPECT_FALSE(choose_victims(rooms, victims, request(3, 8)));
+}
+
+} // namespace
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/test/platform_protocol-test.cpp
@@ -0,0 +1,222 @@
+#include "platform_protocol.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace limpetstack::platform
+{
+namespace
+{
+
+const std::string document_text = R"({"version":7,
+ "routes":[{"name":"r1","host":"A.example","prefix":"/q/","kind":"mutating",
+   "timeout_ms":3000,"slo_ms":1000,"priority":1,"service":"s","attempts":2,
+   "stretch":3.0,"public":false}],
+ "services":[{"name":"s","rejects_overload":false,"standby":false}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":262144,
+   "header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"t","keys":["k1","k2"],"guaranteed":{"gpu":120}}]})";
+
+const std::string job_text = R"({"spec":"text","steps":[
+ {"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"affinity":"r1-3"},
+ {"count":20,"cpu":2000,"mem_mb":1024,"after":[0],"checkpointable":true,
+  "gang":true,"same_rack":true,"max_unavailable":0}]})";
+
+const std::string report_text = R"({"service":"s","addr":"10.128.0.9:8080",
+ "zone":"z","version":"v1","slots":8,"state":"ready","cold_left_ms":0,
+ "capacity":{"cpu":16000,"mem_mb":32768,"gpu":4},"labels":["a","r1-3"],
+ "clock_ms":482113,"seq":4,"born":1700000000000})";
+
+const std::string lists_text = R"({"clock_ms":482113,"born":5,
+ "running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41]],
+ "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+
+std::string replaced(std::string text, const std::string& from,
+                     const std::string& to)
+{
+    const auto at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return text.replace(at, from.size(), to);
+}
+
+TEST(platform_protocol, decodes_a_document)
+{
+    const auto document = platform_protocol().decode_document(document_text);
+    ASSERT_TRUE(document.ok()) << document.status();
+    EXPECT_EQ(document->version, 7U);
+    ASSERT_EQ(document->queues.size(), 1U);
+    EXPECT_EQ(document->queues[0].host, "a.example");
+    EXPECT_EQ(document->queues[0].attempts, 2U);
+    EXPECT_EQ(document->account_of_key.at("k2"), "t");
+    EXPECT_EQ(document->accounts[0].guaranteed_accelerators, 120);
+}
+
+// Guards against a document in force that names what does not exist.
+TEST(platform_protocol, refuses_invalid_documents)
+{
+    const platform_protocol protocol;
+    const auto refuse = [&](const std::string& from, const std::string& to)
+    {
+        EXPECT_FALSE(
+            protocol.decode_document(replaced(document_text, from, to)).ok())
+            << to;
+    };
+    refuse(R"("service":"s")", R"("service":"other")");
+    refuse(R"("timeout_ms":3000)", R"("timeout_ms":0)");
+    refuse(R"("version":7)", R"("version":"7")");
+    refuse(R"("tenants":[)", R"("tenants":[{"name":"u","keys":["k1"]},)");
+    refuse(R"("routes":[)",
+           R"("routes":[{"name":"r2","host":"a.example","prefix":"/q/",
+              "timeout_ms":3000,"service":"s"},)");
+    EXPECT_FALSE(
+        protocol
+            .decode_document(document_text.substr(0, document_text.size() / 2))
+            .ok());
+}
+
+TEST(platform_protocol, decodes_a_job)
+{
+    const auto job = platform_protocol().decode_job(job_text);
+    ASSERT_TRUE(job.ok()) << job.status();
+    ASSERT_EQ(job->steps_size(), 2);
+    EXPECT_EQ(job->steps(0).preferred_rack(), "r1-3");
+    EXPECT_FALSE(job->steps(0).has_max_unavailable());
+    EXPECT_TRUE(job->steps(1).gang());
+    EXPECT_TRUE(job->steps(1).has_max_unavailable());
+    EXPECT_EQ(job->steps(1).after(0), 0U);
+}
+
+// Guards against a step that waits for itself or for a later one for ever.
+TEST(platform_protocol, refuses_steps_that_can_not_begin)
+{
+    const platform_protocol protocol;
+    EXPECT_FALSE(
+        protocol
+            .decode_job(replaced(job_text, "\"after\":[0]", "\"after\":[1]"))
+            .ok());
+    EXPECT_FALSE(
+        protocol.decode_job(replaced(job_text, "\"count\":4", "\"count\":0"))
+            .ok());
+    EXPECT_FALSE(protocol.decode_job(R"({"spec":"x","steps":[]})").ok());
+}
+
+// Guards against a report of a foreign writer that names a worker to use.
+TEST(platform_protocol, refuses_foreign_reports)
+{
+    const platform_protocol protocol;
+    const auto report = protocol.decode_report("i-1", report_text);
+    ASSERT_TRUE(report.ok()) << report.status();
+    EXPECT_EQ(report->worker.rack(), "r1-3");
+    EXPECT_EQ(report->worker.born_ms(), 1700000000000);
+    const std::vector<std::pair<std::string, std::string>> changes{
+        {"\"ready\"", "\"asleep\""},
+        {"\"seq\":4", "\"seq\":\"4\""},
+        {"10.128.0.9:8080", "nowhere"},
+        {"\"born\":1700000000000", "\"born\":1.5"},
+        {"\"labels\":[\"a\"", "\"labels\":[3"}};
+    for (const auto& [from, to] : changes)
+    {
+        EXPECT_FALSE(
+            protocol.decode_report("i-1", replaced(report_text, from, to)).ok())
+            << to;
+    }
+}
+
+TEST(platform_protocol, decodes_lists)
+{
+    const platform_protocol protocol;
+    const auto lists = protocol.decode_lists(lists_text);
+    ASSERT_TRUE(lists.ok()) << lists.status();
+    EXPECT_EQ(lists->running[0].run.index(), 17U);
+    EXPECT_EQ(lists->running[0].run.run(), 2U);
+    EXPECT_EQ(lists->running[0].percent, 41);
+    EXPECT_EQ(lists->ended[0].number, 58U);
+    EXPECT_EQ(lists->ended[0].end, fleet::run_done);
+    EXPECT_FALSE(
+        protocol.decode_lists(replaced(lists_text, "\"done\"", "\"gone\""))
+            .ok());
+}
+
+TEST(platform_protocol, subtask_names_round_trip)
+{
+    fleet::run_ref run;
+    ASSERT_TRUE(parse_subtask_name("5c0e7a21d94b36f8.0.1.17", run));
+    EXPECT_EQ(subtask_name(run), "5c0e7a21d94b36f8.0.1.17");
+    for (const char* bad : {"", "a.1.2", "a.1.2.x", ".1.2.3", "a.b.1.2.3",
+                            "a.-1.2.3", "a.1.2.99999999999"})
+    {
+        EXPECT_FALSE(parse_subtask_name(bad, run)) << bad;
+    }
+}
+
+// Guards against a refusal that is taken for something else.
+TEST(platform_protocol, decodes_answers_to_orders)
+{
+    const platform_protocol protocol;
+    const auto result = [&](unsigned status, const std::string& reason)
+    {
+        return protocol
+            .decode_order(status,
+                          R"({"clock_ms":5,"reason":")" + reason + R"("})")
+            .result;
+    };
+    EXPECT_EQ(result(200, ""), fleet::order_result::accepted);
+    EXPECT_EQ(result(409, "fence"), fleet::order_result::newer_epoch);
+    EXPECT_EQ(result(409, "old"), fleet::order_result::old_run);
+    EXPECT_EQ(result(409, "late"), fleet::order_result::expired);
+    EXPECT_EQ(result(409, "room"), fleet::order_result::no_room);
+    EXPECT_EQ(result(409, "new"), fleet::order_result::unknown);
+    EXPECT_EQ(result(421, ""), fleet::order_result::other_worker);
+    EXPECT_EQ(result(500, ""), fleet::order_result::unknown);
+}
+
+// Guards against input that ends the process or is accepted in part: bytes of
+// valid messages are changed, cut and repeated at random.
+TEST(platform_protocol, decoders_survive_damaged_input)
+{
+    const platform_protocol protocol;
+    std::mt19937 random(20261204);
+    const std::vector<std::string> seeds{document_text, job_text, report_text,
+                                         lists_text};
+    constexpr int rounds = 4000;
+    for (int i = 0; i < rounds; ++i)
+    {
+        auto text = seeds[random() % seeds.size()];
+        for (auto edits = random() % 6 + 1; edits > 0 && !text.empty(); --edits)
+        {
+            const auto at = random() % text.size();
+            switch (random() % 4)
+            {
+            case 0:
+                text[at] = static_cast<char>(random());
+                break;
+            case 1:
+                text.erase(at, random() % 9);
+                break;
+            case 2:
+                text.insert(at, text.substr(random() % text.size(), 7));
+                break;
+            default:
+                text.resize(at);
+            }
+        }
+        const auto document = protocol.decode_document(text);
+        EXPECT_TRUE(!document.ok() || document->version > 0);
+        const auto job = protocol.decode_job(text);
+        EXPECT_TRUE(!job.ok() || job->steps_size() > 0);
+        const auto report = protocol.decode_report("i", text);
+        EXPECT_TRUE(!report.ok() || !report->worker.service().empty() ||
+                    report->worker.address().size() > 1);
+        static_cast<void>(protocol.decode_lists(text));
+        static_cast<void>(protocol.decode_order(200, text));
+        static_cast<void>(protocol.decode_machines(text));
+        static_cast<void>(protocol.decode_advice(text));
+        static_cast<void>(protocol.decode_wave(text));
+    }
+}
+
+} // namespace
+} // namespace limpetstack::platform
