Grant no time to a worker that does not answer

Ruled out: workers kept away from placement (others had room). Now holds after a failure ask without extending. The test of a worker whose holds fail was red before.

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -688,11 +688,14 @@
     order.worker = worker.record.id();
     order.epoch = epoch_;
     order.last_seen = worker.last_seen;
-    if (!worker.runs.empty() && worker.clock.known())
+    // A worker that does not answer must not be granted more time: its runs end
+    // for this leader when the last grant is over.
+    if (!worker.runs.empty() && worker.clock.known() &&
+        worker.hold_failures == 0)
     {
         order.until_ms = lease_end(worker, now);
     }
-    if (!worker.runs.empty() && worker.confirmed)
+    if (!worker.runs.empty() && worker.confirmed && worker.hold_failures == 0)
     {
         order.wait_ms = options_.hold_wait.count();
     }
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -131,6 +131,25 @@
     EXPECT_EQ(bed.state.find_subtask(make_run("job", 0, 1))->failures, 0U);
 }
 
+// Guards against a lease that is extended for ever by calls to a worker that
+// does not answer.
+TEST(worker_fleet, failed_holds_do_not_extend_the_lease)
+{
+    fleet_bed bed;
+    start_one(bed);
+    bed.port.starts.front().done(
+        order_at(order_result::accepted, bed.worker_clock()));
+    for (int i = 0; i < 80; ++i)
+    {
+        bed.pass(milliseconds(100));
+        if (!bed.port.holds.empty())
+        {
+            answer_hold(bed, hold_answer());
+        }
+    }
+    EXPECT_FALSE(bed.workers->runs().count(first_run));
+}
+
 // Guards against a takeover that starts again what the lists of the worker show
 // as present.
 TEST(worker_fleet, takeover_adopts_listed_runs_and_ends_absent_ones)
