--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -712,7 +712,7 @@
     {
         const auto last = std::max(run.progressed_at, run.started_at);
         if (run.phase == run_phase::present && !run.stop_wanted &&
-            !run.lasting && now - last >= stall_time)
+            !run.lasting && run.listed_at - last >= stall_time)
         {
             stalled.push_back(key);
         }
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -835,6 +835,7 @@
         {
             run.progressed_at = now;
         }
+        run.listed_at = now;
         run.percent = item.percent;
         run.load = item.load;
         if (!item.checkpoint.empty())
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -78,6 +78,7 @@
     std::string checkpoint;
     int percent = 0;
     std::int64_t load = 0;
+    time_point listed_at;     // When the worker last listed it.
     time_point progressed_at; // When `percent` last rose.
 };
 
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -164,6 +164,49 @@
     EXPECT_EQ(bed.port.starts.size(), 8U);
 }
 
+// Guards against stopping a run only because its worker's answers were lost.
+TEST(fleet_scheduler, silence_of_a_worker_is_no_stall)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    confirm_workers(bed);
+    bed.submit("job", make_step(1, 1));
+    bed.schedule();
+    bed.port.starts.front().done({order_result::accepted, bed.worker_clock()});
+    bed.pass(milliseconds(5500));
+    bed.schedule();
+    EXPECT_TRUE(bed.port.stops.empty());
+}
+
+// Guards against a run that stands still and holds its room.
+TEST(fleet_scheduler, listed_run_without_progress_is_stopped)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    confirm_workers(bed);
+    bed.submit("job", make_step(1, 1));
+    bed.schedule();
+    bed.port.starts.front().done({order_result::accepted, bed.worker_clock()});
+    for (int i = 0; i < 12 && bed.port.stops.empty(); ++i)
+    {
+        bed.pass(milliseconds(500));
+        while (!bed.port.holds.empty())
+        {
+            const auto hold = bed.port.holds.front();
+            bed.port.holds.pop_front();
+            hold_answer answer;
+            answer.result = order_result::accepted;
+            answer.lists.clock_ms = bed.worker_clock();
+            answer.lists.running.push_back({make_run("job", 0, 1), "", 10, 0});
+            hold.done(answer);
+            bed.commit();
+            break;
+        }
+        bed.schedule();
+    }
+    EXPECT_EQ(bed.port.stops.size(), 1U);
+}
+
 // Guards against a lasting step that stays away after it has ended.
 TEST(fleet_scheduler, lasting_step_starts_again)
 {
