Send an HTTP call from a callback once; repeat unanswered orders sooner

With it: orders are given up after 300 ms instead of 500, queue on another connection when one is stuck, and holds wait 500 ms after a lost answer.

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -14,11 +14,16 @@
 
 // An unanswered start is repeated so often before it is stopped; the attempts
 // together stay below the time that gang members wait for each other.
-constexpr int max_start_attempts = 3;
+constexpr int max_start_attempts = 5;
 
 // Between two attempts of a stop or a hold that failed.
 constexpr milliseconds order_retry_delay{150};
 
+// After a hold without an answer, holds wait less for a while, because a lost
+// answer is noticed only when the wait is over.
+constexpr milliseconds unsteady_time{8000};
+constexpr milliseconds unsteady_hold_wait{500};
+
 // Between two looks for a run that was stopped and is not listed as ended.
 constexpr milliseconds look_interval{500};
 
@@ -697,7 +702,9 @@
     }
     if (!worker.runs.empty() && worker.confirmed && worker.hold_failures == 0)
     {
-        order.wait_ms = options_.hold_wait.count();
+        const bool unsteady = now < worker.unsteady_until;
+        order.wait_ms =
+            (unsteady ? unsteady_hold_wait : options_.hold_wait).count();
     }
     const incarnation where{worker.record.id(), worker.record.born_ms()};
     port_.hold(worker.record, order,
@@ -754,6 +761,7 @@
         if (is_hold)
         {
             ++worker->hold_failures;
+            worker->unsteady_until = now + unsteady_time;
             worker->retry_at = now + order_retry_delay;
         }
         return;
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -104,9 +104,10 @@
     bool confirmed = false; // Has answered under this leader's epoch.
     bool holding = false;
     int hold_failures = 0;
-    time_point retry_at;    // No hold before this time.
-    time_point last_answer; // Of a hold or look.
-    time_point avoid_until; // No placement before this time.
+    time_point unsteady_until; // Answers were lost lately.
+    time_point retry_at;       // No hold before this time.
+    time_point last_answer;    // Of a hold or look.
+    time_point avoid_until;    // No placement before this time.
     int failures_in_row = 0;
 };
 
--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_channel.hpp"
 
+#include "base/clock.hpp"
 #include "transport/address.hpp"
 
 #include <boost/beast/core.hpp>
@@ -40,10 +41,7 @@
               std::chrono::milliseconds timeout, callback done)
     {
         calls_.push_back({std::move(request), timeout, std::move(done)});
-        if (calls_.size() == 1)
-        {
-            next();
-        }
+        next();
     }
 
     void abandon()
@@ -54,7 +52,10 @@
     }
 
     std::size_t backlog() const { return calls_.size(); }
-    std::size_t connects() const { return connects_; }
+    std::chrono::milliseconds waited() const
+    {
+        return calls_.empty() ? milliseconds(0) : boot_now() - begun_;
+    }
 
 private:
     struct call
@@ -66,10 +67,12 @@
 
     void next()
     {
-        if (abandoned_ || calls_.empty())
+        if (abandoned_ || active_ || calls_.empty())
         {
             return;
         }
+        active_ = true;
+        begun_ = boot_now();
         if (!endpoint_)
         {
             boost::asio::post(io_,
@@ -84,7 +87,6 @@
             write();
             return;
         }
-        ++connects_;
         buffer_.clear();
         stream_ = std::make_shared<beast::tcp_stream>(io_);
         stream_->expires_after(connect_timeout);
@@ -171,7 +173,8 @@
         const auto done = std::move(calls_.front().done);
         calls_.pop_front();
         const auto self = shared_from_this();
-        done(answer);
+        active_ = false;
+        done(answer); // May send the next call.
         next();
     }
 
@@ -182,7 +185,8 @@
     beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::deque<call> calls_;
-    std::size_t connects_ = 0;
+    time_point begun_; // When the first call's turn came.
+    bool active_ = false; // The first call is in progress.
     bool abandoned_ = false;
 };
 
@@ -224,9 +228,9 @@
     return implementation_->backlog();
 }
 
-std::size_t http_channel::connects() const
+std::chrono::milliseconds http_channel::waited() const
 {
-    return implementation_->connects();
+    return implementation_->waited();
 }
 
 } // namespace limpetstack
--- a/src/transport/http_channel.hpp
+++ b/src/transport/http_channel.hpp
@@ -44,8 +44,8 @@
     /// Returns the calls that wait or are in progress.
     std::size_t backlog() const;
 
-    /// Returns how many connections were opened.
-    std::size_t connects() const;
+    /// Returns for how long the call in progress has waited; zero without one.
+    std::chrono::milliseconds waited() const;
 
 private:
     class implementation;
--- a/src/transport/http_worker_port.cpp
+++ b/src/transport/http_worker_port.cpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "base/log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace limpetstack::fleet
@@ -12,7 +13,12 @@
 
 // Answers come within a few milliseconds; an order without one by then is
 // repeated on a new connection.
-constexpr milliseconds order_timeout{500};
+constexpr milliseconds order_timeout{300};
+
+// An order does not queue behind one that has waited for this long while fewer
+// connections than the most are open.
+constexpr milliseconds stuck_after{40};
+constexpr std::size_t max_order_channels = 4;
 
 // Beyond the time that a waiting call may take.
 constexpr milliseconds hold_slack{600};
@@ -35,12 +41,42 @@
     if (item.address != worker.address())
     {
         item.address = worker.address();
-        item.orders = std::make_unique<http_channel>(io_, item.address);
+        item.orders.clear();
         item.waiting = std::make_unique<http_channel>(io_, item.address);
     }
     return item;
 }
 
+// Returns the channel with the fewest calls, or a new one when all are stuck.
+http_channel& http_worker_port::order_channel(const worker_record& worker)
+{
+    auto& item = channels_of(worker);
+    http_channel* best = nullptr;
+    for (const auto& channel : item.orders)
+    {
+        if (channel->waited() < stuck_after &&
+            (best == nullptr || channel->backlog() < best->backlog()))
+        {
+            best = channel.get();
+        }
+    }
+    if (best != nullptr)
+    {
+        return *best;
+    }
+    if (item.orders.size() < max_order_channels)
+    {
+        item.orders.push_back(
+            std::make_unique<http_channel>(io_, item.address));
+        return *item.orders.back();
+    }
+    return **std::min_element(item.orders.begin(), item.orders.end(),
+                              [](const auto& a, const auto& b)
+                              {
+                                  return a->backlog() < b->backlog();
+                              });
+}
+
 void http_worker_port::forget(const worker_record& worker)
 {
     channels_.erase(worker.id());
@@ -64,7 +100,7 @@
                              const start_order& order,
                              std::function<void(const order_answer&)> done)
 {
-    send_order(*channels_of(worker).orders, protocol_.encode_start(order),
+    send_order(order_channel(worker), protocol_.encode_start(order),
                std::move(done));
 }
 
@@ -72,7 +108,7 @@
                             std::uint64_t epoch,
                             std::function<void(const order_answer&)> done)
 {
-    send_order(*channels_of(worker).orders,
+    send_order(order_channel(worker),
                protocol_.encode_stop(run, worker.id(), epoch), std::move(done));
 }
 
@@ -123,7 +159,7 @@
                             const hold_order& order,
                             std::function<void(const hold_answer&)> done)
 {
-    send_hold(*channels_of(worker).orders, order, std::move(done));
+    send_hold(order_channel(worker), order, std::move(done));
 }
 
 } // namespace limpetstack::fleet
--- a/src/transport/http_worker_port.hpp
+++ b/src/transport/http_worker_port.hpp
@@ -8,12 +8,13 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace limpetstack::fleet
 {
 
 /// Carries orders to workers over HTTP: one connection to each worker for calls
-/// that wait and one for the others.
+/// that wait and one for the others, with more while its answers fail to come.
 class http_worker_port : public worker_port
 {
 public:
@@ -35,10 +36,11 @@
     struct channels
     {
         std::string address;
-        std::unique_ptr<http_channel> orders;
+        std::vector<std::unique_ptr<http_channel>> orders;
         std::unique_ptr<http_channel> waiting;
     };
     channels& channels_of(const worker_record& worker);
+    http_channel& order_channel(const worker_record& worker);
     void send_order(http_channel& channel, const outgoing_call& call,
                     std::function<void(const order_answer&)> done);
     void send_hold(http_channel& channel, const hold_order& order,
