--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -25,9 +25,15 @@
 constexpr peer_links_options link_options{milliseconds(300), milliseconds(900),
                                           milliseconds(200)};
 
+// Peers ping at least twice a second.
+constexpr milliseconds peer_silence{3000};
+
 // A control call that is passed on is given up before its sender moves on.
 constexpr milliseconds forward_timeout{900};
 
+constexpr char probe_file[] = "disk-probe";
+constexpr milliseconds disk_probe_interval{500};
+
 constexpr std::uint32_t max_control_body = 8U << 20U;
 constexpr std::uint32_t retry_after_ms = 1000;
 
@@ -117,6 +123,7 @@
                    handle_control(std::move(request), std::move(respond));
                })
     , timer_(io)
+    , disk_timer_(io)
 {
     consensus_runner::effects effects;
     effects.send = [this](const wire::consensus_message& message)
@@ -148,11 +155,12 @@
         leading_.reset();
         use_document();
     };
-    effects.on_disk_error = [](const absl::Status& status)
+    effects.on_disk_error = [this](const absl::Status& status)
     {
         log_event(log_level::error, "disk_failed",
                   {{"reason", std::string(status.message())}});
-        std::_Exit(EXIT_FAILURE);
+        leading_.reset();
+        wait_for_disk();
     };
     runner_ = std::make_unique<consensus_runner>(
         options_for(settings_, storage_.id), storage_.content, *storage_.log,
@@ -252,6 +260,7 @@
     follow_leadership();
     work();
     fail_forwarded();
+    listener_.close_silent(peer_silence);
 }
 
 // Begins and ends what only a leader does, as the protocol's role changes.
@@ -381,6 +390,36 @@
     }
 }
 
+// After a failed write nothing in memory can be trusted to be on the disk. The
+// host goes on passing calls to the leader and starts anew once the disk takes
+// writes again.
+void core_node::wait_for_disk()
+{
+    disk_.run(
+        [this]
+        {
+            return storage_.folder->replace_file(probe_file, "probe");
+        },
+        [this](const absl::Status& status)
+        {
+            if (status.ok())
+            {
+                log_event(log_level::info, "disk_recovered", {});
+                std::_Exit(EXIT_FAILURE);
+            }
+            disk_timer_.expires_after(disk_probe_interval);
+            disk_timer_.async_wait(
+                [this, alive = std::weak_ptr<int>(alive_)](
+                    boost::system::error_code error)
+                {
+                    if (!error && !alive.expired())
+                    {
+                        wait_for_disk();
+                    }
+                });
+        });
+}
+
 // --------------------------------------------------------------------- peers
 
 void core_node::update_targets()
--- a/src/daemon/fleet/core_node.hpp
+++ b/src/daemon/fleet/core_node.hpp
@@ -80,6 +80,7 @@
     void handle_control(http_server_request request, http_responder respond);
     void forward_to_leader(forwarded_call call, http_responder respond);
     void fail_forwarded();
+    void wait_for_disk();
 
     boost::asio::io_context& io_;
     node_settings settings_;
@@ -95,6 +96,7 @@
     frame_listener listener_;
     http_server control_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer disk_timer_;
     std::map<std::uint64_t, host_sighting> sightings_;
     std::map<std::uint64_t, std::string> addresses_; // By replica.
     std::set<std::string> heard_members_;
--- a/src/daemon/fleet/fleet_daemon.cpp
+++ b/src/daemon/fleet/fleet_daemon.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <memory>
+#include <thread>
 #include <utility>
 
 namespace limpetstack::fleet
@@ -21,6 +22,7 @@
 
 constexpr milliseconds settings_check_interval{1000};
 constexpr milliseconds stop_check_interval{50};
+constexpr milliseconds storage_retry_delay{1000};
 
 // A core host needs this long to hand over and answer what it has begun.
 constexpr milliseconds core_stop_time{400};
--- a/src/transport/frame_link.cpp
+++ b/src/transport/frame_link.cpp
@@ -73,6 +73,7 @@
                 self->close();
                 return;
             }
+            self->heard_ = boot_now();
             self->received_.append(self->chunk_, 0, size);
             self->take_frames();
             if (self->open_)
@@ -210,6 +211,26 @@
     acceptor_.close(ignored);
 }
 
+void frame_listener::close_silent(milliseconds timeout)
+{
+    const auto now = boot_now();
+    for (auto at = accepted_.begin(); at != accepted_.end();)
+    {
+        const auto connection = at->lock();
+        if (connection && connection->is_open() &&
+            now - connection->heard() < timeout)
+        {
+            ++at;
+            continue;
+        }
+        if (connection)
+        {
+            connection->close();
+        }
+        at = accepted_.erase(at);
+    }
+}
+
 void frame_listener::accept()
 {
     acceptor_.async_accept(
@@ -221,8 +242,10 @@
             }
             if (!error)
             {
-                std::make_shared<frame_connection>(std::move(socket))
-                    ->start(on_frame_, {});
+                const auto connection =
+                    std::make_shared<frame_connection>(std::move(socket));
+                accepted_.push_back(connection);
+                connection->start(on_frame_, {});
             }
             accept();
         });
--- a/src/transport/frame_link.hpp
+++ b/src/transport/frame_link.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/clock.hpp"
+
 #include "fleet.pb.h"
 
 #include <boost/asio/io_context.hpp>
@@ -9,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace limpetstack
 {
@@ -32,7 +35,9 @@
 
     void close();
     bool is_open() const { return open_; }
-    std::size_t backlog_bytes() const { return queued_.size(); }
+
+    /// Returns when the last bytes arrived.
+    time_point heard() const { return heard_; }
 
 private:
     void read();
@@ -47,6 +52,7 @@
     std::string queued_;
     std::string writing_;
     bool open_ = true;
+    time_point heard_ = boot_now();
 };
 
 /// Accepts frame connections on one address.
@@ -58,11 +64,15 @@
     bool listen(const std::string& address);
     void close();
 
+    /// Closes connections from which nothing has come for `timeout`.
+    void close_silent(milliseconds timeout);
+
 private:
     void accept();
 
     boost::asio::ip::tcp::acceptor acceptor_;
     frame_connection::frame_handler on_frame_;
+    std::vector<std::weak_ptr<frame_connection>> accepted_;
 };
 
 } // namespace limpetstack
