--- /dev/null
+++ b/bench/fleet_bench.cpp
@@ -0,0 +1,154 @@
+// Measures what the fleet's scheduler spends on each job at several sizes, on a
+// manual clock with workers that answer at once.
+#include "support/fleet_bed.hpp"
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace limpetstack;
+using namespace limpetstack::fleet;
+
+struct planned_end
+{
+    time_point at;
+    std::string key;
+    bool operator<(const planned_end& other) const { return other.at < at; }
+};
+
+struct figures
+{
+    double us_per_run = 0;
+    double us_per_round = 0;
+    std::size_t runs = 0;
+};
+
+step_spec random_step(std::mt19937& random)
+{
+    static constexpr std::int64_t shapes[] = {1, 1, 1, 2, 4, 8, 8};
+    auto step =
+        make_step(1 + random() % 12, shapes[random() % 7], random() % 2 == 0);
+    step.mutable_need()->set_cpu_milli(2800);
+    step.mutable_need()->set_memory_mb(8000);
+    step.set_same_rack(random() % 2 == 0);
+    return step;
+}
+
+// Answers every start and list at once and notes when each run ends.
+void serve_workers(fleet_bed& bed, std::priority_queue<planned_end>& ends,
+                   std::mt19937& random)
+{
+    while (!bed.port.starts.empty())
+    {
+        const auto start = bed.port.starts.front();
+        bed.port.starts.pop_front();
+        start.done({order_result::accepted, bed.worker_clock()});
+        ends.push({bed.now + milliseconds(2000 + random() % 8000),
+                   worker_fleet::key_of(start.order.run)});
+    }
+    while (!bed.port.stops.empty())
+    {
+        const auto stop = bed.port.stops.front();
+        bed.port.stops.pop_front();
+        stop.done({order_result::accepted, bed.worker_clock()});
+        ends.push({bed.now, worker_fleet::key_of(stop.run)});
+    }
+    bed.port.looks.clear();
+    bed.port.holds.clear();
+}
+
+void end_due(fleet_bed& bed, std::priority_queue<planned_end>& ends)
+{
+    while (!ends.empty() && ends.top().at <= bed.now)
+    {
+        const auto found = bed.workers->runs().find(ends.top().key);
+        ends.pop();
+        if (found == bed.workers->runs().end())
+        {
+            continue;
+        }
+        fleet_command command;
+        auto& ended = *command.mutable_end();
+        *ended.mutable_run() = found->second.ref;
+        ended.set_worker(found->second.where.worker);
+        ended.set_born_ms(found->second.where.born_ms);
+        ended.set_end(found->second.stop_wanted ? run_stopped : run_done);
+        bed.apply(command);
+    }
+}
+
+figures measure(int workers, double jobs_per_second, int seconds)
+{
+    fleet_bed bed;
+    std::mt19937 random(20261204);
+    for (int i = 0; i < workers; ++i)
+    {
+        bed.add_worker("w" + std::to_string(i), "r" + std::to_string(i / 20));
+    }
+    bed.commit();
+    std::priority_queue<planned_end> ends;
+    constexpr int steps_per_second = 50;
+    double spent_us = 0;
+    std::size_t rounds = 0;
+    std::size_t runs = 0;
+    double owed = 0;
+    int jobs = 0;
+    static const char* const queues[] = {"urgent", "normal", "low"};
+    for (int i = 0; i < seconds * steps_per_second; ++i)
+    {
+        const auto began = std::chrono::steady_clock::now();
+        bed.now += milliseconds(1000 / steps_per_second);
+        bed.wall_ms += 1000 / steps_per_second;
+        if (i % steps_per_second == 0)
+        {
+            for (int w = 0; w < workers; ++w)
+            {
+                bed.report("w" + std::to_string(w));
+            }
+        }
+        for (owed += jobs_per_second / steps_per_second; owed >= 1; --owed)
+        {
+            bed.submit("job" + std::to_string(jobs++), random_step(random),
+                       queues[random() % 3]);
+        }
+        end_due(bed, ends);
+        bed.schedule();
+        runs += bed.port.starts.size();
+        serve_workers(bed, ends, random);
+        bed.commit();
+        ++rounds;
+        spent_us += std::chrono::duration<double, std::micro>(
+                        std::chrono::steady_clock::now() - began)
+                        .count();
+    }
+    return {spent_us / static_cast<double>(runs),
+            spent_us / static_cast<double>(rounds), runs};
+}
+
+} // namespace
+
+// Without arguments: three sizes; with workers and jobs a second: that one.
+int main(int argc, char** argv)
+{
+    std::vector<std::pair<int, double>> sizes{{48, 3.2}, {350, 17}, {2400, 80}};
+    if (argc == 3)
+    {
+        sizes = {{std::atoi(argv[1]), std::atof(argv[2])}};
+    }
+    std::printf("%8s %8s %10s %12s %12s\n", "workers", "jobs/s", "runs",
+                "us a run", "us a round");
+    for (const auto& [workers, rate] : sizes)
+    {
+        const auto result = measure(workers, rate, 30);
+        std::printf("%8d %8.1f %10zu %12.1f %12.1f\n", workers, rate,
+                    result.runs, result.us_per_run, result.us_per_round);
+    }
+    return EXIT_SUCCESS;
+}
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -51,6 +51,19 @@
                         run.index());
 }
 
+// Rooms are in the order of their workers' ids.
+worker_room* find_room(std::vector<worker_room>& rooms, const std::string& id)
+{
+    const auto found =
+        std::lower_bound(rooms.begin(), rooms.end(), id,
+                         [](const worker_room& room, const std::string& wanted)
+                         {
+                             return room.worker->record.id() < wanted;
+                         });
+    return found != rooms.end() && found->worker->record.id() == id ? &*found
+                                                                    : nullptr;
+}
+
 bool earlier_steps_done(const step_spec& spec, const occurrence_state* state)
 {
     return std::all_of(spec.after().begin(), spec.after().end(),
@@ -121,6 +134,13 @@
     return queue;
 }
 
+std::int64_t fleet_scheduler::priority_of(const job_state& job) const
+{
+    const auto found = queues_.find(job.job.queue());
+    return found != queues_.end() ? found->second->priority
+                                  : job.job.priority();
+}
+
 void fleet_scheduler::on_applied(const fleet_command& command, applied result,
                                  time_point now)
 {
@@ -163,6 +183,7 @@
     case fleet_command::kForget:
         closing_.erase(command.forget().job());
         ended_.erase(command.forget().job());
+        open_urgent_.erase(command.forget().job());
         drop_demands(command.forget().job());
         break;
     default:
@@ -226,7 +247,7 @@
     auto last = first;
     while (last != demands_.end() && std::get<0>(last->first) == job)
     {
-        reservations_.erase(last->first);
+        unreserve(last->first);
         ++last;
     }
     demands_.erase(first, last);
@@ -324,6 +345,15 @@
 {
     const auto& id = job.job.id();
     close_job(job, wall_ms);
+    if (job.ended() || priority_of(job) != 0 ||
+        job.done_occurrences >= occurrence_count(job.job.spec()))
+    {
+        open_urgent_.erase(id);
+    }
+    else
+    {
+        open_urgent_.insert(id);
+    }
     if (job.ended())
     {
         drop_demands(id);
@@ -417,8 +447,8 @@
     if (waiting.empty() ||
         (spec.gang() && waiting.size() < spec.subtask_count()))
     {
+        unreserve(key);
         demands_.erase(key);
-        reservations_.erase(key);
         return;
     }
     const auto [found, added] = demands_.try_emplace(key);
@@ -440,20 +470,20 @@
 std::map<std::string, std::int64_t> fleet_scheduler::urgent_use() const
 {
     std::map<std::string, std::int64_t> use;
-    for (const auto& [id, job] : state_.jobs())
+    for (const auto& id : open_urgent_)
     {
-        if (job.ended() || queue_of(job).priority != 0 ||
-            job.done_occurrences >= occurrence_count(job.job.spec()))
+        const auto* const job = state_.find_job(id);
+        if (job == nullptr)
         {
             continue;
         }
         std::int64_t most = 0;
-        for (const auto& step : job.job.spec().steps())
+        for (const auto& step : job->job.spec().steps())
         {
             most = std::max(most,
                             step.need().accelerators() * step.subtask_count());
         }
-        use[job.job.account()] += most;
+        use[job->job.account()] += most;
     }
     return use;
 }
@@ -476,23 +506,27 @@
            1;
 }
 
-std::vector<fleet_scheduler::demand_key>
-fleet_scheduler::ranked(time_point) const
+std::vector<fleet_scheduler::demand_map::iterator> fleet_scheduler::ranked()
 {
-    std::vector<std::tuple<int, std::uint64_t, demand_key>> order;
+    std::vector<std::tuple<int, std::uint64_t, demand_map::iterator>> order;
     order.reserve(demands_.size());
-    for (const auto& [key, item] : demands_)
+    for (auto at = demands_.begin(); at != demands_.end(); ++at)
     {
-        order.emplace_back(urgency(item), item.order, key);
+        order.emplace_back(urgency(at->second), at->second.order, at);
     }
-    std::sort(order.begin(), order.end());
-    std::vector<demand_key> keys;
-    keys.reserve(order.size());
-    for (auto& [urgency, number, key] : order)
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto& a, const auto& b)
+                     {
+                         return std::tie(std::get<0>(a), std::get<1>(a)) <
+                                std::tie(std::get<0>(b), std::get<1>(b));
+                     });
+    std::vector<demand_map::iterator> items;
+    items.reserve(order.size());
+    for (const auto& [urgency, number, at] : order)
     {
-        keys.push_back(std::move(key));
+        items.push_back(at);
     }
-    return keys;
+    return items;
 }
 
 placement_request fleet_scheduler::request_for(const demand& item,
@@ -536,45 +570,111 @@
     return request;
 }
 
-std::vector<worker_room> fleet_scheduler::rooms_for(const demand_key& key,
-                                                    const demand& item,
-                                                    time_point now) const
+void fleet_scheduler::survey_rooms(time_point now)
 {
-    std::vector<worker_room> rooms;
-    rooms.reserve(workers_.workers().size());
+    rooms_.clear();
+    misses_.clear();
     for (const auto& [id, worker] : workers_.workers())
     {
-        if (!workers_.is_usable(worker, now) ||
-            worker.record.service() != item.queue.service)
+        if (workers_.is_usable(worker, now))
         {
-            continue;
+            rooms_.push_back({&worker, worker.capacity - worker.used, 0});
         }
-        worker_room room{&worker, worker.capacity - worker.used, 0};
-        for (const auto& [owner, kept] : reservations_)
+    }
+    for (auto at = reservations_.begin(); at != reservations_.end();)
+    {
+        const auto expired = at++;
+        if (expired->second.until <= now)
         {
-            const auto found = kept.rooms.find(id);
-            if (owner != key && found != kept.rooms.end())
+            count_reserved(expired->second, -1);
+            reservations_.erase(expired);
+        }
+    }
+    for (const auto& [id, kept] : reserved_)
+    {
+        if (auto* const room = find_room(rooms_, id))
+        {
+            room->free = room->free - kept;
+        }
+    }
+}
+
+// Adds (1) or removes (-1) a reservation's rooms from the sums.
+void fleet_scheduler::count_reserved(const reservation& kept, int sign)
+{
+    for (const auto& [id, room] : kept.rooms)
+    {
+        auto& sum = reserved_[id];
+        sum = sign > 0 ? sum + room : sum - room;
+    }
+}
+
+void fleet_scheduler::reserve(const demand_key& key, reservation kept)
+{
+    count_reserved(kept, 1);
+    for (const auto& [id, room] : kept.rooms)
+    {
+        if (auto* const at = find_room(rooms_, id))
+        {
+            at->free = at->free - room;
+        }
+    }
+    reservations_[key] = std::move(kept);
+}
+
+void fleet_scheduler::unreserve(const demand_key& key)
+{
+    const auto held = reservations_.find(key);
+    if (held == reservations_.end())
+    {
+        return;
+    }
+    count_reserved(held->second, -1);
+    for (const auto& [id, room] : held->second.rooms)
+    {
+        if (auto* const at = find_room(rooms_, id))
+        {
+            at->free = at->free + room;
+        }
+    }
+    reservations_.erase(held);
+}
+
+// Returns the rooms as the demand sees them: what is kept for it is free.
+std::vector<worker_room> fleet_scheduler::rooms_for(const demand_key& key,
+                                                    const demand& item) const
+{
+    auto rooms = rooms_;
+    const auto held = reservations_.find(key);
+    if (held != reservations_.end())
+    {
+        for (const auto& [id, kept] : held->second.rooms)
+        {
+            if (auto* const room = find_room(rooms, id))
             {
-                room.free = room.free - found->second;
+                room->free = room->free + kept;
             }
         }
-        if (item.spec->max_per_worker() > 0)
+    }
+    if (item.spec->max_per_worker() > 0)
+    {
+        const auto prefix =
+            absl::StrCat(item.job, ".", item.occurrence, ".", item.step, ".");
+        for (auto& room : rooms)
         {
-            const auto prefix = absl::StrCat(item.job, ".", item.occurrence,
-                                             ".", item.step, ".");
+            const auto& runs = room.worker->runs;
             room.of_step = static_cast<std::uint32_t>(std::count_if(
-                worker.runs.lower_bound(prefix), worker.runs.end(),
+                runs.lower_bound(prefix), runs.end(),
                 [&prefix](const std::string& run)
                 {
                     return run.compare(0, prefix.size(), prefix) == 0;
                 }));
         }
-        rooms.push_back(room);
     }
     return rooms;
 }
 
-void fleet_scheduler::commit(demand& item,
+void fleet_scheduler::commit(demand& item, const placement_request& request,
                              const std::vector<worker_room>& rooms,
                              const std::vector<std::size_t>& chosen,
                              time_point now)
@@ -610,6 +710,8 @@
                    {"waited_ms", absl::StrCat((now - item.since).count())},
                    {"document", absl::StrCat(state_.document().version())}});
         workers_.place(ref, worker, *item.spec, item.queue.priority, now);
+        auto& room = rooms_[chosen[i]];
+        room.free = room.free - request.need;
     }
     item.indices.erase(item.indices.begin(),
                        item.indices.begin() +
@@ -620,24 +722,39 @@
 bool fleet_scheduler::place(const demand_key& key, demand& item, time_point now)
 {
     const auto request = request_for(item, now);
-    const auto rooms = rooms_for(key, item, now);
+    const bool reserved = reservations_.count(key) > 0;
+    const auto shape = absl::StrCat(
+        request.service, "/", request.required_label, "/",
+        request.preferred_rack, "/", request.need.cpu_milli, "/",
+        request.need.memory_mb, "/", request.need.accelerators, "/",
+        request.whole ? request.count : 0, "/", request.same_rack, "/",
+        request.far_allowed, "/", request.max_per_worker);
+    if (!reserved && misses_.count(shape) > 0)
+    {
+        return false;
+    }
+    const auto rooms = rooms_for(key, item);
     const auto chosen = choose_workers(rooms, request);
-    if (!chosen.empty())
+    if (chosen.empty())
     {
-        commit(item, rooms, chosen, now);
+        if (request.max_per_worker == 0)
+        {
+            misses_.insert(shape);
+        }
+        return false;
     }
+    commit(item, request, rooms, chosen, now);
+    unreserve(key);
     return item.indices.empty();
 }
 
 void fleet_scheduler::reclaim(const demand_key& key, const demand& item,
                               time_point now)
 {
-    const auto held = reservations_.find(key);
-    if (held != reservations_.end() && held->second.until > now)
+    if (reservations_.count(key) > 0)
     {
         return;
     }
-    reservations_.erase(key);
     const bool guaranteed = urgency(item) == 0;
     std::map<std::string, std::vector<victim>> victims;
     std::map<std::string, double> gang_costs;
@@ -663,7 +780,7 @@
         {
             continue;
         }
-        const auto priority = queue_of(*job).priority;
+        const auto priority = priority_of(*job);
         bool stoppable = priority > item.queue.priority;
         if (!stoppable && guaranteed && priority == 0 &&
             job->job.account() != item.account)
@@ -686,13 +803,12 @@
     }
     auto request = request_for(item, now);
     request.whole = true;
-    const auto plan =
-        choose_victims(rooms_for(key, item, now), victims, request);
+    const auto plan = choose_victims(rooms_for(key, item), victims, request);
     if (!plan)
     {
         return;
     }
-    reservations_[key] = {plan->rooms, now + reservation_time};
+    reserve(key, {plan->rooms, now + reservation_time});
     for (const auto& victim : plan->keys)
     {
         workers_.stop(victim, "preempted", now);
@@ -743,19 +859,20 @@
         return;
     }
     urgent_accelerators_ = urgent_use();
+    survey_rooms(now);
     std::size_t misses = 0;
-    for (const auto& key : ranked(now))
+    for (const auto at : ranked())
     {
-        auto& item = demands_.at(key);
-        if (place(key, item, now))
+        const auto key = at->first;
+        if (place(key, at->second, now))
         {
-            demands_.erase(key);
-            reservations_.erase(key);
+            unreserve(key);
+            demands_.erase(at);
             continue;
         }
-        if (item.queue.priority == 0)
+        if (at->second.queue.priority == 0)
         {
-            reclaim(key, item, now);
+            reclaim(key, at->second, now);
         }
         if (++misses >= max_misses_per_round)
         {
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -66,11 +66,12 @@
         queue_config queue;
         std::uint64_t order = 0;
         time_point since;
-        std::int64_t reserve_until_ms = 0;
         bool whole() const { return spec->gang(); }
     };
     using demand_key = std::tuple<std::string, std::uint32_t, std::uint32_t>;
 
+    using demand_map = std::map<demand_key, demand>;
+
     // Room that is kept for a demand while runs are being stopped for it.
     struct reservation
     {
@@ -88,14 +89,20 @@
     void drop_demands(const std::string& job);
     void stop_job(const std::string& job, const char* reason, time_point now);
     void close_job(const job_state& job, std::int64_t wall_ms);
-    std::vector<demand_key> ranked(time_point now) const;
+    std::vector<demand_map::iterator> ranked();
     int urgency(const demand& item) const;
     placement_request request_for(const demand& item, time_point now) const;
-    std::vector<worker_room>
-    rooms_for(const demand_key& key, const demand& item, time_point now) const;
+    void survey_rooms(time_point now);
+    void count_reserved(const reservation& kept, int sign);
+    void reserve(const demand_key& key, reservation kept);
+    void unreserve(const demand_key& key);
+    std::vector<worker_room> rooms_for(const demand_key& key,
+                                       const demand& item) const;
     bool place(const demand_key& key, demand& item, time_point now);
-    void commit(demand& item, const std::vector<worker_room>& rooms,
+    void commit(demand& item, const placement_request& request,
+                const std::vector<worker_room>& rooms,
                 const std::vector<std::size_t>& chosen, time_point now);
+    std::int64_t priority_of(const job_state& job) const;
     void reclaim(const demand_key& key, const demand& item, time_point now);
     void watch_progress(time_point now);
     void note_end(const ended_run& ended, time_point now);
@@ -108,12 +115,16 @@
     const fleet_document* document_ = nullptr;
     std::map<std::string, const queue_config*> queues_;
     std::map<std::string, std::int64_t> guarantees_; // Accelerators by account.
-    std::map<demand_key, demand> demands_;
-    std::set<std::string> dirty_;   // Jobs whose demands must be refreshed.
-    std::set<std::string> closing_; // Jobs with a proposal that ends them.
+    demand_map demands_;
+    std::set<std::string> dirty_;       // Jobs whose demands must be refreshed.
+    std::set<std::string> open_urgent_; // Jobs of priority 0 not yet done.
+    std::set<std::string> closing_;     // Jobs with a proposal that ends them.
     std::map<std::string, std::int64_t> timed_; // Jobs and their next due time.
     std::map<std::string, std::int64_t> ended_; // Jobs to be forgotten later.
     std::map<demand_key, reservation> reservations_;
+    std::map<std::string, amounts> reserved_; // By worker, of all demands.
+    std::vector<worker_room> rooms_;          // Usable workers in this round.
+    std::set<std::string> misses_; // Shapes that found no room in this round.
     std::map<std::string, std::int64_t> urgent_accelerators_; // By account.
     // Workers on which a subtask has failed, by its name.
     std::map<std::string, std::set<std::string>> failed_on_;
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds unsteady_time{8000};
 constexpr milliseconds unsteady_hold_wait{500};
 
+// Between two passes over all workers for what only time makes due.
+constexpr milliseconds scan_interval{40};
+
 // Between two looks for a run that was stopped and is not listed as ended.
 constexpr milliseconds look_interval{500};
 
@@ -141,6 +144,7 @@
     worker.record = record;
     worker.capacity = to_amounts(record.capacity());
     worker.last_report = now;
+    due_.insert(record.id());
     return worker;
 }
 
@@ -191,6 +195,7 @@
     {
         worker->used = worker->used - found->second.need;
     }
+    stopping_.erase(key);
     runs_.erase(found);
 }
 
@@ -284,6 +289,7 @@
         release(key);
         if (auto* const worker = session_of(run.where))
         {
+            due_.insert(run.where.worker);
             worker->pending_ends.erase(key);
             if (worker->pending_ends.empty())
             {
@@ -353,6 +359,7 @@
         {
             // The start may still arrive, at the next incarnation.
             run.displaced = true;
+            stopping_.insert(key);
             run.stop_wanted = true;
             run.stop_sent = false;
             run.since = now;
@@ -390,6 +397,7 @@
         if (!member.stop_wanted)
         {
             member.stop_wanted = true;
+            stopping_.insert(key);
             log_event(log_level::info, "run_stopping",
                       {{"job", member.ref.job()},
                        {"run", key},
@@ -414,6 +422,7 @@
         return;
     }
     found->second.stop_wanted = true;
+    stopping_.insert(key);
     log_event(log_level::info, "run_stopping",
               {{"job", found->second.ref.job()},
                {"run", key},
@@ -507,6 +516,7 @@
     }
     run.phase = run_phase::starting;
     run.since = now;
+    due_.insert(run.where.worker);
     ++run.start_attempts;
     start_order order;
     order.run = run.ref;
@@ -749,6 +759,7 @@
     {
         worker->holding = false;
     }
+    due_.insert(where.worker);
     if (answer.result == order_result::newer_epoch)
     {
         deposed_ = true;
@@ -860,8 +871,7 @@
                                const std::set<std::string>& seen,
                                time_point sent, time_point now)
 {
-    const auto keys = worker.runs;
-    for (const auto& key : keys)
+    for (const auto& key : worker.runs)
     {
         const auto found = runs_.find(key);
         if (found == runs_.end() || seen.count(key) > 0 ||
@@ -914,8 +924,7 @@
     {
         return;
     }
-    const auto keys = worker.runs;
-    for (const auto& key : keys)
+    for (const auto& key : worker.runs)
     {
         auto& run = runs_.at(key);
         if (run.phase != run_phase::proposed &&
@@ -926,14 +935,15 @@
     }
 }
 
-void worker_fleet::retry_orders(worker_session& worker, time_point now)
+// Repeats stops that were not acknowledged, and asks for the lists of workers
+// that should have listed the end of a stopped run.
+void worker_fleet::retry_stops(time_point now)
 {
-    bool look_wanted = false;
-    const auto keys = worker.runs;
-    for (const auto& key : keys)
+    std::set<std::string> looks;
+    for (const auto& key : stopping_)
     {
         auto& run = runs_.at(key);
-        if (run.stop_wanted && now - run.since >= order_retry_delay)
+        if (now - run.since >= order_retry_delay)
         {
             send_stop(run, now);
         }
@@ -943,12 +953,24 @@
             now - run.looked_at >= look_interval)
         {
             run.looked_at = now;
-            look_wanted = true;
+            looks.insert(run.where.worker);
+        }
+    }
+    for (const auto& id : looks)
+    {
+        if (const auto found = workers_.find(id); found != workers_.end())
+        {
+            look(found->second, now);
         }
     }
-    if (look_wanted)
+}
+
+void worker_fleet::serve(worker_session& worker, time_point now)
+{
+    end_lapsed(worker, now);
+    if (now >= worker.retry_at && needs_hold(worker))
     {
-        look(worker, now);
+        hold(worker, now);
     }
 }
 
@@ -959,22 +981,23 @@
         return;
     }
     start_committed(now);
-    for (auto& [id, worker] : workers_)
+    for (const auto& id : std::exchange(due_, {}))
     {
-        retry_orders(worker, now);
-        end_lapsed(worker, now);
-        if (now >= worker.retry_at && needs_hold(worker))
+        if (const auto found = workers_.find(id); found != workers_.end())
         {
-            hold(worker, now);
+            serve(found->second, now);
         }
     }
-    for (auto& [key, run] : runs_)
+    if (now - scanned_at_ < scan_interval)
     {
-        if (run.displaced && now - run.since >= order_retry_delay)
-        {
-            send_stop(run, now);
-        }
+        return;
+    }
+    scanned_at_ = now;
+    for (auto& [id, worker] : workers_)
+    {
+        serve(worker, now);
     }
+    retry_stops(now);
 }
 
 } // namespace limpetstack::fleet
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -190,7 +190,8 @@
                       std::set<std::string>& seen, time_point now);
     void end_missing(worker_session& worker, const std::set<std::string>& seen,
                      time_point sent, time_point now);
-    void retry_orders(worker_session& worker, time_point now);
+    void retry_stops(time_point now);
+    void serve(worker_session& worker, time_point now);
     bool needs_hold(const worker_session& worker) const;
     void lose_incarnation(const incarnation& where, const char* reason,
                           time_point now);
@@ -208,6 +209,9 @@
     std::map<std::string, worker_session> workers_; // By worker id.
     std::map<std::string, live_run> runs_;
     std::vector<std::string> newly_committed_;
+    std::set<std::string> due_;      // Workers for which something happened.
+    std::set<std::string> stopping_; // Runs that are to end.
+    time_point scanned_at_;
     bool deposed_ = false;
     // Callbacks that outlive this object do nothing.
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
