Stop a run after a refusal that follows an unanswered start; check takeovers

Cause, found by the new model test (random histories with lost, late and refused orders, cuts and takeovers): a start without an answer, whose repetition was refused, was ended as never run although the first attempt ran; and after a takeover a run that was being stopped was missing in the lists and counted as gone while it still took room. Ruled out: orders of earlier leaders (refused by their epoch in the model as on the platform). Both now end only after an acknowledged stop and the longest stop time.

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -567,6 +567,12 @@
         {
             worker->avoid_until = std::max(worker->avoid_until, now + pause);
         }
+        if (run.start_attempts > 1)
+        {
+            // An earlier attempt had no answer and may have its effect yet.
+            stop(key, reason, now);
+            return;
+        }
         propose_end(run, run_never, "", reason);
     };
     if (answer.result != order_result::accepted || run.start_attempts > 1)
@@ -615,7 +621,11 @@
         refuse("worker_unhealthy", refusal_pause);
         break;
     case order_result::other_worker:
-        refuse("worker_gone", 5 * refusal_pause);
+        if (worker != nullptr)
+        {
+            worker->avoid_until = now + 5 * refusal_pause;
+        }
+        propose_end(run, run_never, "", "worker_gone");
         break;
     case order_result::expired:
         refuse("lease_expired", milliseconds(0));
@@ -884,8 +894,11 @@
             run.phase == run_phase::starting || run.phase == run_phase::present;
         if (run.phase == run_phase::adopted)
         {
-            // Orders of earlier epochs have no effect any more.
-            propose_end(run, run_never, "", "absent_after_takeover");
+            // Orders of earlier epochs have no effect any more, but one of them
+            // may have stopped the run a moment ago: its room is not free yet.
+            run.phase = run_phase::present;
+            run.since = now;
+            stop(key, "absent_after_takeover", now);
         }
         else if (sent_out && run.stop_acknowledged &&
                  run.since + options_.stop_time <= sent)
@@ -894,7 +907,6 @@
         }
         else if (run.phase == run_phase::present && run.since < sent)
         {
-            run.doubtful = true;
             stop(key, "absent", now);
         }
     }
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -69,7 +69,6 @@
     bool stop_sent = false;
     bool stop_acknowledged = false;
     bool end_proposed = false;
-    bool doubtful = false;  // Missing in lists that should hold it.
     bool displaced = false; // Its worker was born again meanwhile.
     int start_attempts = 0;
     time_point since;      // Of the phase.
--- /dev/null
+++ b/test/support/model_workers.cpp
@@ -0,0 +1,396 @@
+#include "support/model_workers.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+constexpr milliseconds stop_time{300};
+constexpr std::int64_t max_lease_ms = 6000;
+constexpr milliseconds answer_timeout{300};
+
+} // namespace
+
+model_workers::model_workers(fleet_bed& bed, unsigned seed)
+    : bed_(bed)
+    , random_(seed)
+    , last_(bed.now)
+{
+}
+
+void model_workers::add(const std::string& id, const std::string& rack)
+{
+    bed_.add_worker(id, rack);
+    workers_[id];
+}
+
+void model_workers::set_cut(const std::string& id, bool cut)
+{
+    workers_[id].cut = cut;
+}
+
+std::string model_workers::subtask_of(const run_ref& run)
+{
+    return run.job() + "." + std::to_string(run.step()) + "." +
+           std::to_string(run.index());
+}
+
+order_result model_workers::start(const std::string& id,
+                                  const start_order& order)
+{
+    auto& worker = workers_[id];
+    if (order.epoch < worker.epoch)
+    {
+        return order_result::newer_epoch;
+    }
+    worker.epoch = order.epoch;
+    const auto clock = bed_.worker_clock();
+    const auto until = std::min(order.until_ms, clock + max_lease_ms);
+    const auto key = worker_fleet::key_of(order.run);
+    if (order.until_ms <= clock)
+    {
+        return order_result::expired;
+    }
+    worker.lease_until = std::max(worker.lease_until, until);
+    if (worker.runs.count(key) > 0)
+    {
+        return order_result::accepted;
+    }
+    const auto subtask = subtask_of(order.run);
+    if (order.run.run() <= worker.highest_ended[subtask])
+    {
+        return order_result::old_run;
+    }
+    ++starts;
+    for (const auto& [other, state] : workers_)
+    {
+        for (const auto& [running, item] : state.runs)
+        {
+            if (subtask_of(item.run) == subtask)
+            {
+                violations.push_back("two runs of " + subtask + " on " + id +
+                                     " and " + other);
+            }
+        }
+    }
+    if (noted_done_.count(subtask) > 0)
+    {
+        violations.push_back("start after the noted end of " + subtask);
+    }
+    present_run run;
+    run.run = order.run;
+    const auto* const job = bed_.state.find_job(order.run.job());
+    if (job == nullptr)
+    {
+        violations.push_back("start of an unknown job " + order.run.job());
+        return order_result::invalid;
+    }
+    const auto& step =
+        job->job.spec().steps(static_cast<int>(order.run.step()));
+    run.need = counted_need(step);
+    run.gang = step.gang();
+    run.left = milliseconds(step.estimate_ms() / 2 + random_() % 3000);
+    amounts used = run.need;
+    for (const auto& [running, item] : worker.runs)
+    {
+        used = used + item.need;
+    }
+    if (!fits(used, {32000, 131072, 8}))
+    {
+        violations.push_back("capacity of " + id + " exceeded by " + key);
+    }
+    worker.runs[key] = run;
+    return order_result::accepted;
+}
+
+order_result model_workers::stop(const std::string& id, const run_ref& run,
+                                 std::uint64_t epoch)
+{
+    auto& worker = workers_[id];
+    if (epoch < worker.epoch)
+    {
+        return order_result::newer_epoch;
+    }
+    worker.epoch = epoch;
+    auto& highest = worker.highest_ended[subtask_of(run)];
+    highest = std::max(highest, run.run());
+    const auto found = worker.runs.find(worker_fleet::key_of(run));
+    if (found != worker.runs.end() && !found->second.stopping)
+    {
+        found->second.stopping = true;
+        found->second.stopping_until = bed_.now + stop_time;
+    }
+    return order_result::accepted;
+}
+
+hold_answer model_workers::hold(const std::string& id, const hold_order& order)
+{
+    auto& worker = workers_[id];
+    hold_answer answer;
+    if (order.epoch < worker.epoch)
+    {
+        answer.result = order_result::newer_epoch;
+        return answer;
+    }
+    worker.epoch = order.epoch;
+    const auto clock = bed_.worker_clock();
+    if (order.until_ms)
+    {
+        worker.lease_until =
+            std::max(worker.lease_until,
+                     std::min(*order.until_ms, clock + max_lease_ms));
+    }
+    for (const auto& item : worker.ended)
+    {
+        if (item.number <= order.last_seen && item.end == run_done &&
+            item.number > worker.lapsed_ends)
+        {
+            noted_done_.insert(subtask_of(item.run));
+        }
+    }
+    worker.ended.erase(std::remove_if(worker.ended.begin(), worker.ended.end(),
+                                      [&](const listed_end& item)
+                                      {
+                                          return item.number <= order.last_seen;
+                                      }),
+                       worker.ended.end());
+    answer.result = order_result::accepted;
+    answer.lists.clock_ms = clock;
+    answer.lists.born_ms = 1;
+    for (const auto& [key, run] : worker.runs)
+    {
+        // A run that is being stopped is not listed as running.
+        if (!run.stopping)
+        {
+            answer.lists.running.push_back({run.run, "", 10, 0});
+        }
+    }
+    answer.lists.ended = worker.ended;
+    return answer;
+}
+
+void model_workers::finish(model_worker& worker, const std::string& key,
+                           run_end end)
+{
+    const auto run = worker.runs.at(key).run;
+    worker.runs.erase(key);
+    auto& highest = worker.highest_ended[subtask_of(run)];
+    highest = std::max(highest, run.run());
+    worker.ended.push_back({worker.next_end++, run, end, ""});
+}
+
+// Carries an order out now, late or not at all, and answers it or not.
+void model_workers::deliver(const std::string& id,
+                            const std::function<void()>& carry_out,
+                            const std::function<void()>& answer)
+{
+    if (workers_[id].cut)
+    {
+        return;
+    }
+    if (chance(faults.late))
+    {
+        later_.push_back(
+            {bed_.now + milliseconds(2000 + random_() % 10000), carry_out});
+        return;
+    }
+    carry_out();
+    if (!chance(faults.lost_answer))
+    {
+        answer();
+    }
+}
+
+void model_workers::take_orders()
+{
+    auto& port = bed_.port;
+    for (auto& item : std::exchange(port.starts, {}))
+    {
+        const auto result = std::make_shared<order_answer>();
+        const auto answered = std::make_shared<bool>(false);
+        if (chance(faults.refused))
+        {
+            item.done({order_result::unhealthy, bed_.worker_clock()});
+            continue;
+        }
+        deliver(
+            item.order.worker,
+            [this, order = item.order, result]
+            {
+                result->result = start(order.worker, order);
+                result->clock_ms = bed_.worker_clock();
+            },
+            [&]
+            {
+                *answered = true;
+            });
+        if (*answered)
+        {
+            item.done(*result);
+        }
+        else
+        {
+            later_.push_back({bed_.now + answer_timeout, [done = item.done]
+                              {
+                                  done({});
+                              }});
+        }
+    }
+    for (auto& item : std::exchange(port.stops, {}))
+    {
+        const auto result = std::make_shared<order_answer>();
+        const auto answered = std::make_shared<bool>(false);
+        deliver(
+            item.worker,
+            [this, id = item.worker, run = item.run, epoch = bed_.epoch, result]
+            {
+                result->result = stop(id, run, epoch);
+                result->clock_ms = bed_.worker_clock();
+            },
+            [&]
+            {
+                *answered = true;
+            });
+        if (*answered)
+        {
+            item.done(*result);
+        }
+        else
+        {
+            later_.push_back({bed_.now + answer_timeout, [done = item.done]
+                              {
+                                  done({});
+                              }});
+        }
+    }
+    auto lists = std::exchange(port.holds, {});
+    for (auto& item : std::exchange(port.looks, {}))
+    {
+        lists.push_back(std::move(item));
+    }
+    for (auto& item : lists)
+    {
+        const auto result = std::make_shared<hold_answer>();
+        const auto answered = std::make_shared<bool>(false);
+        deliver(
+            item.order.worker,
+            [this, order = item.order, result]
+            {
+                *result = hold(order.worker, order);
+            },
+            [&]
+            {
+                *answered = true;
+            });
+        const auto wait = milliseconds(
+            *answered ? std::min<std::int64_t>(item.order.wait_ms, 100)
+                      : item.order.wait_ms + 600);
+        later_.push_back({bed_.now + wait,
+                          [done = item.done, result, ok = *answered]
+                          {
+                              done(ok ? *result : hold_answer());
+                          }});
+    }
+}
+
+// All members of a gang end together on their workers.
+void model_workers::end_gang(const run_ref& run, run_end end,
+                             const std::string& except)
+{
+    for (auto& [id, worker] : workers_)
+    {
+        std::vector<std::string> keys;
+        for (const auto& [key, item] : worker.runs)
+        {
+            if (key != except && item.run.job() == run.job() &&
+                item.run.step() == run.step() && item.run.run() == run.run() &&
+                !item.stopping)
+            {
+                keys.push_back(key);
+            }
+        }
+        for (const auto& key : keys)
+        {
+            finish(worker, key, end);
+        }
+    }
+}
+
+void model_workers::pass_time()
+{
+    const auto passed = bed_.now - last_;
+    last_ = bed_.now;
+    std::vector<std::pair<run_ref, run_end>> gang_ends;
+    for (auto& [id, worker] : workers_)
+    {
+        std::vector<std::pair<std::string, run_end>> ends;
+        const bool lapsed = bed_.worker_clock() > worker.lease_until;
+        if (lapsed)
+        {
+            worker.lapsed_ends = worker.next_end - 1;
+        }
+        for (auto& [key, run] : worker.runs)
+        {
+            run.left -= passed;
+            if (lapsed)
+            {
+                ends.emplace_back(key, run_lapsed);
+            }
+            else if (run.stopping)
+            {
+                if (bed_.now >= run.stopping_until)
+                {
+                    ends.emplace_back(key, run_stopped);
+                }
+            }
+            else if (run.left <= milliseconds(0))
+            {
+                ends.emplace_back(key, run_done);
+            }
+        }
+        for (const auto& [key, end] : ends)
+        {
+            const auto run = worker.runs.at(key);
+            finish(worker, key, end);
+            if (run.gang)
+            {
+                gang_ends.emplace_back(run.run,
+                                       end == run_done ? run_done : run_broken);
+            }
+        }
+    }
+    for (const auto& [run, end] : gang_ends)
+    {
+        end_gang(run, end, "");
+    }
+}
+
+void model_workers::advance()
+{
+    pass_time();
+    std::vector<std::function<void()>> due;
+    for (auto at = later_.begin(); at != later_.end();)
+    {
+        if (at->at <= bed_.now)
+        {
+            due.push_back(std::move(at->run));
+            at = later_.erase(at);
+        }
+        else
+        {
+            ++at;
+        }
+    }
+    for (const auto& run : due)
+    {
+        run();
+    }
+    bed_.commit();
+    take_orders();
+    bed_.commit();
+}
+
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/test/support/model_workers.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "coordination/fleet/worker_port.hpp"
+#include "support/fleet_bed.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace limpetstack::fleet
+{
+
+/// Chances of what happens to an order, in percent.
+struct order_faults
+{
+    unsigned lost_answer = 0; // Carried out at once; the answer is lost.
+    unsigned late = 0;        // Carried out 2 to 12 s later, without an answer.
+    unsigned refused = 0;     // Answered as unhealthy, nothing is done.
+};
+
+/// Workers that take the orders of a bed's port, with faults, and check that no
+/// order breaks a rule: two runs of a subtask at once, a start after a noted
+/// end, more than the capacity.
+class model_workers
+{
+public:
+    model_workers(fleet_bed& bed, unsigned seed);
+
+    void add(const std::string& id, const std::string& rack);
+
+    /// Takes the orders that were sent and lets time pass up to the bed's time.
+    void advance();
+
+    /// Cuts a worker off, or joins it again: its orders and answers are lost.
+    void set_cut(const std::string& id, bool cut);
+
+    order_faults faults;
+    std::vector<std::string> violations;
+    std::size_t starts = 0;
+
+private:
+    struct present_run
+    {
+        run_ref run;
+        amounts need;
+        milliseconds left{0};
+        time_point stopping_until;
+        bool stopping = false;
+        bool gang = false;
+    };
+    struct model_worker
+    {
+        std::map<std::string, present_run> runs; // By key.
+        std::vector<listed_end> ended;
+        std::map<std::string, std::uint32_t> highest_ended; // By subtask.
+        std::uint64_t next_end = 1;
+        // Ends before the last lapse: they are not noted any more.
+        std::uint64_t lapsed_ends = 0;
+        std::uint64_t epoch = 0;
+        std::int64_t lease_until = 0;
+        bool cut = false;
+    };
+    struct delayed
+    {
+        time_point at;
+        std::function<void()> run;
+    };
+
+    bool chance(unsigned percent) { return random_() % 100 < percent; }
+    static std::string subtask_of(const run_ref& run);
+    order_result start(const std::string& id, const start_order& order);
+    order_result stop(const std::string& id, const run_ref& run,
+                      std::uint64_t epoch);
+    hold_answer hold(const std::string& id, const hold_order& order);
+    void finish(model_worker& worker, const std::string& key, run_end end);
+    void deliver(const std::string& id, const std::function<void()>& carry_out,
+                 const std::function<void()>& answer);
+    void take_orders();
+    void pass_time();
+    void end_gang(const run_ref& run, run_end end, const std::string& except);
+
+    fleet_bed& bed_;
+    std::mt19937 random_;
+    std::map<std::string, model_worker> workers_;
+    std::vector<delayed> later_;
+    std::set<std::string> noted_done_;
+    time_point last_;
+};
+
+} // namespace limpetstack::fleet
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -168,6 +168,16 @@
     auto lists = lists_at(bed.worker_clock());
     lists.lists.running.push_back({make_run("job", 1, 1), "", 10, 0});
     answer_hold(bed, lists);
+    // The absent one may be about to end; its room counts until it is sure.
+    EXPECT_TRUE(bed.workers->runs().count(first_run));
+    ASSERT_EQ(bed.port.stops.size(), 1U);
+    bed.port.stops.front().done(
+        order_at(order_result::accepted, bed.worker_clock()));
+    bed.pass(milliseconds(1000));
+    ASSERT_EQ(bed.port.looks.size(), 1U);
+    lists.lists.clock_ms = bed.worker_clock();
+    bed.port.looks.front().done(lists);
+    bed.commit();
     EXPECT_FALSE(bed.workers->runs().count(first_run));
     EXPECT_TRUE(bed.workers->runs().count("job.0.0.1#1"));
     EXPECT_TRUE(bed.state.find_subtask(make_run("job", 0, 1))->active.empty());
