--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,7 +1,11 @@
 #include "base/log.hpp"
 
+#include "base/log_sink.hpp"
+
 #include <easylogging++.h>
 
+#include <unistd.h>
+
 #include <sstream>
 
 INITIALIZE_EASYLOGGINGPP
@@ -31,8 +35,42 @@
     return out + '"';
 }
 
+// A reader may stop for about this many lines before some are dropped.
+constexpr std::size_t max_buffered_bytes = 1U << 20U;
+constexpr std::size_t flush_bytes = 16U << 10U;
+
+log_sink& standard_output()
+{
+    static log_sink sink(STDOUT_FILENO, max_buffered_bytes, flush_bytes);
+    return sink;
+}
+
+class buffered_dispatch : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData* data) override
+    {
+        const auto* const message = data->logMessage();
+        standard_output().add(
+            message->logger()->logBuilder()->build(message, true));
+    }
+};
+
 } // namespace
 
+void configure_buffered_log(std::string_view host)
+{
+    configure_log(host);
+    el::Loggers::reconfigureAllLoggers(el::ConfigurationType::ToStandardOutput,
+                                       "false");
+    el::Helpers::installLogDispatchCallback<buffered_dispatch>("buffered");
+}
+
+void flush_log()
+{
+    standard_output().flush();
+}
+
 void configure_log(std::string_view host)
 {
     el::Configurations settings;
--- a/src/base/log_sink.cpp
+++ b/src/base/log_sink.cpp
@@ -69,8 +69,7 @@
         return;
     }
     // A full pipe or an interruption leaves the rest for the next call.
-    const auto written =
-        write(descriptor_, buffer_.data(), buffer_.size());
+    const auto written = write(descriptor_, buffer_.data(), buffer_.size());
     if (written > 0)
     {
         buffer_.erase(0, static_cast<std::size_t>(written));
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -40,6 +40,16 @@
             name.substr(brace + 1, name.size() - brace - 2)};
 }
 
+constexpr double lowest_bound_ms = 0.25;
+constexpr std::size_t bound_count = 17;
+
+struct histogram
+{
+    std::array<std::uint64_t, bound_count> counts{}; // Not cumulative.
+    std::uint64_t total = 0;
+    double sum = 0;
+};
+
 void write_type(std::ostream& out, std::string& last, const std::string& name,
                 const char* type)
 {
@@ -69,6 +79,29 @@
         << acc::count(values) << '\n';
 }
 
+void write_histogram(std::ostream& out, const std::string& name,
+                     const histogram& values)
+{
+    const auto [base, labels] = split_labels(name);
+    const std::string separator = labels.empty() ? "" : ",";
+    std::uint64_t below = 0;
+    double bound = lowest_bound_ms;
+    for (const auto count : values.counts)
+    {
+        below += count;
+        out << "limpetstack_" << base << "_bucket{" << labels << separator
+            << "le=\"" << bound << "\"} " << below << '\n';
+        bound *= 2;
+    }
+    out << "limpetstack_" << base << "_bucket{" << labels << separator
+        << "le=\"+Inf\"} " << values.total << '\n';
+    const std::string suffix = labels.empty() ? "" : "{" + labels + "}";
+    out << "limpetstack_" << base << "_sum" << suffix << ' ' << values.sum
+        << '\n';
+    out << "limpetstack_" << base << "_count" << suffix << ' ' << values.total
+        << '\n';
+}
+
 } // namespace
 
 struct metrics::shard
@@ -77,6 +110,7 @@
     std::map<std::string, std::uint64_t, std::less<>> counters;
     std::map<std::string, double, std::less<>> gauges;
     std::map<std::string, distribution, std::less<>> distributions;
+    std::map<std::string, histogram, std::less<>> histograms;
 };
 
 metrics::metrics()
@@ -124,6 +158,30 @@
     found->second(sample_ms);
 }
 
+void metrics::observe_latency(std::string_view name, double sample_ms)
+{
+    auto& part = shard_of(name);
+    const std::lock_guard lock(part.mutex);
+    auto found = part.histograms.find(name);
+    if (found == part.histograms.end())
+    {
+        found = part.histograms.emplace(name, histogram()).first;
+    }
+    auto& values = found->second;
+    ++values.total;
+    values.sum += sample_ms;
+    std::size_t index = 0;
+    for (double bound = lowest_bound_ms;
+         index < bound_count && sample_ms > bound; bound *= 2)
+    {
+        ++index;
+    }
+    if (index < bound_count)
+    {
+        ++values.counts.at(index);
+    }
+}
+
 std::uint64_t metrics::counter(std::string_view name) const
 {
     auto& part = shard_of(name);
@@ -137,6 +195,7 @@
     std::map<std::string, std::uint64_t> counters;
     std::map<std::string, double> gauges;
     std::map<std::string, distribution> distributions;
+    std::map<std::string, histogram> histograms;
     for (std::size_t i = 0; i < shard_count; ++i)
     {
         const std::lock_guard lock(shards_[i].mutex);
@@ -144,6 +203,8 @@
         gauges.insert(shards_[i].gauges.begin(), shards_[i].gauges.end());
         distributions.insert(shards_[i].distributions.begin(),
                              shards_[i].distributions.end());
+        histograms.insert(shards_[i].histograms.begin(),
+                          shards_[i].histograms.end());
     }
     std::ostringstream out;
     std::string last;
@@ -162,6 +223,11 @@
         write_type(out, last, name, "summary");
         write_summary(out, name, values);
     }
+    for (const auto& [name, values] : histograms)
+    {
+        write_type(out, last, name, "histogram");
+        write_histogram(out, name, values);
+    }
     return out.str();
 }
 
--- a/src/base/metrics.hpp
+++ b/src/base/metrics.hpp
@@ -28,6 +28,10 @@
     /// Adds a sample, in milliseconds, to a distribution.
     void observe(std::string_view name, double sample_ms);
 
+    /// Adds a sample, in milliseconds, to a histogram with buckets that double
+    /// from 0.25 ms to 16 s.
+    void observe_latency(std::string_view name, double sample_ms);
+
     /// Returns a counter's value, 0 when it was never used.
     std::uint64_t counter(std::string_view name) const;
 
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -78,11 +78,13 @@
 
 fleet_scheduler::fleet_scheduler(const fleet_scheduler_options& options,
                                  const fleet_state& state,
-                                 worker_fleet& workers, proposer propose)
+                                 worker_fleet& workers, proposer propose,
+                                 metrics& counters)
     : options_(options)
     , state_(state)
     , workers_(workers)
     , propose_(std::move(propose))
+    , counters_(counters)
 {
     for (const auto& [id, job] : state_.jobs())
     {
@@ -713,6 +715,9 @@
         auto& room = rooms_[chosen[i]];
         room.free = room.free - request.need;
     }
+    counters_.observe_latency(
+        absl::StrCat("placement_wait_ms{queue=\"", item.queue.name, "\"}"),
+        static_cast<double>((now - item.since).count()));
     item.indices.erase(item.indices.begin(),
                        item.indices.begin() +
                            static_cast<std::ptrdiff_t>(chosen.size()));
@@ -808,6 +813,7 @@
     {
         return;
     }
+    counters_.add("runs_preempted_total", plan->keys.size());
     reserve(key, {plan->rooms, now + reservation_time});
     for (const auto& victim : plan->keys)
     {
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/metrics.hpp"
 #include "coordination/fleet/placement_choice.hpp"
 #include "coordination/fleet/worker_fleet.hpp"
 #include "protocol/external_protocol.hpp"
@@ -34,7 +35,7 @@
 
     fleet_scheduler(const fleet_scheduler_options& options,
                     const fleet_state& state, worker_fleet& workers,
-                    proposer propose);
+                    proposer propose, metrics& counters);
 
     /// Takes the document in force; `document` must outlive its use.
     void use_document(const fleet_document& document);
@@ -112,6 +113,7 @@
     const fleet_state& state_;
     worker_fleet& workers_;
     proposer propose_;
+    metrics& counters_;
     const fleet_document* document_ = nullptr;
     std::map<std::string, const queue_config*> queues_;
     std::map<std::string, std::int64_t> guarantees_; // Accelerators by account.
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -81,13 +81,14 @@
 worker_fleet::worker_fleet(const worker_fleet_options& options,
                            const fleet_state& state, worker_port& port,
                            proposer propose, clock_reader clock,
-                           std::uint64_t epoch)
+                           std::uint64_t epoch, metrics& counters)
     : options_(options)
     , state_(state)
     , port_(port)
     , propose_(std::move(propose))
     , clock_(std::move(clock))
     , epoch_(epoch)
+    , counters_(counters)
 {
     const auto now = clock_();
     for (const auto& [id, record] : state_.workers())
@@ -224,6 +225,8 @@
         return;
     }
     run.end_proposed = true;
+    counters_.add(
+        absl::StrCat("run_ends_total{end=\"", run_end_Name(end), "\"}"));
     log_event(log_level::info, "run_ended",
               {{"job", run.ref.job()},
                {"run", key_of(run.ref)},
@@ -557,6 +560,10 @@
     }
     auto& run = found->second;
     auto* const worker = session_of(run.where);
+    counters_.add(
+        absl::StrCat("starts_total{result=\"", name_of(answer.result), "\"}"));
+    counters_.observe_latency("order_ms",
+                              static_cast<double>((now - run.since).count()));
     if (worker != nullptr)
     {
         worker->clock.sample(answer.clock_ms, now);
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "base/metrics.hpp"
 #include "coordination/fleet/lease_clock.hpp"
 #include "coordination/fleet/worker_port.hpp"
 #include "state/fleet_state.hpp"
@@ -122,7 +123,7 @@
 
     worker_fleet(const worker_fleet_options& options, const fleet_state& state,
                  worker_port& port, proposer propose, clock_reader clock,
-                 std::uint64_t epoch);
+                 std::uint64_t epoch, metrics& counters);
 
     /// Notes a report of a worker that the replicated state knows.
     void note_report(const worker_report& report, time_point now);
@@ -205,6 +206,7 @@
     proposer propose_;
     clock_reader clock_;
     const std::uint64_t epoch_;
+    metrics& counters_;
     std::map<std::string, worker_session> workers_; // By worker id.
     std::map<std::string, live_run> runs_;
     std::vector<std::string> newly_committed_;
--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -68,17 +68,19 @@
           {
               node.runner_->propose(std::move(command), {});
           },
-          boot_now, term)
-    , scheduler(node.settings_.scheduler, node.state_, workers,
-                [&node](fleet_command command)
-                {
-                    node.runner_->propose(std::move(command), {});
-                })
+          boot_now, term, node.counters_)
+    , scheduler(
+          node.settings_.scheduler, node.state_, workers,
+          [&node](fleet_command command)
+          {
+              node.runner_->propose(std::move(command), {});
+          },
+          node.counters_)
     , service(node.protocol_, node.state_,
               {[&node](fleet_command command,
                        consensus_runner::outcome_handler done)
                {
-                   node.runner_->propose(std::move(command), std::move(done));
+                   node.propose_timed(std::move(command), std::move(done));
                },
                [&node](std::function<void(bool)> done)
                {
@@ -105,12 +107,14 @@
 }
 
 core_node::core_node(boost::asio::io_context& io, const node_settings& settings,
-                     const external_protocol& protocol, replica_storage storage)
+                     const external_protocol& protocol, replica_storage storage,
+                     metrics& counters)
     : io_(io)
     , settings_(settings)
+    , counters_(counters)
     , protocol_(protocol)
     , storage_(std::move(storage))
-    , disk_(io)
+    , disk_(io, counters)
     , listener_(io,
                 [this](const std::shared_ptr<frame_connection>& from,
                        const peer_frame& frame)
@@ -310,6 +314,7 @@
               {{"term", absl::StrCat(term)},
                {"jobs", absl::StrCat(state_.jobs().size())},
                {"workers", absl::StrCat(state_.workers().size())}});
+    counters_.add("leaderships_total");
     leading_ = std::make_unique<leadership>(*this, term);
     push_status();
 }
@@ -326,6 +331,8 @@
     {
         const auto now = boot_now();
         leading_->scheduler.run_round(now, wall_clock_ms());
+        counters_.set("waiting_steps",
+                      static_cast<double>(leading_->scheduler.waiting_steps()));
         leading_->workers.advance(now);
         manage_members();
     }
@@ -405,6 +412,7 @@
             if (status.ok())
             {
                 log_event(log_level::info, "disk_recovered", {});
+                flush_log();
                 std::_Exit(EXIT_FAILURE);
             }
             disk_timer_.expires_after(disk_probe_interval);
@@ -420,6 +428,20 @@
         });
 }
 
+void core_node::propose_timed(fleet_command command,
+                              consensus_runner::outcome_handler done)
+{
+    runner_->propose(std::move(command),
+                     [this, done = std::move(done), began = boot_now()](
+                         proposal_outcome outcome, applied result)
+                     {
+                         counters_.observe_latency(
+                             "commit_ms",
+                             static_cast<double>((boot_now() - began).count()));
+                         done(outcome, result);
+                     });
+}
+
 // --------------------------------------------------------------------- peers
 
 void core_node::update_targets()
@@ -613,6 +635,7 @@
         done(answer);
         return;
     }
+    counters_.add(call.from_caller() ? "calls_total" : "control_calls_total");
     leading_->service.handle(call, done);
     work();
 }
--- a/src/daemon/fleet/core_node.hpp
+++ b/src/daemon/fleet/core_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/metrics.hpp"
 #include "coordination/fleet/consensus_runner.hpp"
 #include "coordination/fleet/fleet_scheduler.hpp"
 #include "coordination/fleet/fleet_service.hpp"
@@ -33,7 +34,8 @@
 {
 public:
     core_node(boost::asio::io_context& io, const node_settings& settings,
-              const external_protocol& protocol, replica_storage storage);
+              const external_protocol& protocol, replica_storage storage,
+              metrics& counters);
     ~core_node();
     core_node(const core_node&) = delete;
     core_node& operator=(const core_node&) = delete;
@@ -79,11 +81,14 @@
     void serve_call(const forwarded_call& call, const answer_handler& done);
     void handle_control(http_server_request request, http_responder respond);
     void forward_to_leader(forwarded_call call, http_responder respond);
+    void propose_timed(fleet_command command,
+                       consensus_runner::outcome_handler done);
     void fail_forwarded();
     void wait_for_disk();
 
     boost::asio::io_context& io_;
     node_settings settings_;
+    metrics& counters_;
     const external_protocol& protocol_;
     replica_storage storage_;
     disk_thread disk_;
--- a/src/daemon/fleet/disk_thread.cpp
+++ b/src/daemon/fleet/disk_thread.cpp
@@ -7,8 +7,9 @@
 namespace limpetstack::fleet
 {
 
-disk_thread::disk_thread(boost::asio::io_context& io)
+disk_thread::disk_thread(boost::asio::io_context& io, metrics& counters)
     : io_(io)
+    , counters_(counters)
     , pool_(1)
 {
 }
@@ -25,7 +26,10 @@
         pool_,
         [this, job = std::move(job), done = std::move(done)]() mutable
         {
+            const auto began = boot_now();
             auto status = job();
+            counters_.observe_latency(
+                "disk_ms", static_cast<double>((boot_now() - began).count()));
             boost::asio::post(io_,
                               [done = std::move(done), status]
                               {
--- a/src/daemon/fleet/disk_thread.hpp
+++ b/src/daemon/fleet/disk_thread.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/metrics.hpp"
 #include "coordination/fleet/consensus_runner.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -12,7 +13,7 @@
 class disk_thread : public disk_queue
 {
 public:
-    explicit disk_thread(boost::asio::io_context& io);
+    disk_thread(boost::asio::io_context& io, metrics& counters);
     ~disk_thread() override;
 
     void run(std::function<absl::Status()> job,
@@ -20,6 +21,7 @@
 
 private:
     boost::asio::io_context& io_;
+    metrics& counters_;
     boost::asio::thread_pool pool_;
 };
 
--- a/src/daemon/fleet/entry_node.cpp
+++ b/src/daemon/fleet/entry_node.cpp
@@ -34,9 +34,10 @@
 
 entry_node::entry_node(boost::asio::io_context& io,
                        const node_settings& settings,
-                       const std::string& deadline_header)
+                       const std::string& deadline_header, metrics& counters)
     : io_(io)
     , settings_(settings)
+    , counters_(counters)
     , callers_(io, deadline_header,
                [this](http_server_request request, http_responder respond)
                {
@@ -177,6 +178,10 @@
     }
     const auto item = std::move(found->second);
     calls_.erase(found);
+    counters_.observe_latency(
+        absl::StrCat("call_ms{method=\"", item.call.method(), "\",status=\"",
+                     out.status, "\"}"),
+        static_cast<double>((boot_now() - item.arrived).count()));
     if (out.status >= 400 && out.status != 410)
     {
         log_event(
--- a/src/daemon/fleet/entry_node.hpp
+++ b/src/daemon/fleet/entry_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/metrics.hpp"
 #include "daemon/fleet/node_settings.hpp"
 #include "transport/http_server.hpp"
 #include "transport/peer_links.hpp"
@@ -22,7 +23,7 @@
 {
 public:
     entry_node(boost::asio::io_context& io, const node_settings& settings,
-               const std::string& deadline_header);
+               const std::string& deadline_header, metrics& counters);
     ~entry_node();
     entry_node(const entry_node&) = delete;
     entry_node& operator=(const entry_node&) = delete;
@@ -64,6 +65,7 @@
 
     boost::asio::io_context& io_;
     node_settings settings_;
+    metrics& counters_;
     std::unique_ptr<peer_links> links_;
     http_server callers_;
     http_server ready_;
--- a/src/daemon/fleet/fleet_daemon.cpp
+++ b/src/daemon/fleet/fleet_daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/fleet/fleet_daemon.hpp"
 
 #include "base/log.hpp"
+#include "base/metrics.hpp"
 #include "daemon/fleet/core_node.hpp"
 #include "daemon/fleet/entry_node.hpp"
 #include "state/file_io.hpp"
@@ -21,6 +22,7 @@
 {
 
 constexpr milliseconds settings_check_interval{1000};
+constexpr milliseconds log_flush_interval{200};
 constexpr milliseconds stop_check_interval{50};
 constexpr milliseconds storage_retry_delay{1000};
 
@@ -40,7 +42,14 @@
         , settings_text_(std::move(settings_text))
         , signals_(io_, SIGTERM, SIGINT, SIGHUP)
         , settings_timer_(io_)
+        , log_timer_(io_)
         , stop_timer_(io_)
+        , metrics_server_(
+              io_, "",
+              [this](const http_server_request&, const http_responder& respond)
+              {
+                  respond({200, counters_.text(), 0, "text/plain"});
+              })
     {
     }
 
@@ -56,21 +65,28 @@
                     {{"reason", std::string(storage.status().message())}});
                 return false;
             }
-            core_ = std::make_unique<core_node>(
-                io_, settings_, options_.protocol, std::move(*storage));
+            core_ =
+                std::make_unique<core_node>(io_, settings_, options_.protocol,
+                                            std::move(*storage), counters_);
         }
         if (!settings_.caller_address.empty())
         {
-            entry_ = std::make_unique<entry_node>(io_, settings_,
-                                                  options_.deadline_header);
+            entry_ = std::make_unique<entry_node>(
+                io_, settings_, options_.deadline_header, counters_);
         }
         if ((core_ && !core_->start()) || (entry_ && !entry_->start()))
         {
             log_event(log_level::error, "address_unusable", {});
             return false;
         }
+        if (!metrics_server_.listen(settings_.metrics_address))
+        {
+            log_event(log_level::warning, "metrics_unavailable",
+                      {{"address", settings_.metrics_address}});
+        }
         wait_for_signal();
         watch_settings();
+        write_logs();
         return true;
     }
 
@@ -112,6 +128,20 @@
             });
     }
 
+    void write_logs()
+    {
+        flush_log();
+        log_timer_.expires_after(log_flush_interval);
+        log_timer_.async_wait(
+            [this](boost::system::error_code error)
+            {
+                if (!error)
+                {
+                    write_logs();
+                }
+            });
+    }
+
     void reload()
     {
         const auto text = read_whole_file(options_.settings_path);
@@ -184,7 +214,10 @@
     boost::asio::io_context io_{1};
     boost::asio::signal_set signals_;
     boost::asio::steady_timer settings_timer_;
+    boost::asio::steady_timer log_timer_;
     boost::asio::steady_timer stop_timer_;
+    metrics counters_;
+    http_server metrics_server_;
     std::unique_ptr<core_node> core_;
     std::unique_ptr<entry_node> entry_;
     bool stopping_ = false;
@@ -212,7 +245,7 @@
                   {{"reason", std::string(settings.status().message())}});
         return EXIT_FAILURE;
     }
-    configure_log(settings->name);
+    configure_buffered_log(settings->name);
     log_event(log_level::info, "started",
               {{"data_centre", settings->data_centre},
                {"role", settings->is_core() ? "core" : "entry"},
@@ -220,9 +253,11 @@
     daemon host(options, std::move(*settings), *text);
     if (!host.start())
     {
+        flush_log();
         return EXIT_FAILURE;
     }
     host.run();
+    flush_log();
     return EXIT_SUCCESS;
 }
 
--- a/test/metrics-test.cpp
+++ b/test/metrics-test.cpp
@@ -39,5 +39,27 @@
               std::string::npos);
 }
 
+// Guards against buckets that a scraper would take for something else: they
+// are cumulative and the last holds every sample.
+TEST(metrics, histogram_buckets_are_cumulative)
+{
+    metrics values;
+    values.observe_latency("call_ms{method=\"GET\"}", 0.2);
+    values.observe_latency("call_ms{method=\"GET\"}", 3);
+    values.observe_latency("call_ms{method=\"GET\"}", 99999);
+    const auto text = values.text();
+    const auto has = [&](const std::string& line)
+    {
+        return text.find(line) != std::string::npos;
+    };
+    EXPECT_TRUE(has("# TYPE limpetstack_call_ms histogram\n"));
+    EXPECT_TRUE(
+        has("limpetstack_call_ms_bucket{method=\"GET\",le=\"0.25\"} 1\n"));
+    EXPECT_TRUE(has("limpetstack_call_ms_bucket{method=\"GET\",le=\"4\"} 2\n"));
+    EXPECT_TRUE(
+        has("limpetstack_call_ms_bucket{method=\"GET\",le=\"+Inf\"} 3\n"));
+    EXPECT_TRUE(has("limpetstack_call_ms_count{method=\"GET\"} 3\n"));
+}
+
 } // namespace
 } // namespace limpetstack
--- a/test/support/fleet_bed.cpp
+++ b/test/support/fleet_bed.cpp
@@ -47,9 +47,9 @@
         {
             return now;
         },
-        epoch);
-    scheduler = std::make_unique<fleet_scheduler>(fleet_scheduler_options(),
-                                                  state, *workers, propose);
+        epoch, counters);
+    scheduler = std::make_unique<fleet_scheduler>(
+        fleet_scheduler_options(), state, *workers, propose, counters);
     scheduler->use_document(document);
 }
 
--- a/test/support/fleet_bed.hpp
+++ b/test/support/fleet_bed.hpp
@@ -51,6 +51,7 @@
     time_point now{milliseconds(1000000)};
     std::int64_t wall_ms = 1700000000000;
     fleet_document document;
+    metrics counters;
     std::unique_ptr<worker_fleet> workers;
     std::unique_ptr<fleet_scheduler> scheduler;
     std::uint64_t epoch = 0;
