Write log lines whole; keep fillers away from serving work

A pipe that is nearly full cut lines in two; pieces up to PIPE_BUF at line ends are taken at once or not at all. Fillers and steps with a tail latency never share a worker, since nothing paces fillers yet.

--- a/src/base/log_sink.cpp
+++ b/src/base/log_sink.cpp
@@ -3,6 +3,9 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <climits>
+
 namespace limpetstack
 {
 
@@ -62,18 +65,28 @@
     return buffer_.size();
 }
 
+// Writes whole lines in pieces that a pipe takes at once or not at all, so that
+// a line is never cut.
 void log_sink::write_some()
 {
-    if (buffer_.empty())
-    {
-        return;
-    }
-    // A full pipe or an interruption leaves the rest for the next call.
-    const auto written = write(descriptor_, buffer_.data(), buffer_.size());
-    if (written > 0)
+    std::size_t written = 0;
+    while (written < buffer_.size())
     {
-        buffer_.erase(0, static_cast<std::size_t>(written));
+        auto size = std::min<std::size_t>(buffer_.size() - written, PIPE_BUF);
+        if (const auto end = buffer_.rfind('\n', written + size - 1);
+            end != std::string::npos && end >= written)
+        {
+            size = end + 1 - written;
+        }
+        // A full pipe or an interruption leaves the rest for the next call.
+        const auto taken = write(descriptor_, buffer_.data() + written, size);
+        if (taken <= 0)
+        {
+            break;
+        }
+        written += static_cast<std::size_t>(taken);
     }
+    buffer_.erase(0, written);
 }
 
 } // namespace limpetstack
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -544,6 +544,8 @@
     request.required_label = spec.required_label();
     request.preferred_rack = spec.preferred_rack();
     request.max_per_worker = spec.max_per_worker();
+    request.filler = spec.filler();
+    request.serves_users = spec.tail_latency_ms() > 0;
     const auto estimate = static_cast<double>(spec.estimate_ms());
     const auto allowance = static_cast<double>(item.queue.slo_ms);
     auto patience =
@@ -580,7 +582,8 @@
     {
         if (workers_.is_usable(worker, now))
         {
-            rooms_.push_back({&worker, worker.capacity - worker.used, 0});
+            rooms_.push_back({&worker, worker.capacity - worker.used, 0,
+                              worker.fillers > 0, worker.serving > 0});
         }
     }
     for (auto at = reservations_.begin(); at != reservations_.end();)
@@ -714,6 +717,8 @@
         workers_.place(ref, worker, *item.spec, item.queue.priority, now);
         auto& room = rooms_[chosen[i]];
         room.free = room.free - request.need;
+        room.has_fillers = room.has_fillers || request.filler;
+        room.serves_users = room.serves_users || request.serves_users;
     }
     counters_.observe_latency(
         absl::StrCat("placement_wait_ms{queue=\"", item.queue.name, "\"}"),
@@ -733,7 +738,8 @@
         request.preferred_rack, "/", request.need.cpu_milli, "/",
         request.need.memory_mb, "/", request.need.accelerators, "/",
         request.whole ? request.count : 0, "/", request.same_rack, "/",
-        request.far_allowed, "/", request.max_per_worker);
+        request.far_allowed, "/", request.max_per_worker, "/", request.filler,
+        "/", request.serves_users);
     if (!reserved && misses_.count(shape) > 0)
     {
         return false;
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -113,7 +113,10 @@
 {
     const auto& record = room.worker->record;
     const auto& labels = record.labels();
-    return record.service() == request.service &&
+    // Fillers would disturb those who serve users.
+    const bool disturbs = (request.filler && room.serves_users) ||
+                          (request.serves_users && room.has_fillers);
+    return !disturbs && record.service() == request.service &&
            (request.required_label.empty() ||
             std::find(labels.begin(), labels.end(), request.required_label) !=
                 labels.end());
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -16,6 +16,8 @@
     const worker_session* worker = nullptr;
     amounts free;
     std::uint32_t of_step = 0; // Runs of the demand's step that are there.
+    bool has_fillers = false;
+    bool serves_users = false; // Holds runs with a tail latency to keep.
 };
 
 /// Subtasks of one step that are to be placed.
@@ -25,6 +27,8 @@
     amounts need;       // Of each.
     bool whole = false; // All at once or none.
     bool same_rack = false;
+    bool filler = false;
+    bool serves_users = false;
     bool far_allowed = false; // Other racks than the preferred ones will do.
     std::string service;
     std::string required_label;
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -166,11 +166,15 @@
         live.gang = step.gang();
         live.checkpointable = step.checkpointable();
         live.lasting = step.lasting();
+        live.filler = step.filler();
+        live.serves_users = step.tail_latency_ms() > 0;
     }
     if (auto* const worker = session_of(where))
     {
         worker->runs.insert(key);
         worker->used = worker->used + live.need;
+        worker->fillers += live.filler ? 1 : 0;
+        worker->serving += live.serves_users ? 1 : 0;
     }
     return live;
 }
@@ -195,6 +199,8 @@
         worker != nullptr && worker->runs.erase(key) > 0)
     {
         worker->used = worker->used - found->second.need;
+        worker->fillers -= found->second.filler ? 1 : 0;
+        worker->serving -= found->second.serves_users ? 1 : 0;
     }
     stopping_.erase(key);
     runs_.erase(found);
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -65,6 +65,8 @@
     bool gang = false;
     bool checkpointable = false;
     bool lasting = false;
+    bool filler = false;
+    bool serves_users = false;
     run_phase phase = run_phase::proposed;
     bool stop_wanted = false;
     bool stop_sent = false;
@@ -95,6 +97,8 @@
     amounts used; // By all live runs.
     lease_clock clock;
     std::set<std::string> runs; // Keys of the live runs.
+    std::size_t fillers = 0;    // Live runs that take what others leave.
+    std::size_t serving = 0;    // Live runs with a tail latency to keep.
     std::uint64_t last_sequence = 0;
     time_point last_report;
     std::uint64_t last_seen = 0;        // Ends up to this number are committed.
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -4,6 +4,10 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <set>
+#include <string>
+
 namespace limpetstack::fleet
 {
 namespace
@@ -178,6 +182,37 @@
     EXPECT_TRUE(bed.port.stops.empty());
 }
 
+// Guards against fillers that disturb work which serves users.
+TEST(fleet_scheduler, fillers_stay_away_from_serving_work)
+{
+    fleet_bed bed;
+    bed.add_worker("w1", "r1");
+    bed.add_worker("w2", "r1");
+    confirm_workers(bed);
+    auto serving = make_step(1, 1);
+    serving.set_lasting(true);
+    serving.set_tail_latency_ms(50);
+    bed.submit("serving", serving);
+    auto filler = make_step(20, 0);
+    filler.set_filler(true);
+    bed.submit("filler", filler, "low");
+    bed.schedule();
+    bed.submit("more", serving);
+    bed.schedule();
+    std::map<std::string, std::set<std::string>> jobs_on;
+    for (const auto& start : bed.port.starts)
+    {
+        jobs_on[start.order.worker].insert(start.order.run.job());
+    }
+    ASSERT_EQ(jobs_on.size(), 2U);
+    for (const auto& [worker, jobs] : jobs_on)
+    {
+        EXPECT_FALSE(jobs.count("filler") > 0 &&
+                     (jobs.count("serving") > 0 || jobs.count("more") > 0))
+            << worker;
+    }
+}
+
 // Guards against a run that stands still and holds its room.
 TEST(fleet_scheduler, listed_run_without_progress_is_stopped)
 {
--- a/test/log_sink-test.cpp
+++ b/test/log_sink-test.cpp
@@ -65,6 +65,16 @@
         sink.add("after\n");
         sink.flush();
     }
+    // Every line is whole.
+    std::size_t begin = 0;
+    for (auto end = all.find('\n'); end != std::string::npos;
+         begin = end + 1, end = all.find('\n', begin))
+    {
+        const auto one = all.substr(begin, end - begin);
+        EXPECT_TRUE(one == line || one == "after" ||
+                    one.rfind("event=log_lines_dropped count=", 0) == 0)
+            << one;
+    }
     EXPECT_NE(all.find("event=log_lines_dropped count="), std::string::npos);
     EXPECT_NE(all.find("after\n"), std::string::npos);
 }
--- a/test/placement_choice-test.cpp
+++ b/test/placement_choice-test.cpp
@@ -25,7 +25,7 @@
         session->record.set_id(id);
         session->record.set_rack(rack);
         session->record.set_service("service");
-        rooms.push_back({session.get(), {32000, 131072, accelerators}, 0});
+        rooms.push_back({session.get(), {32000, 131072, accelerators}});
         sessions.push_back(std::move(session));
     }
     static placement_request request(std::uint32_t count, std::int64_t need)
