--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -78,7 +78,9 @@
 
 void check(const command_line& result)
 {
-    if (result.command != "config validate" && result.servers.empty())
+    const bool offline =
+        result.command == "config validate" || result.command == "explain";
+    if (!offline && result.servers.empty())
     {
         throw CLI::RequiredError("--server");
     }
@@ -117,6 +119,15 @@
                     "Check the hash chain of all records");
     audit->add_option("--limit", result.limit,
                       "Records to show, 0 for all (default 50)");
+    auto* explain = add_command(
+        app, "explain",
+        "Print the timeline of a job, a worker or a call from log files");
+    explain->add_option("id", result.id, "Id, or the path of a call")
+        ->required();
+    explain
+        ->add_option("files", result.files,
+                     "Logs of any number of hosts; default: standard input")
+        ->check(CLI::ExistingFile);
     try
     {
         app.parse(count, arguments);
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,5 +1,6 @@
 #include "ctl/command_line.hpp"
 #include "ctl/commands.hpp"
+#include "ctl/explain.hpp"
 #include "ctl/http_transport.hpp"
 #include "ctl/operator_client.hpp"
 
@@ -17,6 +18,12 @@
     {
         return static_cast<int>(parsed.code);
     }
+    if (parsed.value->command == "explain")
+    {
+        return static_cast<int>(explain(parsed.value->id, parsed.value->files,
+                                        parsed.value->json, std::cin, std::cout,
+                                        std::cerr));
+    }
     http_transport transport;
     operator_client client(transport, parsed.value->servers,
                            [](std::chrono::milliseconds pause)
--- /dev/null
+++ b/test/programs/fleet-soak.cpp
@@ -0,0 +1,440 @@
+// Randomized soak of the fleet daemon: real processes on loopback addresses,
+// workers and callers in this program, faults from outside. Hosts are stopped,
+// paused, killed and started again; the links to workers are cut in one or both
+// directions or closed by relays. What workers and callers see is checked:
+// no two runs of a subtask at once, no start after a noted end, no worker over
+// its capacity, no accepted job forgotten, every job done in the end.
+#include "experiment/process.hpp"
+#include "experiment/relay.hpp"
+#include "support/soak_worker.hpp"
+#include "transport/http_channel.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace limpetstack;
+using namespace limpetstack::fleet;
+using nlohmann::json;
+using test::link_state;
+
+constexpr int core_count = 3;
+constexpr int entry_count = 2;
+constexpr int worker_count = 6;
+constexpr milliseconds step_time{50};
+constexpr milliseconds settle_time{45000};
+
+struct host
+{
+    std::string name;
+    std::string settings;
+    std::string log;
+    std::unique_ptr<test::process> process;
+    bool core = false;
+    bool paused = false;
+    time_point back_at; // When it is started or woken again.
+};
+
+class soak
+{
+public:
+    soak(unsigned seed, std::string folder)
+        : random_(seed)
+        , folder_(std::move(folder))
+        , peer_port_(test::free_port())
+        , control_port_(test::free_port())
+        , front_port_(test::free_port())
+        , ready_port_(test::free_port())
+    {
+        for (int i = 0; i < core_count + entry_count; ++i)
+        {
+            add_host(i);
+        }
+        for (int i = 0; i < worker_count; ++i)
+        {
+            workers_.push_back(std::make_unique<soak_worker>(
+                io_, "w" + std::to_string(i), "r" + std::to_string(i / 3),
+                rules_));
+        }
+    }
+
+    int run(int seconds)
+    {
+        for (auto& item : hosts_)
+        {
+            start(item, true);
+        }
+        const auto end = steady_now() + std::chrono::seconds(seconds);
+        while (steady_now() < end)
+        {
+            tick(true);
+        }
+        for (auto& worker : workers_)
+        {
+            worker->link().set(link_state::open, link_state::open);
+        }
+        const auto last = steady_now() + settle_time;
+        while (steady_now() < last && !all_done())
+        {
+            tick(false);
+        }
+        return report();
+    }
+
+private:
+    void add_host(int i)
+    {
+        host item;
+        item.core = i < core_count;
+        item.name = (item.core ? "core-" : "entry-") + std::to_string(i);
+        item.settings = folder_ + "/" + item.name + ".json";
+        item.log = folder_ + "/" + item.name + ".log";
+        hosts_.push_back(std::move(item));
+    }
+    static std::string ip(std::size_t i)
+    {
+        return "127.0.1." + std::to_string(i + 1);
+    }
+
+    void write_settings(std::size_t i, bool first)
+    {
+        const auto& item = hosts_[i];
+        json listen;
+        if (item.core)
+        {
+            listen["control"] = ip(i) + ":" + std::to_string(control_port_);
+        }
+        else
+        {
+            listen["front"] = ip(i) + ":" + std::to_string(front_port_);
+            listen["ready"] = ip(i) + ":" + std::to_string(ready_port_);
+        }
+        json seeds = json::array();
+        for (int k = 0; k < core_count; ++k)
+        {
+            seeds.push_back(ip(static_cast<std::size_t>(k)) + ":" +
+                            std::to_string(control_port_));
+        }
+        json settings{{"node_name", item.name},
+                      {"ip", ip(i)},
+                      {"zone", "z" + std::to_string(i)},
+                      {"listen", listen},
+                      {"port_range", {peer_port_, peer_port_}},
+                      {"seeds", seeds},
+                      {"bootstrap", first},
+                      {"heartbeat_ms", 500},
+                      {"fault_tolerance", {{"machines", 1}}},
+                      {"bounds", {{"stop_ms", 300}, {"max_hold_ms", 6000}}}};
+        if (item.core)
+        {
+            settings["data_dir"] = folder_ + "/" + item.name;
+        }
+        std::ofstream(item.settings) << settings.dump();
+    }
+
+    void start(host& item, bool first)
+    {
+        const auto i = static_cast<std::size_t>(&item - hosts_.data());
+        write_settings(i, first);
+        setenv("LIMPETSTACK_NODE_FILE", item.settings.c_str(), 1);
+        item.process = std::make_unique<test::process>(
+            test::program_folder() + "/limpetstack-fleetd",
+            std::vector<std::string>{}, item.log);
+        item.paused = false;
+    }
+
+    void tick(bool busy)
+    {
+        io_.restart();
+        io_.run_for(step_time);
+        const auto now = steady_now();
+        for (auto& worker : workers_)
+        {
+            worker->advance();
+        }
+        revive(now);
+        if (now - reported_ >= milliseconds(500))
+        {
+            reported_ = now;
+            put_document();
+            report_workers();
+            poll_jobs();
+        }
+        if (!busy)
+        {
+            return;
+        }
+        if (random_() % 10 == 0)
+        {
+            submit();
+        }
+        if (random_() % 60 == 0)
+        {
+            disturb_host(now);
+        }
+        if (random_() % 40 == 0)
+        {
+            disturb_link();
+        }
+    }
+
+    // One host at a time is away, but pauses and stops overlap with restarts.
+    void disturb_host(time_point now)
+    {
+        auto& item = hosts_[random_() % hosts_.size()];
+        for (const auto& other : hosts_)
+        {
+            if (other.core == item.core && other.back_at > now)
+            {
+                return;
+            }
+        }
+        item.back_at = now + milliseconds(500 + random_() % 4000);
+        switch (random_() % 3)
+        {
+        case 0:
+            item.process->signal(SIGSTOP);
+            item.paused = true;
+            break;
+        case 1:
+            item.process->kill();
+            break;
+        default:
+            item.process->signal(SIGTERM);
+        }
+    }
+
+    void revive(time_point now)
+    {
+        for (auto& item : hosts_)
+        {
+            if (item.back_at > now)
+            {
+                continue;
+            }
+            if (item.paused)
+            {
+                item.process->signal(SIGCONT);
+                item.paused = false;
+            }
+            else if (!item.process->running())
+            {
+                start(item, false);
+            }
+        }
+    }
+
+    void disturb_link()
+    {
+        static constexpr link_state states[] = {
+            link_state::open, link_state::open, link_state::black_hole,
+            link_state::closed};
+        workers_[random_() % workers_.size()]->link().set(
+            states[random_() % 4], states[random_() % 4]);
+    }
+
+    http_channel& channel(const std::string& address)
+    {
+        auto& item = channels_[address];
+        if (!item)
+        {
+            item = std::make_unique<http_channel>(io_, address);
+        }
+        return *item;
+    }
+
+    http_channel& any_control()
+    {
+        return channel(ip(random_() % core_count) + ":" +
+                       std::to_string(control_port_));
+    }
+
+    http_channel& any_front()
+    {
+        return channel(ip(core_count + random_() % entry_count) + ":" +
+                       std::to_string(front_port_));
+    }
+
+    void put_document()
+    {
+        if (document_accepted_)
+        {
+            return;
+        }
+        const json queue{
+            {"name", "q"},    {"host", "localhost"}, {"prefix", "/q/"},
+            {"service", "s"}, {"timeout_ms", 3000},  {"attempts", 3},
+            {"priority", 1},  {"stretch", 3.0},      {"public", true}};
+        const json document{{"version", 1},
+                            {"routes", {queue}},
+                            {"services", {{{"name", "s"}}}}};
+        any_control().send("PUT", "/-/config", {}, document.dump(),
+                           milliseconds(1000),
+                           [this](const http_channel_answer& answer)
+                           {
+                               document_accepted_ |= answer.status == 200;
+                           });
+    }
+
+    void report_workers()
+    {
+        for (auto& worker : workers_)
+        {
+            any_control().send("PUT", "/-/instances/" + worker->id(), {},
+                               worker->report(), milliseconds(900),
+                               [](const http_channel_answer&) {});
+        }
+    }
+
+    void submit()
+    {
+        char id[17];
+        std::snprintf(id, sizeof(id), "%016llx",
+                      static_cast<unsigned long long>(++last_job_));
+        json step{{"count", 1 + random_() % 4},
+                  {"cpu", 1000},
+                  {"mem_mb", 1000},
+                  {"gpu", 1 + random_() % 4},
+                  {"estimate_ms", 300 + random_() % 1500}};
+        if (random_() % 3 == 0)
+        {
+            step["gang"] = true;
+        }
+        bodies_[id] = json{{"spec", "x"}, {"steps", {step}}}.dump();
+        send_job(id);
+    }
+
+    void send_job(const std::string& id)
+    {
+        any_front().send("POST", "/q/" + id, {}, bodies_.at(id),
+                         milliseconds(3500),
+                         [this, id](const http_channel_answer& answer)
+                         {
+                             if (answer.status == 200)
+                             {
+                                 accepted_.emplace(id, "");
+                                 rules_.submitted.insert(id);
+                             }
+                             else if (answer.status == 504)
+                             {
+                                 rules_.submitted.insert(id);
+                                 again_.push_back(id);
+                             }
+                         });
+        rules_.submitted.insert(id);
+    }
+
+    void poll_jobs()
+    {
+        for (const auto& id : std::exchange(again_, {}))
+        {
+            send_job(id);
+        }
+        int asked = 0;
+        for (const auto& [id, state] : accepted_)
+        {
+            if (state == "complete" || ++asked > 20)
+            {
+                continue;
+            }
+            any_front().send(
+                "GET", "/q/" + id, {}, "", milliseconds(3500),
+                [this, id = id](const http_channel_answer& answer)
+                {
+                    if (answer.status == 410)
+                    {
+                        rules_.broken.push_back("accepted job " + id +
+                                                " is not known");
+                    }
+                    else if (answer.status == 200)
+                    {
+                        accepted_[id] = json::parse(answer.body)
+                                            .value("state", std::string());
+                    }
+                });
+        }
+    }
+
+    bool all_done() const
+    {
+        for (const auto& [id, state] : accepted_)
+        {
+            if (state != "complete")
+            {
+                return false;
+            }
+        }
+        return again_.empty();
+    }
+
+    int report()
+    {
+        std::size_t open = 0;
+        for (const auto& [id, state] : accepted_)
+        {
+            if (state != "complete")
+            {
+                ++open;
+                std::printf("not complete: %s %s\n", id.c_str(), state.c_str());
+            }
+        }
+        for (const auto& text : rules_.broken)
+        {
+            std::printf("broken: %s\n", text.c_str());
+        }
+        std::printf("soak: %zu jobs accepted, %zu starts, %zu broken rules, "
+                    "%zu jobs not complete\n",
+                    accepted_.size(), rules_.starts, rules_.broken.size(),
+                    open);
+        return accepted_.empty() || open > 0 || !rules_.broken.empty()
+                   ? EXIT_FAILURE
+                   : EXIT_SUCCESS;
+    }
+
+    std::mt19937 random_;
+    const std::string folder_;
+    const int peer_port_;
+    const int control_port_;
+    const int front_port_;
+    const int ready_port_;
+    boost::asio::io_context io_;
+    soak_rules rules_;
+    std::vector<host> hosts_;
+    std::vector<std::unique_ptr<soak_worker>> workers_;
+    std::map<std::string, std::unique_ptr<http_channel>> channels_;
+    std::map<std::string, std::string> accepted_; // State by job.
+    std::map<std::string, std::string> bodies_;
+    std::vector<std::string> again_;
+    unsigned long long last_job_ = 0;
+    bool document_accepted_ = false;
+    time_point reported_;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc != 4)
+    {
+        std::fprintf(stderr, "usage: fleet-soak SECONDS SEED FOLDER\n");
+        return EXIT_FAILURE;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    std::filesystem::create_directories(argv[3]);
+    soak run(static_cast<unsigned>(std::atoi(argv[2])), argv[3]);
+    return run.run(std::atoi(argv[1]));
+}
--- /dev/null
+++ b/test/support/soak_worker.cpp
@@ -0,0 +1,256 @@
+#include "support/soak_worker.hpp"
+
+#include "experiment/process.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t capacity = 8; // Runs, whatever they need.
+constexpr std::int64_t max_lease_ms = 6000;
+constexpr milliseconds run_time{900};
+constexpr milliseconds stop_time{200};
+
+} // namespace
+
+soak_worker::soak_worker(boost::asio::io_context& io, std::string id,
+                         std::string rack, soak_rules& rules)
+    : id_(std::move(id))
+    , rack_(std::move(rack))
+    , rules_(rules)
+    , address_("127.0.0.1:" + std::to_string(test::free_port()))
+    , server_(std::make_unique<http_server>(
+          io, "",
+          [this](const http_server_request& request, http_responder respond)
+          {
+              serve(request, std::move(respond));
+          }))
+{
+    if (!server_->listen(address_))
+    {
+        rules_.broken.push_back("worker can not listen at " + address_);
+    }
+    relay_ = std::make_unique<test::relay>(address_);
+}
+
+soak_worker::~soak_worker() = default;
+
+std::int64_t soak_worker::clock_ms() const
+{
+    return 1000 + (steady_now() - born_).count();
+}
+
+std::string soak_worker::report()
+{
+    return json{
+        {"service", "s"},
+        {"addr", relay_->address()},
+        {"zone", "z"},
+        {"state", "ready"},
+        {"capacity", {{"cpu", 64000}, {"mem_mb", 64000}, {"gpu", capacity}}},
+        {"labels", {"a", rack_}},
+        {"clock_ms", clock_ms()},
+        {"born", born_ms_},
+        {"seq", ++sequence_}}
+        .dump();
+}
+
+void soak_worker::extend(const json& order)
+{
+    if (order.contains("until_ms"))
+    {
+        lease_until_ = std::max(lease_until_,
+                                std::min(order["until_ms"].get<std::int64_t>(),
+                                         clock_ms() + max_lease_ms));
+    }
+}
+
+void soak_worker::serve(const http_server_request& request,
+                        http_responder respond)
+{
+    const auto order = json::parse(request.body, nullptr, false);
+    if (!order.is_object())
+    {
+        respond({400, "{}", 0});
+        return;
+    }
+    const auto epoch = order.value("fence", std::uint64_t{0});
+    if (epoch < epoch_)
+    {
+        respond({409,
+                 json{{"clock_ms", clock_ms()}, {"reason", "fence"}}.dump(),
+                 0});
+        return;
+    }
+    epoch_ = epoch;
+    if (request.target == "/-/hold")
+    {
+        hold(order, std::move(respond));
+        return;
+    }
+    unsigned status = 200;
+    json answer{{"clock_ms", clock_ms()}};
+    if (request.target == "/-/run-start")
+    {
+        answer.update(start(order, status));
+    }
+    else if (request.target == "/-/run-stop")
+    {
+        stop(order);
+    }
+    respond({status, answer.dump(), 0});
+}
+
+json soak_worker::start(const json& order, unsigned& status)
+{
+    const auto subtask = order.at("task").get<std::string>();
+    const auto number = order.at("run").get<std::uint64_t>();
+    if (order.at("until_ms").get<std::int64_t>() <= clock_ms())
+    {
+        status = 409;
+        return {{"reason", "late"}};
+    }
+    extend(order);
+    for (const auto& item : runs_)
+    {
+        if (item.subtask == subtask && item.number == number)
+        {
+            return json::object();
+        }
+    }
+    if (number <= highest_ended_[subtask])
+    {
+        status = 409;
+        return {{"reason", "old"}};
+    }
+    ++rules_.starts;
+    const auto job = subtask.substr(0, subtask.find('.'));
+    if (rules_.submitted.count(job) == 0)
+    {
+        rules_.broken.push_back("start of " + subtask + " that nobody sent");
+    }
+    if (rules_.noted_done.count(subtask) > 0)
+    {
+        rules_.broken.push_back("start after the noted end of " + subtask);
+    }
+    if (++rules_.running[subtask] > 1)
+    {
+        rules_.broken.push_back("two runs of " + subtask + " on " + id_);
+    }
+    if (runs_.size() >= capacity)
+    {
+        rules_.broken.push_back("capacity of " + id_ + " by " + subtask);
+    }
+    runs_.push_back({subtask, number, steady_now() + run_time, {}, false});
+    return json::object();
+}
+
+void soak_worker::stop(const json& order)
+{
+    const auto subtask = order.at("task").get<std::string>();
+    const auto number = order.at("run").get<std::uint64_t>();
+    auto& highest = highest_ended_[subtask];
+    highest = std::max(highest, number);
+    for (auto& item : runs_)
+    {
+        if (item.subtask == subtask && item.number == number && !item.stopping)
+        {
+            item.stopping = true;
+            item.stops = steady_now() + stop_time;
+        }
+    }
+}
+
+json soak_worker::lists() const
+{
+    json running = json::array();
+    for (const auto& item : runs_)
+    {
+        if (!item.stopping)
+        {
+            running.push_back({item.subtask, item.number, "", 50});
+        }
+    }
+    return {{"clock_ms", clock_ms()},
+            {"born", born_ms_},
+            {"running", running},
+            {"ended", ended_}};
+}
+
+void soak_worker::hold(const json& order, http_responder respond)
+{
+    extend(order);
+    const auto seen = order.value("last_seen", std::uint64_t{0});
+    for (const auto& item : ended_)
+    {
+        const auto number = item[0].get<std::uint64_t>();
+        if (number <= seen && number > lapsed_ends_ && item[3] == "done")
+        {
+            rules_.noted_done.insert(item[1].get<std::string>());
+        }
+    }
+    ended_.erase(std::remove_if(ended_.begin(), ended_.end(),
+                                [seen](const json& item)
+                                {
+                                    return item[0].get<std::uint64_t>() <= seen;
+                                }),
+                 ended_.end());
+    const auto wait = order.value("wait_ms", std::int64_t{0});
+    if (wait == 0 || !ended_.empty())
+    {
+        respond({200, lists().dump(), 0});
+        return;
+    }
+    holds_.push_back({std::move(respond), steady_now() + milliseconds(wait)});
+}
+
+void soak_worker::finish(std::size_t index, const char* how)
+{
+    const auto item = runs_[index];
+    runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(index));
+    --rules_.running[item.subtask];
+    auto& highest = highest_ended_[item.subtask];
+    highest = std::max(highest, item.number);
+    ended_.push_back({next_end_++, item.subtask, item.number, how, ""});
+}
+
+void soak_worker::advance()
+{
+    const auto now = steady_now();
+    const bool lapsed = clock_ms() > lease_until_;
+    if (lapsed)
+    {
+        lapsed_ends_ = next_end_ - 1;
+    }
+    for (std::size_t i = runs_.size(); i-- > 0;)
+    {
+        const auto& item = runs_[i];
+        if (lapsed)
+        {
+            finish(i, "lapsed");
+        }
+        else if (item.stopping ? now >= item.stops : now >= item.ends)
+        {
+            finish(i, item.stopping ? "stopped" : "done");
+        }
+    }
+    for (auto& item : std::exchange(holds_, {}))
+    {
+        if (!ended_.empty() || now >= item.until)
+        {
+            item.respond({200, lists().dump(), 0});
+        }
+        else
+        {
+            holds_.push_back(std::move(item));
+        }
+    }
+}
+
+} // namespace limpetstack::fleet
