--- a/src/ctl/command_line.hpp
+++ b/src/ctl/command_line.hpp
@@ -26,7 +26,7 @@
     std::string file;
     std::string id;                 // Job, worker or target to explain.
     std::vector<std::string> files; // Logs to read.
-    std::string request_id; // Empty for a new one.
+    std::string request_id;         // Empty for a new one.
     std::optional<std::uint64_t> base_version;
     std::uint64_t limit = 0; // Newest audit records to show, 0 for all.
     bool verify = false;
--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -185,7 +185,7 @@
     beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::deque<call> calls_;
-    time_point begun_; // When the first call's turn came.
+    time_point begun_;    // When the first call's turn came.
     bool active_ = false; // The first call is in progress.
     bool abandoned_ = false;
 };
