--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -731,8 +731,10 @@
 // Returns true when everything that waited has a place.
 bool fleet_scheduler::place(const demand_key& key, demand& item, time_point now)
 {
-    const auto request = request_for(item, now);
+    auto request = request_for(item, now);
     const bool reserved = reservations_.count(key) > 0;
+    // Room near its data is being made for it.
+    request.far_allowed = request.far_allowed && !reserved;
     const auto shape = absl::StrCat(
         request.service, "/", request.required_label, "/",
         request.preferred_rack, "/", request.need.cpu_milli, "/",
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -136,6 +136,42 @@
     EXPECT_EQ(bed.port.starts.back().order.run.job(), "urgent");
 }
 
+// Guards against urgent work that starts far from its data, where it takes
+// several times as long, while room near its data is being made for it.
+TEST(fleet_scheduler, reclaimed_room_is_waited_for)
+{
+    fleet_bed bed;
+    bed.add_worker("near", "r1");
+    confirm_workers(bed);
+    bed.submit("low", make_step(8, 1), "low");
+    bed.schedule();
+    for (auto& start : bed.port.starts)
+    {
+        start.done({order_result::accepted, bed.worker_clock()});
+    }
+    ASSERT_EQ(bed.port.starts.size(), 8U);
+    bed.add_worker("far", "r2");
+    confirm_workers(bed);
+    auto step = make_step(1, 8, true);
+    step.set_preferred_rack("r1");
+    step.set_estimate_ms(100);
+    bed.submit("urgent", step, "urgent");
+    bed.schedule();
+    EXPECT_EQ(bed.port.stops.size(), 8U);
+    bed.pass(milliseconds(1300));
+    bed.report("near");
+    bed.report("far");
+    bed.schedule();
+    EXPECT_EQ(bed.port.starts.size(), 8U);
+    for (std::uint32_t i = 0; i < 8; ++i)
+    {
+        end_run(bed, make_run("low", i, 1), run_stopped);
+    }
+    bed.schedule();
+    ASSERT_GE(bed.port.starts.size(), 9U);
+    EXPECT_EQ(bed.port.starts[8].order.worker, "near");
+}
+
 // Guards against work on a worker beyond its capacity.
 TEST(fleet_scheduler, capacity_is_never_exceeded)
 {
