--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -201,7 +201,7 @@
     implementation_->abandon();
 }
 
-void http_channel::send(std::string method, std::string target,
+void http_channel::send(const std::string& method, const std::string& target,
                         const headers& extra, std::string body,
                         std::chrono::milliseconds timeout, callback done)
 {
--- a/src/transport/http_channel.hpp
+++ b/src/transport/http_channel.hpp
@@ -37,9 +37,9 @@
     http_channel& operator=(const http_channel&) = delete;
 
     /// Queues a call. `timeout` runs from when it is sent.
-    void send(std::string method, std::string target, const headers& extra,
-              std::string body, std::chrono::milliseconds timeout,
-              callback done);
+    void send(const std::string& method, const std::string& target,
+              const headers& extra, std::string body,
+              std::chrono::milliseconds timeout, callback done);
 
     /// Returns the calls that wait or are in progress.
     std::size_t backlog() const;
--- a/test/fleet_model-test.cpp
+++ b/test/fleet_model-test.cpp
@@ -92,7 +92,7 @@
         static constexpr std::int64_t needs[] = {1, 2, 4, 8};
         auto step =
             make_step(1 + random() % 5, needs[random() % 4], random() % 2 == 0);
-        step.set_estimate_ms(1000 + random() % 4000);
+        step.set_estimate_ms(1000 + static_cast<std::int64_t>(random() % 4000));
         step.set_same_rack(random() % 2 == 0);
         bed.submit(id, step, queues[random() % 3]);
     }
