--- /dev/null
+++ b/src/coordination/fleet/fleet_demands.cpp
@@ -0,0 +1,255 @@
+// Steps whose turn has come, and the ends of jobs.
+#include "coordination/fleet/fleet_scheduler.hpp"
+
+#include "base/log.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+bool earlier_steps_done(const step_spec& spec, const occurrence_state* state)
+{
+    return std::all_of(spec.after().begin(), spec.after().end(),
+                       [state](std::uint32_t step)
+                       {
+                           return state != nullptr &&
+                                  is_done(state->steps[step]);
+                       });
+}
+
+} // namespace
+
+void fleet_scheduler::drop_demands(const std::string& job)
+{
+    const auto first = demands_.lower_bound({job, 0, 0});
+    auto last = first;
+    while (last != demands_.end() && std::get<0>(last->first) == job)
+    {
+        unreserve(last->first);
+        ++last;
+    }
+    demands_.erase(first, last);
+}
+
+bool fleet_scheduler::is_exhausted(const job_state& job,
+                                   const queue_config& queue) const
+{
+    for (const auto& [number, occurrence] : job.occurrences)
+    {
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s)
+        {
+            const auto& spec = job.job.spec().steps(static_cast<int>(s));
+            const auto& step = occurrence.steps[s];
+            if (spec.lasting())
+            {
+                continue;
+            }
+            if (spec.gang() && !is_done(step) &&
+                step.failures >= queue.attempts)
+            {
+                return true;
+            }
+            if (!spec.gang() &&
+                std::any_of(step.subtasks.begin(), step.subtasks.end(),
+                            [&](const subtask_state& subtask)
+                            {
+                                return !subtask.done &&
+                                       subtask.failures >= queue.attempts;
+                            }))
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+// Proposes the record of a job's end once nothing of it can change any more.
+void fleet_scheduler::close_job(const job_state& job, std::int64_t wall_ms)
+{
+    const auto& id = job.job.id();
+    const bool all_done =
+        job.done_occurrences >= occurrence_count(job.job.spec());
+    if (closing_.count(id) > 0 || job.finished_ms > 0 ||
+        (!job.cancelled && !all_done))
+    {
+        return;
+    }
+    closing_.insert(id);
+    fleet_command command;
+    command.mutable_finish()->set_job(id);
+    command.mutable_finish()->set_at_ms(wall_ms);
+    propose_(std::move(command));
+}
+
+void fleet_scheduler::refresh_jobs(time_point now, std::int64_t wall_ms)
+{
+    for (auto at = timed_.begin(); at != timed_.end();)
+    {
+        if (at->second <= wall_ms)
+        {
+            dirty_.insert(at->first);
+            at = timed_.erase(at);
+        }
+        else
+        {
+            ++at;
+        }
+    }
+    for (const auto& id : std::exchange(dirty_, {}))
+    {
+        if (const auto* const job = state_.find_job(id))
+        {
+            refresh_job(*job, now, wall_ms);
+        }
+    }
+    for (const auto& [id, at] : ended_)
+    {
+        if (at + options_.keep_ended.count() < wall_ms &&
+            closing_.count(id) == 0 &&
+            workers_.runs().lower_bound(id + ".") ==
+                workers_.runs().lower_bound(id + "/"))
+        {
+            closing_.insert(id);
+            fleet_command command;
+            command.mutable_forget()->set_job(id);
+            propose_(std::move(command));
+        }
+    }
+}
+
+void fleet_scheduler::refresh_job(const job_state& job, time_point now,
+                                  std::int64_t wall_ms)
+{
+    const auto& id = job.job.id();
+    close_job(job, wall_ms);
+    if (job.ended() || priority_of(job) != 0 ||
+        job.done_occurrences >= occurrence_count(job.job.spec()))
+    {
+        open_urgent_.erase(id);
+    }
+    else
+    {
+        open_urgent_.insert(id);
+    }
+    if (job.ended())
+    {
+        drop_demands(id);
+        return;
+    }
+    const auto queue = queue_of(job);
+    if (is_exhausted(job, queue))
+    {
+        drop_demands(id);
+        if (closing_.insert(id).second)
+        {
+            fleet_command command;
+            command.mutable_fail()->set_job(id);
+            command.mutable_fail()->set_at_ms(wall_ms);
+            propose_(std::move(command));
+            log_event(
+                log_level::info, "job_failed",
+                {{"job", id},
+                 {"reason", "attempts used up"},
+                 {"attempts", absl::StrCat(queue.attempts)},
+                 {"document", absl::StrCat(state_.document().version())}});
+        }
+        return;
+    }
+    const auto& spec = job.job.spec();
+    for (std::uint32_t k = 0; k < occurrence_count(spec); ++k)
+    {
+        if (spec.repeat_count() > 0)
+        {
+            const auto due = spec.first_run_ms() +
+                             static_cast<std::int64_t>(k) * spec.interval_ms();
+            if (due > wall_ms)
+            {
+                timed_[id] = due;
+                break;
+            }
+        }
+        const auto at = job.occurrences.find(k);
+        const auto* const occurrence =
+            at == job.occurrences.end() ? nullptr : &at->second;
+        if (occurrence != nullptr && occurrence->done)
+        {
+            continue;
+        }
+        for (std::uint32_t s = 0;
+             s < static_cast<std::uint32_t>(spec.steps_size()); ++s)
+        {
+            const auto& step = spec.steps(static_cast<int>(s));
+            if (earlier_steps_done(step, occurrence))
+            {
+                refresh_step(job, k, s,
+                             occurrence == nullptr ? nullptr
+                                                   : &occurrence->steps[s],
+                             queue, now);
+            }
+        }
+    }
+}
+
+void fleet_scheduler::refresh_step(const job_state& job,
+                                   std::uint32_t occurrence, std::uint32_t step,
+                                   const step_state* state,
+                                   const queue_config& queue, time_point now)
+{
+    const auto& spec = job.job.spec().steps(static_cast<int>(step));
+    std::vector<std::uint32_t> waiting;
+    for (std::uint32_t i = 0; i < spec.subtask_count(); ++i)
+    {
+        if (state == nullptr ||
+            (!state->subtasks[i].done && state->subtasks[i].active.empty()))
+        {
+            run_ref ref;
+            ref.set_job(job.job.id());
+            ref.set_occurrence(occurrence);
+            ref.set_step(step);
+            ref.set_index(i);
+            ref.set_run((state == nullptr ? 0 : state->subtasks[i].last_run) +
+                        1);
+            // A placement may have been proposed already.
+            const auto prefix = subtask_key(ref) + "#";
+            const auto live = workers_.runs().lower_bound(prefix);
+            if (live == workers_.runs().end() ||
+                live->first.compare(0, prefix.size(), prefix) != 0)
+            {
+                waiting.push_back(i);
+            }
+        }
+    }
+    const demand_key key{job.job.id(), occurrence, step};
+    // A gang starts again only after every member of the last run has ended.
+    if (waiting.empty() ||
+        (spec.gang() && waiting.size() < spec.subtask_count()))
+    {
+        unreserve(key);
+        demands_.erase(key);
+        return;
+    }
+    const auto [found, added] = demands_.try_emplace(key);
+    auto& item = found->second;
+    if (added)
+    {
+        item.job = job.job.id();
+        item.occurrence = occurrence;
+        item.step = step;
+        item.since = now;
+        item.account = job.job.account();
+        item.order = job.order;
+    }
+    item.spec = &spec;
+    item.queue = queue;
+    item.indices = std::move(waiting);
+}
+
+} // namespace limpetstack::fleet
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -43,6 +43,9 @@
 /// Returns what one subtask of the step is counted with against a worker.
 amounts counted_need(const step_spec& step);
 
+/// Names a subtask within the fleet.
+std::string subtask_key(const run_ref& run);
+
 /// Returns true when `need` fits into `room`.
 bool fits(const amounts& need, const amounts& room);
 
--- /dev/null
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -0,0 +1,245 @@
+// Holds, and what the lists of workers tell.
+#include "coordination/fleet/worker_fleet.hpp"
+
+#include "base/log.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+// Between two attempts of a stop or a hold that failed.
+constexpr milliseconds order_retry_delay{150};
+
+// After a hold without an answer, holds wait less for a while, because a lost
+// answer is noticed only when the wait is over.
+constexpr milliseconds unsteady_time{8000};
+constexpr milliseconds unsteady_hold_wait{500};
+
+} // namespace
+
+void worker_fleet::hold(worker_session& worker, time_point now)
+{
+    worker.holding = true;
+    hold_order order;
+    order.worker = worker.record.id();
+    order.epoch = epoch_;
+    order.last_seen = worker.last_seen;
+    // A worker that does not answer must not be granted more time: its runs end
+    // for this leader when the last grant is over.
+    if (!worker.runs.empty() && worker.clock.known() &&
+        worker.hold_failures == 0)
+    {
+        order.until_ms = lease_end(worker, now);
+    }
+    if (!worker.runs.empty() && worker.confirmed && worker.hold_failures == 0)
+    {
+        const bool unsteady = now < worker.unsteady_until;
+        order.wait_ms =
+            (unsteady ? unsteady_hold_wait : options_.hold_wait).count();
+    }
+    const incarnation where{worker.record.id(), worker.record.born_ms()};
+    port_.hold(worker.record, order,
+               [this, where, now, told = order.last_seen,
+                alive = std::weak_ptr<int>(alive_)](const hold_answer& answer)
+               {
+                   if (!alive.expired())
+                   {
+                       on_lists(where, answer, now, told, true, clock_());
+                   }
+               });
+}
+
+void worker_fleet::look(worker_session& worker, time_point now)
+{
+    hold_order order;
+    order.worker = worker.record.id();
+    order.epoch = epoch_;
+    order.last_seen = worker.last_seen;
+    const incarnation where{worker.record.id(), worker.record.born_ms()};
+    port_.look(worker.record, order,
+               [this, where, now, told = order.last_seen,
+                alive = std::weak_ptr<int>(alive_)](const hold_answer& answer)
+               {
+                   if (!alive.expired())
+                   {
+                       on_lists(where, answer, now, told, false, clock_());
+                   }
+               });
+}
+
+void worker_fleet::on_lists(const incarnation& where, const hold_answer& answer,
+                            time_point sent, std::uint64_t told, bool is_hold,
+                            time_point now)
+{
+    auto* const worker = session_of(where);
+    if (worker == nullptr)
+    {
+        return;
+    }
+    if (is_hold)
+    {
+        worker->holding = false;
+    }
+    due_.insert(where.worker);
+    if (answer.result == order_result::newer_epoch)
+    {
+        deposed_ = true;
+        return;
+    }
+    if (answer.result != order_result::accepted ||
+        (answer.lists.born_ms != 0 && where.born_ms != 0 &&
+         answer.lists.born_ms != where.born_ms))
+    {
+        if (is_hold)
+        {
+            ++worker->hold_failures;
+            worker->unsteady_until = now + unsteady_time;
+            worker->retry_at = now + order_retry_delay;
+        }
+        return;
+    }
+    if (!worker->confirmed || worker->hold_failures > 0)
+    {
+        log_event(log_level::info, "worker_confirmed",
+                  {{"worker", where.worker},
+                   {"epoch", absl::StrCat(epoch_)},
+                   {"running", absl::StrCat(answer.lists.running.size())},
+                   {"ended", absl::StrCat(answer.lists.ended.size())}});
+    }
+    worker->confirmed = true;
+    worker->hold_failures = 0;
+    worker->last_answer = now;
+    worker->acknowledged_end = std::max(worker->acknowledged_end, told);
+    worker->clock.sample(answer.lists.clock_ms, now);
+    std::set<std::string> seen;
+    take_ended(*worker, answer.lists, seen);
+    take_running(*worker, answer.lists, seen, now);
+    // A full page of ends may hide others.
+    constexpr std::size_t ends_per_page = 500;
+    if (answer.lists.ended.size() < ends_per_page)
+    {
+        end_missing(*worker, seen, sent, now);
+    }
+    if (worker->pending_ends.empty())
+    {
+        worker->last_seen = worker->listed_end;
+    }
+}
+
+void worker_fleet::take_ended(worker_session& worker, const worker_lists& lists,
+                              std::set<std::string>& seen)
+{
+    for (const auto& item : lists.ended)
+    {
+        worker.listed_end = std::max(worker.listed_end, item.number);
+        const auto key = key_of(item.run);
+        seen.insert(key);
+        const auto found = runs_.find(key);
+        if (found == runs_.end() || session_of(found->second.where) != &worker)
+        {
+            continue;
+        }
+        // The end counts as noted only when it is committed.
+        worker.pending_ends.insert(key);
+        propose_end(found->second, item.end, item.checkpoint, "listed");
+    }
+}
+
+void worker_fleet::take_running(worker_session& worker,
+                                const worker_lists& lists,
+                                std::set<std::string>& seen, time_point now)
+{
+    for (const auto& item : lists.running)
+    {
+        const auto key = key_of(item.run);
+        seen.insert(key);
+        const auto found = runs_.find(key);
+        if (found == runs_.end() || session_of(found->second.where) != &worker)
+        {
+            log_event(log_level::warning, "unknown_run_stopped",
+                      {{"job", item.run.job()},
+                       {"run", key},
+                       {"worker", worker.record.id()}});
+            port_.stop(worker.record, item.run, epoch_,
+                       [](const order_answer&) {});
+            continue;
+        }
+        auto& run = found->second;
+        if (run.phase == run_phase::starting || run.phase == run_phase::adopted)
+        {
+            run.phase = run_phase::present;
+            run.since = now;
+            run.started_at = now;
+        }
+        if (item.percent > run.percent || run.progressed_at < run.started_at)
+        {
+            run.progressed_at = now;
+        }
+        run.listed_at = now;
+        run.percent = item.percent;
+        run.load = item.load;
+        if (!item.checkpoint.empty())
+        {
+            run.checkpoint = item.checkpoint;
+        }
+    }
+}
+
+// Ends runs that the worker would have to list if they were or could become
+// present: `sent` is when the lists were asked for. An order without an answer
+// may be carried out much later, so that only a stop makes an absence final.
+void worker_fleet::end_missing(worker_session& worker,
+                               const std::set<std::string>& seen,
+                               time_point sent, time_point now)
+{
+    for (const auto& key : worker.runs)
+    {
+        const auto found = runs_.find(key);
+        if (found == runs_.end() || seen.count(key) > 0 ||
+            found->second.end_proposed)
+        {
+            continue;
+        }
+        auto& run = found->second;
+        const bool sent_out =
+            run.phase == run_phase::starting || run.phase == run_phase::present;
+        if (run.phase == run_phase::adopted)
+        {
+            // Orders of earlier epochs have no effect any more, but one of them
+            // may have stopped the run a moment ago: its room is not free yet.
+            run.phase = run_phase::present;
+            run.since = now;
+            stop(key, "absent_after_takeover", now);
+        }
+        else if (sent_out && run.stop_acknowledged &&
+                 run.since + options_.stop_time <= sent)
+        {
+            propose_end(run, run_stopped, "", "absent_after_stop");
+        }
+        else if (run.phase == run_phase::present && run.since < sent)
+        {
+            stop(key, "absent", now);
+        }
+    }
+}
+
+bool worker_fleet::needs_hold(const worker_session& worker) const
+{
+    return !worker.holding && worker.pending_ends.empty() &&
+           (!worker.confirmed || worker.acknowledged_end < worker.last_seen ||
+            std::any_of(worker.runs.begin(), worker.runs.end(),
+                        [this](const std::string& key)
+                        {
+                            const auto phase = runs_.at(key).phase;
+                            return phase != run_phase::proposed &&
+                                   phase != run_phase::committed;
+                        }));
+}
+
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -0,0 +1,367 @@
+// Starts and stops of runs, and their answers.
+#include "coordination/fleet/worker_fleet.hpp"
+
+#include "base/log.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+// An unanswered start is repeated so often before it is stopped; the attempts
+// together stay below the time that gang members wait for each other.
+constexpr int max_start_attempts = 5;
+
+// Between two attempts of a stop or a hold that failed.
+constexpr milliseconds order_retry_delay{150};
+
+// Between two looks for a run that was stopped and is not listed as ended.
+constexpr milliseconds look_interval{500};
+
+// A worker that refused a start gets no placement for this long.
+constexpr milliseconds refusal_pause{1000};
+
+} // namespace
+
+void worker_fleet::abort_gang(const live_run& run, const char* reason,
+                              time_point now)
+{
+    for (const auto& key : gang_members(run.ref))
+    {
+        auto& member = runs_.at(key);
+        if (!member.stop_wanted)
+        {
+            member.stop_wanted = true;
+            stopping_.insert(key);
+            log_event(log_level::info, "run_stopping",
+                      {{"job", member.ref.job()},
+                       {"run", key},
+                       {"worker", member.where.worker},
+                       {"reason", reason}});
+            send_stop(member, now);
+        }
+    }
+}
+
+void worker_fleet::stop(const std::string& key, const char* reason,
+                        time_point now)
+{
+    const auto found = runs_.find(key);
+    if (found == runs_.end() || found->second.stop_wanted)
+    {
+        return;
+    }
+    if (found->second.gang)
+    {
+        abort_gang(found->second, reason, now);
+        return;
+    }
+    found->second.stop_wanted = true;
+    stopping_.insert(key);
+    log_event(log_level::info, "run_stopping",
+              {{"job", found->second.ref.job()},
+               {"run", key},
+               {"worker", found->second.where.worker},
+               {"reason", reason}});
+    send_stop(found->second, now);
+}
+
+std::int64_t worker_fleet::lease_end(worker_session& worker, time_point now)
+{
+    const auto until =
+        worker.clock.worker_time(now) + options_.max_lease.count();
+    worker.clock.grant(until);
+    return until;
+}
+
+// A gang starts only when the placements of all its members are committed.
+void worker_fleet::check_gangs()
+{
+    for (const auto& key : newly_committed_)
+    {
+        const auto found = runs_.find(key);
+        if (found == runs_.end() || !found->second.gang)
+        {
+            continue;
+        }
+        const auto* const step = state_.find_step(found->second.ref);
+        const auto members = gang_members(found->second.ref);
+        const bool whole = step != nullptr &&
+                           members.size() == step->subtasks.size() &&
+                           std::none_of(members.begin(), members.end(),
+                                        [this](const std::string& member)
+                                        {
+                                            return runs_.at(member).stop_wanted;
+                                        });
+        if (!whole)
+        {
+            found->second.stop_wanted = true;
+        }
+    }
+}
+
+void worker_fleet::start_committed(time_point now)
+{
+    check_gangs();
+    const auto keys = std::exchange(newly_committed_, {});
+    for (const auto& key : keys)
+    {
+        const auto found = runs_.find(key);
+        if (found == runs_.end() || found->second.phase != run_phase::committed)
+        {
+            continue;
+        }
+        auto* const worker = session_of(found->second.where);
+        const auto* const job = state_.find_job(found->second.ref.job());
+        if (worker == nullptr || found->second.stop_wanted || job == nullptr ||
+            job->ended())
+        {
+            propose_end(found->second, run_never, "", "not_started");
+            continue;
+        }
+        send_start(found->second, *worker, now);
+    }
+}
+
+void worker_fleet::send_start(live_run& run, worker_session& worker,
+                              time_point now)
+{
+    const auto* const job = state_.find_job(run.ref.job());
+    const auto* const step = state_.find_step(run.ref);
+    const auto* const subtask = state_.find_subtask(run.ref);
+    if (job == nullptr || subtask == nullptr)
+    {
+        return;
+    }
+    run.phase = run_phase::starting;
+    run.since = now;
+    due_.insert(run.where.worker);
+    ++run.start_attempts;
+    start_order order;
+    order.run = run.ref;
+    order.worker = worker.record.id();
+    order.payload = job->job.spec().payload();
+    order.until_ms = lease_end(worker, now);
+    order.epoch = epoch_;
+    order.checkpoint = run.gang ? step->checkpoint : subtask->checkpoint;
+    const auto key = key_of(run.ref);
+    if (run.start_attempts == 1)
+    {
+        log_event(log_level::info, "run_starting",
+                  {{"job", run.ref.job()},
+                   {"run", key},
+                   {"worker", worker.record.id()},
+                   {"until_ms", absl::StrCat(order.until_ms)},
+                   {"epoch", absl::StrCat(epoch_)}});
+    }
+    port_.start(worker.record, order,
+                [this, key,
+                 alive = std::weak_ptr<int>(alive_)](const order_answer& answer)
+                {
+                    if (!alive.expired())
+                    {
+                        on_start_answer(key, answer, clock_());
+                    }
+                });
+}
+
+void worker_fleet::on_start_answer(const std::string& key,
+                                   const order_answer& answer, time_point now)
+{
+    const auto found = runs_.find(key);
+    if (found == runs_.end() || found->second.phase != run_phase::starting ||
+        found->second.end_proposed || found->second.displaced)
+    {
+        return;
+    }
+    auto& run = found->second;
+    auto* const worker = session_of(run.where);
+    counters_.add(
+        absl::StrCat("starts_total{result=\"", name_of(answer.result), "\"}"));
+    counters_.observe_latency("order_ms",
+                              static_cast<double>((now - run.since).count()));
+    if (worker != nullptr)
+    {
+        worker->clock.sample(answer.clock_ms, now);
+    }
+    const auto refuse = [&](const char* reason, milliseconds pause)
+    {
+        if (worker != nullptr)
+        {
+            worker->avoid_until = std::max(worker->avoid_until, now + pause);
+        }
+        if (run.start_attempts > 1)
+        {
+            // An earlier attempt had no answer and may have its effect yet.
+            stop(key, reason, now);
+            return;
+        }
+        propose_end(run, run_never, "", reason);
+    };
+    if (answer.result != order_result::accepted || run.start_attempts > 1)
+    {
+        log_event(log_level::info, "start_answered",
+                  {{"job", run.ref.job()},
+                   {"run", key},
+                   {"worker", run.where.worker},
+                   {"result", name_of(answer.result)},
+                   {"attempt", absl::StrCat(run.start_attempts)}});
+    }
+    switch (answer.result)
+    {
+    case order_result::accepted:
+        run.phase = run_phase::present;
+        run.since = now;
+        run.started_at = now;
+        break;
+    case order_result::unknown:
+        if (run.stop_wanted || worker == nullptr)
+        {
+            break;
+        }
+        if (run.start_attempts < max_start_attempts)
+        {
+            send_start(run, *worker, now);
+        }
+        else
+        {
+            worker->avoid_until = now + refusal_pause;
+            stop(key, "start_unanswered", now);
+        }
+        break;
+    case order_result::newer_epoch:
+        deposed_ = true;
+        break;
+    case order_result::old_run:
+        // It ended or was stopped there; the lists tell how.
+        run.phase = run_phase::present;
+        run.since = now;
+        break;
+    case order_result::no_room:
+        refuse("no_room", refusal_pause);
+        break;
+    case order_result::unhealthy:
+        refuse("worker_unhealthy", refusal_pause);
+        break;
+    case order_result::other_worker:
+        if (worker != nullptr)
+        {
+            worker->avoid_until = now + 5 * refusal_pause;
+        }
+        propose_end(run, run_never, "", "worker_gone");
+        break;
+    case order_result::expired:
+        refuse("lease_expired", milliseconds(0));
+        break;
+    case order_result::bad_ticket:
+        refuse("bad_ticket", milliseconds(0));
+        break;
+    case order_result::invalid:
+        refuse("invalid_order", refusal_pause);
+        break;
+    }
+}
+
+void worker_fleet::send_stop(live_run& run, time_point now)
+{
+    if (run.end_proposed || run.phase == run_phase::proposed || run.stop_sent ||
+        run.stop_acknowledged)
+    {
+        return;
+    }
+    if (run.phase == run_phase::committed)
+    {
+        propose_end(run, run_never, "", "stopped_before_start");
+        return;
+    }
+    const auto found = workers_.find(run.where.worker);
+    if (found == workers_.end())
+    {
+        propose_end(run, run_lapsed, "", "worker_gone");
+        return;
+    }
+    run.stop_sent = true;
+    run.since = now;
+    const auto key = key_of(run.ref);
+    port_.stop(found->second.record, run.ref, epoch_,
+               [this, key,
+                alive = std::weak_ptr<int>(alive_)](const order_answer& answer)
+               {
+                   if (!alive.expired())
+                   {
+                       on_stop_answer(key, answer, clock_());
+                   }
+               });
+}
+
+void worker_fleet::on_stop_answer(const std::string& key,
+                                  const order_answer& answer, time_point now)
+{
+    const auto found = runs_.find(key);
+    if (found == runs_.end() || found->second.end_proposed)
+    {
+        return;
+    }
+    auto& run = found->second;
+    auto* const worker = session_of(run.where);
+    if (worker != nullptr)
+    {
+        worker->clock.sample(answer.clock_ms, now);
+    }
+    if (answer.result == order_result::newer_epoch)
+    {
+        deposed_ = true;
+        return;
+    }
+    if (answer.result == order_result::accepted ||
+        answer.result == order_result::old_run ||
+        answer.result == order_result::invalid)
+    {
+        run.stop_acknowledged = true;
+        run.since = now;
+        if (run.displaced)
+        {
+            propose_end(run, run_never, "", "displaced");
+        }
+        return;
+    }
+    run.stop_sent = false; // Sent again by `advance`.
+    run.since = now;
+}
+
+// Repeats stops that were not acknowledged, and asks for the lists of workers
+// that should have listed the end of a stopped run.
+void worker_fleet::retry_stops(time_point now)
+{
+    std::set<std::string> looks;
+    for (const auto& key : stopping_)
+    {
+        auto& run = runs_.at(key);
+        if (now - run.since >= order_retry_delay)
+        {
+            send_stop(run, now);
+        }
+        // A run that was there is listed as ended by now.
+        if (run.stop_acknowledged && !run.end_proposed && !run.displaced &&
+            now - run.since >= options_.stop_time &&
+            now - run.looked_at >= look_interval)
+        {
+            run.looked_at = now;
+            looks.insert(run.where.worker);
+        }
+    }
+    for (const auto& id : looks)
+    {
+        if (const auto found = workers_.find(id); found != workers_.end())
+        {
+            look(found->second, now);
+        }
+    }
+}
+
+} // namespace limpetstack::fleet
--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -486,9 +486,8 @@
     work();
 }
 
-void core_node::note_sighting(const hello& from, const ping& message)
+void core_node::note_sighting(const hello& from)
 {
-    (void)message;
     if (!from.core())
     {
         return;
@@ -510,7 +509,7 @@
     {
     case peer_frame::kPing:
     {
-        note_sighting(frame.ping().from(), frame.ping());
+        note_sighting(frame.ping().from());
         const bool known = std::any_of(subscribers_.begin(), subscribers_.end(),
                                        [&](const auto& item)
                                        {
--- a/src/daemon/fleet/core_node.hpp
+++ b/src/daemon/fleet/core_node.hpp
@@ -68,7 +68,7 @@
     void on_link_frame(const peer_frame& frame);
     void on_consensus(const wire::consensus_message& message);
     void send_message(const wire::consensus_message& message);
-    void note_sighting(const hello& from, const ping& message);
+    void note_sighting(const hello& from);
     void follow_leadership();
     void begin_leadership();
     void work();
--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -1,5 +1,7 @@
 #include "support/model_workers.hpp"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -34,8 +36,7 @@
 
 std::string model_workers::subtask_of(const run_ref& run)
 {
-    return run.job() + "." + std::to_string(run.step()) + "." +
-           std::to_string(run.index());
+    return absl::StrCat(run.job(), ".", run.step(), ".", run.index());
 }
 
 order_result model_workers::start(const std::string& id,
