--- a/test/http_channel-test.cpp
+++ b/test/http_channel-test.cpp
@@ -28,17 +28,18 @@
 protected:
     http_channel_test()
         : address(free_address(io))
-        , server(io, "X-Deadline-Ms",
-                 [this](http_server_request request, http_responder respond)
-                 {
-                     targets.push_back(request.target);
-                     if (request.target == "/silent")
-                     {
-                         kept.push_back(std::move(respond));
-                         return;
-                     }
-                     respond({200, request.target, 0});
-                 })
+        , server(
+              io, "X-Deadline-Ms",
+              [this](const http_server_request& request, http_responder respond)
+              {
+                  targets.push_back(request.target);
+                  if (request.target == "/silent")
+                  {
+                      kept.push_back(std::move(respond));
+                      return;
+                  }
+                  respond({200, request.target, 0});
+              })
     {
         EXPECT_TRUE(server.listen(address));
     }
--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -72,8 +72,8 @@
         {
             if (subtask_of(item.run) == subtask)
             {
-                violations.push_back("two runs of " + subtask + " on " + id +
-                                     " and " + other);
+                violations.push_back(absl::StrCat("two runs of ", subtask,
+                                                  " on ", id, " and ", other));
             }
         }
     }
