--- a/test/programs/fleet-soak.cpp
+++ b/test/programs/fleet-soak.cpp
@@ -434,7 +434,19 @@
         return EXIT_FAILURE;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    // Hosts must not find the state of an earlier run.
     std::filesystem::create_directories(argv[3]);
-    soak run(static_cast<unsigned>(std::atoi(argv[2])), argv[3]);
-    return run.run(std::atoi(argv[1]));
+    std::string folder = std::string(argv[3]) + "/soak-XXXXXX";
+    if (mkdtemp(folder.data()) == nullptr)
+    {
+        std::perror(folder.c_str());
+        return EXIT_FAILURE;
+    }
+    soak run(static_cast<unsigned>(std::atoi(argv[2])), folder);
+    const int code = run.run(std::atoi(argv[1]));
+    if (code == EXIT_SUCCESS)
+    {
+        std::filesystem::remove_all(folder);
+    }
+    return code;
 }
