Use the product's own names for leases, ends and allowances; share repeated code

The interface to outside formats holds lease_end_ms, noted_end, allowance_ms and worker_time_ms; only platform/ knows the names on the wire. Callbacks, holds and test set-ups that stood twice are functions.

--- a/src/coordination/fleet/fleet_rooms.cpp
+++ b/src/coordination/fleet/fleet_rooms.cpp
@@ -65,7 +65,7 @@
     request.filler = spec.filler();
     request.serves_users = spec.tail_latency_ms() > 0;
     const auto estimate = static_cast<double>(spec.estimate_ms());
-    const auto allowance = static_cast<double>(item.queue.slo_ms);
+    const auto allowance = static_cast<double>(item.queue.allowance_ms);
     auto patience =
         near_patience * ((item.queue.stretch - 1) * estimate + allowance);
     if (item.queue.priority == 0)
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -84,7 +84,7 @@
     queue.priority = job.job.priority();
     queue.attempts = std::max(job.job.attempts(), 1U);
     queue.stretch = job.job.stretch();
-    queue.slo_ms = job.job.slo_ms();
+    queue.allowance_ms = job.job.allowance_ms();
     return queue;
 }
 
--- a/src/coordination/fleet/fleet_service.cpp
+++ b/src/coordination/fleet/fleet_service.cpp
@@ -268,7 +268,7 @@
     job.set_priority(queue.priority);
     job.set_attempts(queue.attempts);
     job.set_stretch(queue.stretch);
-    job.set_slo_ms(queue.slo_ms);
+    job.set_allowance_ms(queue.allowance_ms);
     *job.mutable_spec() = std::move(*spec);
     propose(std::move(command), done,
             [id, queue = queue.name, account,
--- a/src/coordination/fleet/lease_clock.hpp
+++ b/src/coordination/fleet/lease_clock.hpp
@@ -24,11 +24,12 @@
 
     /// Notes a reading that arrived at `now`. An older reading that arrives
     /// late is ignored.
-    void sample(std::int64_t clock_ms, time_point now)
+    void sample(std::int64_t worker_time_ms, time_point now)
     {
-        if (clock_ms > 0 && (!reading_ || clock_ms >= reading_->clock_ms))
+        if (worker_time_ms > 0 &&
+            (!reading_ || worker_time_ms >= reading_->worker_time_ms))
         {
-            reading_ = reading{clock_ms, now};
+            reading_ = reading{worker_time_ms, now};
         }
     }
 
@@ -38,13 +39,15 @@
     /// alike; 0 without a reading.
     std::int64_t worker_time(time_point now) const
     {
-        return reading_ ? reading_->clock_ms + (now - reading_->at).count() : 0;
+        return reading_
+                   ? reading_->worker_time_ms + (now - reading_->at).count()
+                   : 0;
     }
 
     /// Notes a grant that was sent at `now`, answered or not.
-    void grant(std::int64_t until_ms)
+    void grant(std::int64_t lease_end_ms)
     {
-        granted_until_ = std::max(granted_until_, until_ms);
+        granted_end_ = std::max(granted_end_, lease_end_ms);
     }
 
     /// Notes that an earlier leader may have granted a lease until now.
@@ -59,10 +62,10 @@
         {
             latest = *inherited_ + stretched(max_lease_.count());
         }
-        if (granted_until_ > 0 && reading_)
+        if (granted_end_ > 0 && reading_)
         {
-            const auto left =
-                std::max<std::int64_t>(granted_until_ - reading_->clock_ms, 0);
+            const auto left = std::max<std::int64_t>(
+                granted_end_ - reading_->worker_time_ms, 0);
             const auto at = reading_->at + stretched(left);
             latest = latest ? std::max(*latest, at) : at;
         }
@@ -72,7 +75,7 @@
 private:
     struct reading
     {
-        std::int64_t clock_ms = 0;
+        std::int64_t worker_time_ms = 0;
         time_point at;
     };
 
@@ -89,7 +92,7 @@
     double slowness_;
     milliseconds max_lease_;
     std::optional<reading> reading_;
-    std::int64_t granted_until_ = 0;
+    std::int64_t granted_end_ = 0;
     std::optional<time_point> inherited_;
 };
 
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -247,7 +247,7 @@
     }
     worker->last_sequence = report.sequence;
     worker->last_report = now;
-    worker->clock.sample(report.clock_ms, now);
+    worker->clock.sample(report.worker_time_ms, now);
 }
 
 void worker_fleet::on_applied(const fleet_command& command, applied result,
@@ -289,7 +289,7 @@
             worker->pending_ends.erase(key);
             if (worker->pending_ends.empty())
             {
-                worker->last_seen = worker->listed_end;
+                worker->noted_end = worker->listed_end;
             }
         }
         if (run.gang && command.end().end() != run_done)
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -104,7 +104,7 @@
     std::size_t serving = 0;    // Live runs with a tail latency to keep.
     std::uint64_t last_sequence = 0;
     time_point last_report;
-    std::uint64_t last_seen = 0;        // Ends up to this number are committed.
+    std::uint64_t noted_end = 0;        // Ends up to this number are committed.
     std::uint64_t listed_end = 0;       // Highest number in the last lists.
     std::uint64_t acknowledged_end = 0; // Last number the worker was told.
     std::set<std::string> pending_ends; // Listed, proposed, not committed.
@@ -186,6 +186,14 @@
     void send_stop(live_run& run, time_point now);
     void on_stop_answer(const std::string& key, const order_answer& answer,
                         time_point now);
+    using order_handler = void (worker_fleet::*)(const std::string&,
+                                                 const order_answer&,
+                                                 time_point);
+    std::function<void(const order_answer&)> answer_to(const std::string& key,
+                                                       order_handler handler);
+    hold_order hold_for(const worker_session& worker) const;
+    std::function<void(const hold_answer&)>
+    lists_to(const worker_session& worker, bool is_hold, time_point sent);
     void hold(worker_session& worker, time_point now);
     void look(worker_session& worker, time_point now);
     void on_lists(const incarnation& where, const hold_answer& answer,
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -23,54 +23,55 @@
 
 } // namespace
 
-void worker_fleet::hold(worker_session& worker, time_point now)
+hold_order worker_fleet::hold_for(const worker_session& worker) const
 {
-    worker.holding = true;
     hold_order order;
     order.worker = worker.record.id();
     order.epoch = epoch_;
-    order.last_seen = worker.last_seen;
+    order.noted_end = worker.noted_end;
+    return order;
+}
+
+// Returns a callback that takes the lists, unless this leadership is over by
+// then.
+std::function<void(const hold_answer&)>
+worker_fleet::lists_to(const worker_session& worker, bool is_hold,
+                       time_point sent)
+{
+    const incarnation where{worker.record.id(), worker.record.born_ms()};
+    return [this, where, is_hold, sent, told = worker.noted_end,
+            alive = std::weak_ptr<int>(alive_)](const hold_answer& answer)
+    {
+        if (!alive.expired())
+        {
+            on_lists(where, answer, sent, told, is_hold, clock_());
+        }
+    };
+}
+
+void worker_fleet::hold(worker_session& worker, time_point now)
+{
+    worker.holding = true;
+    auto order = hold_for(worker);
     // A worker that does not answer must not be granted more time: its runs end
     // for this leader when the last grant is over.
     if (!worker.runs.empty() && worker.clock.known() &&
         worker.hold_failures == 0)
     {
-        order.until_ms = lease_end(worker, now);
+        order.lease_end_ms = lease_end(worker, now);
     }
     if (!worker.runs.empty() && worker.confirmed && worker.hold_failures == 0)
     {
         const bool unsteady = now < worker.unsteady_until;
-        order.wait_ms =
+        order.longest_wait_ms =
             (unsteady ? unsteady_hold_wait : options_.hold_wait).count();
     }
-    const incarnation where{worker.record.id(), worker.record.born_ms()};
-    port_.hold(worker.record, order,
-               [this, where, now, told = order.last_seen,
-                alive = std::weak_ptr<int>(alive_)](const hold_answer& answer)
-               {
-                   if (!alive.expired())
-                   {
-                       on_lists(where, answer, now, told, true, clock_());
-                   }
-               });
+    port_.hold(worker.record, order, lists_to(worker, true, now));
 }
 
 void worker_fleet::look(worker_session& worker, time_point now)
 {
-    hold_order order;
-    order.worker = worker.record.id();
-    order.epoch = epoch_;
-    order.last_seen = worker.last_seen;
-    const incarnation where{worker.record.id(), worker.record.born_ms()};
-    port_.look(worker.record, order,
-               [this, where, now, told = order.last_seen,
-                alive = std::weak_ptr<int>(alive_)](const hold_answer& answer)
-               {
-                   if (!alive.expired())
-                   {
-                       on_lists(where, answer, now, told, false, clock_());
-                   }
-               });
+    port_.look(worker.record, hold_for(worker), lists_to(worker, false, now));
 }
 
 void worker_fleet::on_lists(const incarnation& where, const hold_answer& answer,
@@ -116,7 +117,7 @@
     worker->hold_failures = 0;
     worker->last_answer = now;
     worker->acknowledged_end = std::max(worker->acknowledged_end, told);
-    worker->clock.sample(answer.lists.clock_ms, now);
+    worker->clock.sample(answer.lists.worker_time_ms, now);
     std::set<std::string> seen;
     take_ended(*worker, answer.lists, seen);
     take_running(*worker, answer.lists, seen, now);
@@ -128,7 +129,7 @@
     }
     if (worker->pending_ends.empty())
     {
-        worker->last_seen = worker->listed_end;
+        worker->noted_end = worker->listed_end;
     }
 }
 
@@ -232,7 +233,7 @@
 bool worker_fleet::needs_hold(const worker_session& worker) const
 {
     return !worker.holding && worker.pending_ends.empty() &&
-           (!worker.confirmed || worker.acknowledged_end < worker.last_seen ||
+           (!worker.confirmed || worker.acknowledged_end < worker.noted_end ||
             std::any_of(worker.runs.begin(), worker.runs.end(),
                         [this](const std::string& key)
                         {
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -146,7 +146,7 @@
     order.run = run.ref;
     order.worker = worker.record.id();
     order.payload = job->job.spec().payload();
-    order.until_ms = lease_end(worker, now);
+    order.lease_end_ms = lease_end(worker, now);
     order.epoch = epoch_;
     order.checkpoint = run.gang ? step->checkpoint : subtask->checkpoint;
     const auto key = key_of(run.ref);
@@ -156,18 +156,26 @@
                   {{"job", run.ref.job()},
                    {"run", key},
                    {"worker", worker.record.id()},
-                   {"until_ms", absl::StrCat(order.until_ms)},
+                   {"lease_end_ms", absl::StrCat(order.lease_end_ms)},
                    {"epoch", absl::StrCat(epoch_)}});
     }
     port_.start(worker.record, order,
-                [this, key,
-                 alive = std::weak_ptr<int>(alive_)](const order_answer& answer)
-                {
-                    if (!alive.expired())
-                    {
-                        on_start_answer(key, answer, clock_());
-                    }
-                });
+                answer_to(key, &worker_fleet::on_start_answer));
+}
+
+// Returns a callback that calls `handler` for the run, unless this leadership
+// is over by then.
+std::function<void(const order_answer&)>
+worker_fleet::answer_to(const std::string& key, order_handler handler)
+{
+    return [this, key, handler,
+            alive = std::weak_ptr<int>(alive_)](const order_answer& answer)
+    {
+        if (!alive.expired())
+        {
+            (this->*handler)(key, answer, clock_());
+        }
+    };
 }
 
 void worker_fleet::on_start_answer(const std::string& key,
@@ -187,7 +195,7 @@
                               static_cast<double>((now - run.since).count()));
     if (worker != nullptr)
     {
-        worker->clock.sample(answer.clock_ms, now);
+        worker->clock.sample(answer.worker_time_ms, now);
     }
     const auto refuse = [&](const char* reason, milliseconds pause)
     {
@@ -287,16 +295,8 @@
     }
     run.stop_sent = true;
     run.since = now;
-    const auto key = key_of(run.ref);
     port_.stop(found->second.record, run.ref, epoch_,
-               [this, key,
-                alive = std::weak_ptr<int>(alive_)](const order_answer& answer)
-               {
-                   if (!alive.expired())
-                   {
-                       on_stop_answer(key, answer, clock_());
-                   }
-               });
+               answer_to(key_of(run.ref), &worker_fleet::on_stop_answer));
 }
 
 void worker_fleet::on_stop_answer(const std::string& key,
@@ -311,7 +311,7 @@
     auto* const worker = session_of(run.where);
     if (worker != nullptr)
     {
-        worker->clock.sample(answer.clock_ms, now);
+        worker->clock.sample(answer.worker_time_ms, now);
     }
     if (answer.result == order_result::newer_epoch)
     {
--- a/src/protocol/external_protocol.hpp
+++ b/src/protocol/external_protocol.hpp
@@ -31,10 +31,10 @@
     std::string service;
     std::int64_t priority = 0; // 0 is the most urgent.
     std::uint32_t attempts = 1;
-    double stretch = 1;          // Objective as a multiple of the work.
-    std::int64_t slo_ms = 0;     // Added to the objective.
-    std::int64_t timeout_ms = 0; // Of one call.
-    bool public_access = false;  // Callers need no key.
+    double stretch = 1;            // Objective as a multiple of the work.
+    std::int64_t allowance_ms = 0; // Added to the objective.
+    std::int64_t timeout_ms = 0;   // Of one call.
+    bool public_access = false;    // Callers need no key.
     std::optional<advice_policy> advice;
 };
 
@@ -76,8 +76,8 @@
 {
     worker_record worker;
     std::uint64_t sequence = 0;
-    std::int64_t clock_ms = 0;     // The worker's steady clock when sent.
-    std::int64_t remaining_ms = 0; // While draining: at least this long.
+    std::int64_t worker_time_ms = 0; // The worker's steady clock when sent.
+    std::int64_t remaining_ms = 0;   // While draining: at least this long.
 };
 
 /// A run that a worker lists as present.
@@ -100,7 +100,7 @@
 
 struct worker_lists
 {
-    std::int64_t clock_ms = 0;
+    std::int64_t worker_time_ms = 0;
     std::int64_t born_ms = 0; // 0 when the worker did not say.
     std::vector<listed_run> running;
     std::vector<listed_end> ended;
@@ -127,7 +127,7 @@
 struct order_answer
 {
     order_result result = order_result::unknown;
-    std::int64_t clock_ms = 0; // 0 when the answer holds none.
+    std::int64_t worker_time_ms = 0; // 0 when the answer holds none.
 };
 
 /// An HTTP request to a worker or to another outside system.
@@ -144,7 +144,7 @@
     run_ref run;
     std::string worker;
     std::string payload;
-    std::int64_t until_ms = 0; // On the worker's clock.
+    std::int64_t lease_end_ms = 0; // On the worker's clock.
     std::uint64_t epoch = 0;
     std::string checkpoint;
     std::string ticket;
@@ -154,9 +154,10 @@
 {
     std::string worker;
     std::uint64_t epoch = 0;
-    std::uint64_t last_seen = 0;
-    std::optional<std::int64_t> until_ms; // Nothing: the lease stays as it is.
-    std::int64_t wait_ms = 0;
+    std::uint64_t noted_end = 0;
+    std::optional<std::int64_t>
+        lease_end_ms; // Nothing: the lease stays as it is.
+    std::int64_t longest_wait_ms = 0;
 };
 
 /// What a call on the control interface asks for.
--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -94,16 +94,10 @@
                                [self = shared_from_this(),
                                 stream = stream_](beast::error_code error)
                                {
-                                   if (self->stream_ != stream)
+                                   if (self->ends(stream, error, false))
                                    {
                                        return;
                                    }
-                                   if (error)
-                                   {
-                                       self->stream_.reset();
-                                       self->finish({0, "", false});
-                                       return;
-                                   }
                                    beast::error_code ignored;
                                    stream->socket().set_option(
                                        tcp::no_delay(true), ignored);
@@ -118,16 +112,10 @@
                           [self = shared_from_this(), stream = stream_](
                               beast::error_code error, std::size_t)
                           {
-                              if (self->stream_ != stream)
+                              if (self->ends(stream, error, true))
                               {
                                   return;
                               }
-                              if (error)
-                              {
-                                  self->stream_.reset();
-                                  self->finish({});
-                                  return;
-                              }
                               self->read();
                           });
     }
@@ -140,16 +128,10 @@
                          [self = shared_from_this(), stream = stream_](
                              beast::error_code error, std::size_t)
                          {
-                             if (self->stream_ != stream)
+                             if (self->ends(stream, error, true))
                              {
                                  return;
                              }
-                             if (error)
-                             {
-                                 self->stream_.reset();
-                                 self->finish({});
-                                 return;
-                             }
                              auto& answer = self->parser_->get();
                              if (answer.keep_alive())
                              {
@@ -164,6 +146,24 @@
                          });
     }
 
+    // Returns true when the callback of an operation has nothing more to do:
+    // its connection was given up, or `error` ends the call.
+    bool ends(const std::shared_ptr<beast::tcp_stream>& stream,
+              beast::error_code error, bool sent)
+    {
+        if (stream_ != stream)
+        {
+            return true;
+        }
+        if (error)
+        {
+            stream_.reset();
+            finish({0, "", sent});
+            return true;
+        }
+        return false;
+    }
+
     void finish(const http_channel_answer& answer)
     {
         if (abandoned_ || calls_.empty())
--- a/test/explain-test.cpp
+++ b/test/explain-test.cpp
@@ -26,6 +26,22 @@
     "time=2026-01-01T00:00:04.000 level=INFO host=c event=call_refused "
     "target=/q/aa status=504\n";
 
+struct explained
+{
+    exit_code code = exit_code::done;
+    std::string out;
+    std::string errors;
+};
+
+explained explain_lines(const std::string& id, bool json)
+{
+    std::istringstream input(lines);
+    std::ostringstream out;
+    std::ostringstream errors;
+    const auto code = explain(id, {}, json, input, out, errors);
+    return {code, out.str(), errors.str()};
+}
+
 TEST(explain, quoted_values_are_read_whole)
 {
     const auto record = parse_log_line(
@@ -41,11 +57,9 @@
 // workers meanwhile belongs to it, other jobs and other times do not.
 TEST(explain, timeline_holds_the_job_and_what_happened_around_it)
 {
-    std::istringstream input(lines);
-    std::ostringstream out;
-    std::ostringstream errors;
-    EXPECT_EQ(explain("aa", {}, false, input, out, errors), exit_code::done);
-    const auto text = out.str();
+    const auto result = explain_lines("aa", false);
+    EXPECT_EQ(result.code, exit_code::done);
+    const auto text = result.out;
     const auto accepted = text.find("job_accepted");
     const auto began = text.find("leadership_began  term=3");
     const auto avoided = text.find("worker_avoided");
@@ -62,20 +76,16 @@
 
 TEST(explain, unknown_id_is_an_error)
 {
-    std::istringstream input(lines);
-    std::ostringstream out;
-    std::ostringstream errors;
-    EXPECT_EQ(explain("zz", {}, false, input, out, errors), exit_code::refused);
-    EXPECT_NE(errors.str().find("none of 7 log lines"), std::string::npos);
+    const auto result = explain_lines("zz", false);
+    EXPECT_EQ(result.code, exit_code::refused);
+    EXPECT_NE(result.errors.find("none of 7 log lines"), std::string::npos);
 }
 
 TEST(explain, json_has_one_object_a_line)
 {
-    std::istringstream input(lines);
-    std::ostringstream out;
-    std::ostringstream errors;
-    EXPECT_EQ(explain("aa", {}, true, input, out, errors), exit_code::done);
-    EXPECT_NE(out.str().find("\"event\":\"job_accepted\""), std::string::npos);
+    const auto result = explain_lines("aa", true);
+    EXPECT_EQ(result.code, exit_code::done);
+    EXPECT_NE(result.out.find("\"event\":\"job_accepted\""), std::string::npos);
 }
 
 } // namespace
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -22,11 +22,28 @@
         bed.port.holds.pop_front();
         hold_answer answer;
         answer.result = order_result::accepted;
-        answer.lists.clock_ms = bed.worker_clock();
+        answer.lists.worker_time_ms = bed.worker_clock();
         hold.done(answer);
     }
 }
 
+// Adds a worker that has answered its leader.
+void add_ready_worker(fleet_bed& bed, const std::string& id,
+                      const std::string& rack)
+{
+    bed.add_worker(id, rack);
+    confirm_workers(bed);
+}
+
+// Answers every start that was sent as accepted.
+void accept_starts(fleet_bed& bed)
+{
+    for (auto& start : bed.port.starts)
+    {
+        start.done({order_result::accepted, bed.worker_clock()});
+    }
+}
+
 // Ends a run that was started, as its worker would list it.
 void end_run(fleet_bed& bed, const run_ref& run, run_end end)
 {
@@ -45,8 +62,7 @@
 TEST(fleet_scheduler, later_step_waits_for_the_earlier_one)
 {
     fleet_bed bed;
-    bed.add_worker("w1", "r1");
-    confirm_workers(bed);
+    add_ready_worker(bed, "w1", "r1");
     fleet_command command;
     auto& job = *command.mutable_accept();
     job.set_id("job");
@@ -69,8 +85,7 @@
 TEST(fleet_scheduler, job_fails_after_its_attempts)
 {
     fleet_bed bed;
-    bed.add_worker("w1", "r1");
-    confirm_workers(bed);
+    add_ready_worker(bed, "w1", "r1");
     bed.submit("job", make_step(1, 1));
     bed.schedule();
     end_run(bed, make_run("job", 0, 1), run_failed);
@@ -85,8 +100,7 @@
 TEST(fleet_scheduler, timed_job_waits_for_its_time)
 {
     fleet_bed bed;
-    bed.add_worker("w1", "r1");
-    confirm_workers(bed);
+    add_ready_worker(bed, "w1", "r1");
     fleet_command command;
     auto& job = *command.mutable_accept();
     job.set_id("job");
@@ -110,27 +124,34 @@
     EXPECT_EQ(bed.port.starts.size(), 2U);
 }
 
-// Guards against a guarantee that waits for less urgent work to end.
-TEST(fleet_scheduler, guaranteed_work_reclaims_its_room)
+// Fills a worker with eight subtasks of the lowest queue.
+void start_low_work(fleet_bed& bed, const std::string& worker)
 {
-    fleet_bed bed;
-    bed.add_worker("w1", "r1");
-    confirm_workers(bed);
+    add_ready_worker(bed, worker, "r1");
     bed.submit("low", make_step(8, 1), "low");
     bed.schedule();
     ASSERT_EQ(bed.port.starts.size(), 8U);
-    for (auto& start : bed.port.starts)
+    accept_starts(bed);
+}
+
+void end_low_work(fleet_bed& bed)
+{
+    for (std::uint32_t i = 0; i < 8; ++i)
     {
-        start.done({order_result::accepted, bed.worker_clock()});
+        end_run(bed, make_run("low", i, 1), run_stopped);
     }
+}
+
+// Guards against a guarantee that waits for less urgent work to end.
+TEST(fleet_scheduler, guaranteed_work_reclaims_its_room)
+{
+    fleet_bed bed;
+    start_low_work(bed, "w1");
     bed.submit("urgent", make_step(1, 8, true), "urgent");
     bed.schedule();
     EXPECT_EQ(bed.port.stops.size(), 8U);
     EXPECT_EQ(bed.port.starts.size(), 8U);
-    for (std::uint32_t i = 0; i < 8; ++i)
-    {
-        end_run(bed, make_run("low", i, 1), run_stopped);
-    }
+    end_low_work(bed);
     bed.schedule();
     ASSERT_EQ(bed.port.starts.size(), 9U);
     EXPECT_EQ(bed.port.starts.back().order.run.job(), "urgent");
@@ -141,17 +162,8 @@
 TEST(fleet_scheduler, reclaimed_room_is_waited_for)
 {
     fleet_bed bed;
-    bed.add_worker("near", "r1");
-    confirm_workers(bed);
-    bed.submit("low", make_step(8, 1), "low");
-    bed.schedule();
-    for (auto& start : bed.port.starts)
-    {
-        start.done({order_result::accepted, bed.worker_clock()});
-    }
-    ASSERT_EQ(bed.port.starts.size(), 8U);
-    bed.add_worker("far", "r2");
-    confirm_workers(bed);
+    start_low_work(bed, "near");
+    add_ready_worker(bed, "far", "r2");
     auto step = make_step(1, 8, true);
     step.set_preferred_rack("r1");
     step.set_estimate_ms(100);
@@ -163,10 +175,7 @@
     bed.report("far");
     bed.schedule();
     EXPECT_EQ(bed.port.starts.size(), 8U);
-    for (std::uint32_t i = 0; i < 8; ++i)
-    {
-        end_run(bed, make_run("low", i, 1), run_stopped);
-    }
+    end_low_work(bed);
     bed.schedule();
     ASSERT_GE(bed.port.starts.size(), 9U);
     EXPECT_EQ(bed.port.starts[8].order.worker, "near");
@@ -176,8 +185,7 @@
 TEST(fleet_scheduler, capacity_is_never_exceeded)
 {
     fleet_bed bed;
-    bed.add_worker("w1", "r1");
-    confirm_workers(bed);
+    add_ready_worker(bed, "w1", "r1");
     bed.submit("a", make_step(5, 3));
     bed.schedule();
     EXPECT_EQ(bed.port.starts.size(), 2U);
@@ -187,15 +195,11 @@
 TEST(fleet_scheduler, cancelled_job_is_stopped)
 {
     fleet_bed bed;
-    bed.add_worker("w1", "r1");
-    confirm_workers(bed);
+    add_ready_worker(bed, "w1", "r1");
     bed.submit("job", make_step(9, 1));
     bed.schedule();
     ASSERT_EQ(bed.port.starts.size(), 8U);
-    for (auto& start : bed.port.starts)
-    {
-        start.done({order_result::accepted, bed.worker_clock()});
-    }
+    accept_starts(bed);
     fleet_command cancel;
     cancel.mutable_cancel()->set_job("job");
     bed.apply(cancel);
@@ -204,15 +208,20 @@
     EXPECT_EQ(bed.port.starts.size(), 8U);
 }
 
+// Starts a job of one subtask on one worker, which takes the start.
+void start_one_run(fleet_bed& bed)
+{
+    add_ready_worker(bed, "w1", "r1");
+    bed.submit("job", make_step(1, 1));
+    bed.schedule();
+    accept_starts(bed);
+}
+
 // Guards against stopping a run only because its worker's answers were lost.
 TEST(fleet_scheduler, silence_of_a_worker_is_no_stall)
 {
     fleet_bed bed;
-    bed.add_worker("w1", "r1");
-    confirm_workers(bed);
-    bed.submit("job", make_step(1, 1));
-    bed.schedule();
-    bed.port.starts.front().done({order_result::accepted, bed.worker_clock()});
+    start_one_run(bed);
     bed.pass(milliseconds(5500));
     bed.schedule();
     EXPECT_TRUE(bed.port.stops.empty());
@@ -223,8 +232,7 @@
 {
     fleet_bed bed;
     bed.add_worker("w1", "r1");
-    bed.add_worker("w2", "r1");
-    confirm_workers(bed);
+    add_ready_worker(bed, "w2", "r1");
     auto serving = make_step(1, 1);
     serving.set_lasting(true);
     serving.set_tail_latency_ms(50);
@@ -253,11 +261,7 @@
 TEST(fleet_scheduler, listed_run_without_progress_is_stopped)
 {
     fleet_bed bed;
-    bed.add_worker("w1", "r1");
-    confirm_workers(bed);
-    bed.submit("job", make_step(1, 1));
-    bed.schedule();
-    bed.port.starts.front().done({order_result::accepted, bed.worker_clock()});
+    start_one_run(bed);
     for (int i = 0; i < 12 && bed.port.stops.empty(); ++i)
     {
         bed.pass(milliseconds(500));
@@ -267,7 +271,7 @@
             bed.port.holds.pop_front();
             hold_answer answer;
             answer.result = order_result::accepted;
-            answer.lists.clock_ms = bed.worker_clock();
+            answer.lists.worker_time_ms = bed.worker_clock();
             answer.lists.running.push_back({make_run("job", 0, 1), "", 10, 0});
             hold.done(answer);
             bed.commit();
@@ -282,8 +286,7 @@
 TEST(fleet_scheduler, lasting_step_starts_again)
 {
     fleet_bed bed;
-    bed.add_worker("w1", "r1");
-    confirm_workers(bed);
+    add_ready_worker(bed, "w1", "r1");
     auto step = make_step(1, 1);
     step.set_lasting(true);
     bed.submit("job", step);
--- a/test/support/fleet_bed.cpp
+++ b/test/support/fleet_bed.cpp
@@ -19,7 +19,7 @@
         queue.priority = priority;
         queue.attempts = 2;
         queue.stretch = 3;
-        queue.slo_ms = 1000;
+        queue.allowance_ms = 1000;
         document.queues.push_back(queue);
     };
     add_queue("urgent", 0);
@@ -103,7 +103,7 @@
 {
     worker_report report;
     report.worker = state.workers().at(id);
-    report.clock_ms = worker_clock();
+    report.worker_time_ms = worker_clock();
     report.sequence = static_cast<std::uint64_t>(worker_clock());
     workers->note_report(report, now);
 }
--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -49,9 +49,9 @@
     }
     worker.epoch = order.epoch;
     const auto clock = bed_.worker_clock();
-    const auto until = std::min(order.until_ms, clock + max_lease_ms);
+    const auto until = std::min(order.lease_end_ms, clock + max_lease_ms);
     const auto key = worker_fleet::key_of(order.run);
-    if (order.until_ms <= clock)
+    if (order.lease_end_ms <= clock)
     {
         return order_result::expired;
     }
@@ -138,15 +138,15 @@
     }
     worker.epoch = order.epoch;
     const auto clock = bed_.worker_clock();
-    if (order.until_ms)
+    if (order.lease_end_ms)
     {
         worker.lease_until =
             std::max(worker.lease_until,
-                     std::min(*order.until_ms, clock + max_lease_ms));
+                     std::min(*order.lease_end_ms, clock + max_lease_ms));
     }
     for (const auto& item : worker.ended)
     {
-        if (item.number <= order.last_seen && item.end == run_done &&
+        if (item.number <= order.noted_end && item.end == run_done &&
             item.number > worker.lapsed_ends)
         {
             noted_done_.insert(subtask_of(item.run));
@@ -155,11 +155,11 @@
     worker.ended.erase(std::remove_if(worker.ended.begin(), worker.ended.end(),
                                       [&](const listed_end& item)
                                       {
-                                          return item.number <= order.last_seen;
+                                          return item.number <= order.noted_end;
                                       }),
                        worker.ended.end());
     answer.result = order_result::accepted;
-    answer.lists.clock_ms = clock;
+    answer.lists.worker_time_ms = clock;
     answer.lists.born_ms = 1;
     for (const auto& [key, run] : worker.runs)
     {
@@ -205,67 +205,63 @@
     }
 }
 
+// Carries an order out and answers it, or tells after a while that there was no
+// answer.
+void model_workers::take_order(const std::string& id,
+                               const std::function<order_result()>& carry_out,
+                               const fake_worker_port::order_callback& done)
+{
+    const auto result = std::make_shared<order_answer>();
+    bool answered = false;
+    deliver(
+        id,
+        [this, carry_out, result]
+        {
+            result->result = carry_out();
+            result->worker_time_ms = bed_.worker_clock();
+        },
+        [&answered]
+        {
+            answered = true;
+        });
+    if (answered)
+    {
+        done(*result);
+        return;
+    }
+    later_.push_back({bed_.now + answer_timeout, [done]
+                      {
+                          done({});
+                      }});
+}
+
 void model_workers::take_orders()
 {
     auto& port = bed_.port;
     for (auto& item : std::exchange(port.starts, {}))
     {
-        const auto result = std::make_shared<order_answer>();
-        const auto answered = std::make_shared<bool>(false);
         if (chance(faults.refused))
         {
             item.done({order_result::unhealthy, bed_.worker_clock()});
             continue;
         }
-        deliver(
+        take_order(
             item.order.worker,
-            [this, order = item.order, result]
+            [this, order = item.order]
             {
-                result->result = start(order.worker, order);
-                result->clock_ms = bed_.worker_clock();
+                return start(order.worker, order);
             },
-            [&]
-            {
-                *answered = true;
-            });
-        if (*answered)
-        {
-            item.done(*result);
-        }
-        else
-        {
-            later_.push_back({bed_.now + answer_timeout, [done = item.done]
-                              {
-                                  done({});
-                              }});
-        }
+            item.done);
     }
     for (auto& item : std::exchange(port.stops, {}))
     {
-        const auto result = std::make_shared<order_answer>();
-        const auto answered = std::make_shared<bool>(false);
-        deliver(
+        take_order(
             item.worker,
-            [this, id = item.worker, run = item.run, epoch = bed_.epoch, result]
+            [this, id = item.worker, run = item.run, epoch = bed_.epoch]
             {
-                result->result = stop(id, run, epoch);
-                result->clock_ms = bed_.worker_clock();
+                return stop(id, run, epoch);
             },
-            [&]
-            {
-                *answered = true;
-            });
-        if (*answered)
-        {
-            item.done(*result);
-        }
-        else
-        {
-            later_.push_back({bed_.now + answer_timeout, [done = item.done]
-                              {
-                                  done({});
-                              }});
-        }
+            item.done);
     }
     auto lists = std::exchange(port.holds, {});
     for (auto& item : std::exchange(port.looks, {}))
@@ -287,8 +283,8 @@
                 *answered = true;
             });
         const auto wait = milliseconds(
-            *answered ? std::min<std::int64_t>(item.order.wait_ms, 100)
-                      : item.order.wait_ms + 600);
+            *answered ? std::min<std::int64_t>(item.order.longest_wait_ms, 100)
+                      : item.order.longest_wait_ms + 600);
         later_.push_back({bed_.now + wait,
                           [done = item.done, result, ok = *answered]
                           {
--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -80,6 +80,9 @@
     void finish(model_worker& worker, const std::string& key, run_end end);
     void deliver(const std::string& id, const std::function<void()>& carry_out,
                  const std::function<void()>& answer);
+    void take_order(const std::string& id,
+                    const std::function<order_result()>& carry_out,
+                    const fake_worker_port::order_callback& done);
     void take_orders();
     void pass_time();
     void end_gang(const run_ref& run, run_end end, const std::string& except);
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -9,18 +9,18 @@
 namespace
 {
 
-hold_answer lists_at(std::int64_t clock_ms)
+hold_answer lists_at(std::int64_t worker_time_ms)
 {
     hold_answer answer;
     answer.result = order_result::accepted;
-    answer.lists.clock_ms = clock_ms;
+    answer.lists.worker_time_ms = worker_time_ms;
     answer.lists.born_ms = 1;
     return answer;
 }
 
-order_answer order_at(order_result result, std::int64_t clock_ms)
+order_answer order_at(order_result result, std::int64_t worker_time_ms)
 {
-    return {result, clock_ms};
+    return {result, worker_time_ms};
 }
 
 void answer_hold(fleet_bed& bed, const hold_answer& answer)
@@ -112,7 +112,7 @@
     EXPECT_TRUE(bed.port.holds.empty());
     bed.commit();
     ASSERT_EQ(bed.port.holds.size(), 1U);
-    EXPECT_EQ(bed.port.holds.front().order.last_seen, 7U);
+    EXPECT_EQ(bed.port.holds.front().order.noted_end, 7U);
     EXPECT_EQ(bed.state.find_job("job")->done_occurrences, 1U);
 }
 
@@ -175,7 +175,7 @@
         order_at(order_result::accepted, bed.worker_clock()));
     bed.pass(milliseconds(1000));
     ASSERT_EQ(bed.port.looks.size(), 1U);
-    lists.lists.clock_ms = bed.worker_clock();
+    lists.lists.worker_time_ms = bed.worker_clock();
     bed.port.looks.front().done(lists);
     bed.commit();
     EXPECT_FALSE(bed.workers->runs().count(first_run));
