Keep the callers' service beside the leadership; split the core host and the service

Answers of proposals and reads may come after a leadership has ended (a worker has seen a higher epoch, or the host is told to stop while its entries commit), and used the service that ended with it. It belongs to the host now. The message that was to hand a leadership over had no receiver and is gone.

--- a/src/coordination/fleet/consensus_runner.cpp
+++ b/src/coordination/fleet/consensus_runner.cpp
@@ -4,7 +4,6 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <algorithm>
 #include <memory>
 #include <utility>
 
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -6,7 +6,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace limpetstack::fleet
 {
--- /dev/null
+++ b/src/daemon/fleet/core_calls.cpp
@@ -0,0 +1,130 @@
+// Calls of callers, workers and operators on a core host.
+#include "daemon/fleet/core_node.hpp"
+
+#include "coordination/fleet/fleet_answers.hpp"
+
+#include <utility>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+// A control call that is passed on is given up before its sender moves on.
+constexpr milliseconds forward_timeout{900};
+
+http_server_answer to_http(const forwarded_answer& answer)
+{
+    http_server_answer out;
+    out.status = answer.not_leader() ? 503 : answer.status();
+    out.body = answer.body();
+    out.retry_after_ms =
+        answer.not_leader() ? retry_after_ms : answer.retry_after_ms();
+    return out;
+}
+
+} // namespace
+
+// What callers' answers need; they may come after the leadership has ended.
+fleet_service_parts core_node::service_parts()
+{
+    fleet_service_parts parts;
+    parts.propose =
+        [this](fleet_command command, consensus_runner::outcome_handler done)
+    {
+        propose_timed(std::move(command), std::move(done));
+    };
+    parts.read = [this](std::function<void(bool)> done)
+    {
+        runner_->read(std::move(done));
+    };
+    parts.note_report = [this](const worker_report& report)
+    {
+        if (leading_)
+        {
+            leading_->workers.note_report(report, boot_now());
+        }
+    };
+    parts.document = [this]
+    {
+        return document_ ? &*document_ : nullptr;
+    };
+    parts.wall_ms = wall_clock_ms;
+    parts.report_address = settings_.control_address;
+    return parts;
+}
+
+void core_node::serve_call(const forwarded_call& call,
+                           const answer_handler& done)
+{
+    // A host that was suspended finds out first whether it still leads.
+    runner_->tick(boot_now());
+    follow_leadership();
+    if (!leading_ || stopping_)
+    {
+        forwarded_answer answer;
+        answer.set_not_leader(true);
+        done(answer);
+        return;
+    }
+    counters_.add(call.from_caller() ? "calls_total" : "control_calls_total");
+    service_.handle(call, done);
+    work();
+}
+
+void core_node::handle_control(http_server_request request,
+                               http_responder respond)
+{
+    forwarded_call call;
+    call.set_method(std::move(request.method));
+    call.set_target(std::move(request.target));
+    call.set_host(std::move(request.host));
+    call.set_authorization(std::move(request.authorization));
+    call.set_body(std::move(request.body));
+    runner_->tick(boot_now());
+    follow_leadership();
+    if (leading_ && !stopping_)
+    {
+        serve_call(call,
+                   [respond](const forwarded_answer& answer)
+                   {
+                       respond(to_http(answer));
+                   });
+        return;
+    }
+    forward_to_leader(std::move(call), std::move(respond));
+}
+
+void core_node::forward_to_leader(forwarded_call call, http_responder respond)
+{
+    const auto leader = leader_address();
+    call.set_id(next_call_++);
+    peer_frame frame;
+    *frame.mutable_call() = std::move(call);
+    if (leader.empty() || leader == settings_.peer_address ||
+        !links_->send(leader, frame))
+    {
+        respond({503, "{}", retry_after_ms});
+        return;
+    }
+    forwarded_[frame.call().id()] = {std::move(respond),
+                                     boot_now() + forward_timeout};
+}
+
+void core_node::fail_forwarded()
+{
+    const auto now = boot_now();
+    for (auto at = forwarded_.begin(); at != forwarded_.end();)
+    {
+        if (at->second.until > now)
+        {
+            ++at;
+            continue;
+        }
+        const auto respond = std::move(at->second.respond);
+        at = forwarded_.erase(at);
+        respond({504, "{}", 0});
+    }
+}
+
+} // namespace limpetstack::fleet
--- /dev/null
+++ b/src/daemon/fleet/core_leadership.cpp
@@ -0,0 +1,189 @@
+// What a core host does only while it leads.
+#include "daemon/fleet/core_node.hpp"
+
+#include "base/log.hpp"
+#include "coordination/member_rules.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+constexpr milliseconds member_check_interval{250};
+
+} // namespace
+
+core_node::leadership::leadership(core_node& node, std::uint64_t term)
+    : port(node.io_, node.protocol_)
+    , workers(
+          node.settings_.workers, node.state_, port,
+          [&node](fleet_command command)
+          {
+              node.runner_->propose(std::move(command), {});
+          },
+          boot_now, term, node.counters_)
+    , scheduler(
+          node.settings_.scheduler, node.state_, workers,
+          [&node](fleet_command command)
+          {
+              node.runner_->propose(std::move(command), {});
+          },
+          node.counters_)
+    , since(boot_now())
+{
+    if (node.document_)
+    {
+        scheduler.use_document(*node.document_);
+    }
+}
+
+// Begins and ends what only a leader does, as the protocol's role changes.
+void core_node::follow_leadership()
+{
+    const auto& core = runner_->core();
+    if (leading_ && (!core.leads() || leading_->workers.deposed()))
+    {
+        log_event(log_level::info, "leadership_ended",
+                  {{"term", absl::StrCat(core.term())}});
+        leading_.reset();
+        confirming_term_ = core.leads() ? core.term() : 0;
+    }
+    if (!leading_ && core.leads() && !stopping_ &&
+        confirming_term_ != core.term())
+    {
+        confirming_term_ = core.term();
+        runner_->read(
+            [this, term = core.term()](bool confirmed)
+            {
+                if (confirmed && runner_->core().leads() &&
+                    runner_->core().term() == term && !leading_)
+                {
+                    begin_leadership();
+                }
+                else if (!confirmed && confirming_term_ == term)
+                {
+                    confirming_term_ = 0;
+                }
+            });
+        runner_->pump();
+    }
+    const auto leader = leader_address();
+    if (leader != last_leader_)
+    {
+        log_event(log_level::info, "leader_changed",
+                  {{"leader", leader}, {"term", absl::StrCat(core.term())}});
+        last_leader_ = leader;
+        push_status();
+    }
+}
+
+void core_node::begin_leadership()
+{
+    const auto term = runner_->core().term();
+    log_event(log_level::info, "leadership_began",
+              {{"term", absl::StrCat(term)},
+               {"jobs", absl::StrCat(state_.jobs().size())},
+               {"workers", absl::StrCat(state_.workers().size())}});
+    counters_.add("leaderships_total");
+    leading_ = std::make_unique<leadership>(*this, term);
+    push_status();
+}
+
+// Lets the scheduler and the orders to workers go on, until nothing is due.
+void core_node::work()
+{
+    if (working_)
+    {
+        return;
+    }
+    working_ = true;
+    if (leading_)
+    {
+        const auto now = boot_now();
+        leading_->scheduler.run_round(now, wall_clock_ms());
+        counters_.set("waiting_steps",
+                      static_cast<double>(leading_->scheduler.waiting_steps()));
+        leading_->workers.advance(now);
+        manage_members();
+    }
+    runner_->pump();
+    working_ = false;
+}
+
+void core_node::manage_members()
+{
+    const auto now = boot_now();
+    if (now - members_checked_ < member_check_interval)
+    {
+        return;
+    }
+    members_checked_ = now;
+    const auto& members = runner_->core().log().members();
+    member_policy_options options;
+    options.voters = std::min<std::size_t>(
+        2 * std::max<std::size_t>(settings_.tolerated_losses, 1) + 1,
+        max_voters);
+    const auto change = plan_members(members, storage_.id, sightings_, options,
+                                     leading_->since, now);
+    if (!change)
+    {
+        return;
+    }
+    const auto result = runner_->change_members(*change);
+    if (result.index != 0)
+    {
+        log_event(log_level::info, "member_change",
+                  {{"change", wire::member_change::kind_Name(change->change())},
+                   {"member", absl::StrCat(absl::Hex(change->subject().id()))},
+                   {"index", absl::StrCat(result.index)}});
+    }
+    update_targets();
+}
+
+void core_node::use_document()
+{
+    if (state_.document().version() == 0)
+    {
+        return;
+    }
+    auto document = protocol_.decode_document(state_.document().text());
+    if (!document.ok())
+    {
+        log_event(log_level::error, "document_unreadable",
+                  {{"version", absl::StrCat(state_.document().version())},
+                   {"reason", std::string(document.status().message())}});
+        return;
+    }
+    document_ = std::move(*document);
+    log_event(log_level::info, "document_in_force",
+              {{"version", absl::StrCat(document_->version)}});
+    if (leading_)
+    {
+        leading_->scheduler.use_document(*document_);
+    }
+    if (links_)
+    {
+        push_status();
+    }
+}
+
+void core_node::propose_timed(fleet_command command,
+                              consensus_runner::outcome_handler done)
+{
+    runner_->propose(std::move(command),
+                     [this, done = std::move(done), began = boot_now()](
+                         proposal_outcome outcome, applied result)
+                     {
+                         counters_.observe_latency(
+                             "commit_ms",
+                             static_cast<double>((boot_now() - began).count()));
+                         done(outcome, result);
+                     });
+}
+
+} // namespace limpetstack::fleet
--- a/src/daemon/fleet/core_node.hpp
+++ b/src/daemon/fleet/core_node.hpp
@@ -46,7 +46,7 @@
     /// Takes changed settings; only the seeds may change.
     void reload(const node_settings& settings);
 
-    /// Hands the leadership over and stops taking calls.
+    /// Stops leading and taking calls; another host is elected.
     void stop();
 
 private:
@@ -57,7 +57,6 @@
         http_worker_port port;
         worker_fleet workers;
         fleet_scheduler scheduler;
-        fleet_service service;
         time_point since;
     };
 
@@ -84,6 +83,7 @@
     void propose_timed(fleet_command command,
                        consensus_runner::outcome_handler done);
     void fail_forwarded();
+    fleet_service_parts service_parts();
     void wait_for_disk();
 
     boost::asio::io_context& io_;
@@ -115,6 +115,7 @@
     std::uint64_t next_call_ = 1;
     time_point members_checked_;
     std::string last_leader_;
+    fleet_service service_;
     bool stopping_ = false;
     bool working_ = false;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/src/daemon/fleet/entry_node.cpp
+++ b/src/daemon/fleet/entry_node.cpp
@@ -1,6 +1,7 @@
 #include "daemon/fleet/entry_node.hpp"
 
 #include "base/log.hpp"
+#include "coordination/fleet/fleet_answers.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -25,7 +26,6 @@
 constexpr milliseconds answer_margin{150};
 
 constexpr milliseconds default_call_time{3000};
-constexpr std::uint32_t retry_after_ms = 1000;
 
 // The balancer asks once a second and acts on the second miss.
 constexpr milliseconds balancer_delay{2500};
