--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -3,6 +3,8 @@
 // plain baselines. It holds an arrival list, a worker table and a clock; it
 // simulates no cluster, messages or faults.
 
+#include "bench/placement/arrivals.hpp"
+#include "bench/placement/tables.hpp"
 #include "coordination/job_scheduler.hpp"
 
 #include <algorithm>
@@ -22,28 +24,13 @@
 {
 
 using namespace limpetstack;
+using namespace limpetstack::bench;
 
 constexpr int seeds = 5;
 const std::string flooding_account = "account1";
-constexpr int workers_per_rack = 6;
-constexpr std::uint32_t worker_accelerators = 8;
-constexpr resources worker_total{worker_accelerators, 32, 128 << 10};
 // A gang that was stopped repeats this much of its work after its checkpoint.
 constexpr milliseconds restart_cost{60 * 1000};
 
-struct arrival
-{
-    queued_job job;
-    time_point at{};
-    milliseconds run_time{0};
-};
-
-struct profile
-{
-    std::string name;
-    document config;
-};
-
 struct outcome
 {
     std::map<std::string, std::vector<double>> completion_s; // By class.
@@ -52,16 +39,6 @@
     double victims = 0;
 };
 
-std::string class_of(const queued_job& job)
-{
-    if (job.id.front() == 'f')
-    {
-        return "flood";
-    }
-    const auto size = job.shape.members * job.shape.each.accelerators;
-    return size >= 24 ? "large" : size <= 2 ? "small" : "medium";
-}
-
 double mean(const std::vector<double>& values)
 {
     double sum = 0;
@@ -72,277 +49,6 @@
     return values.empty() ? 0 : sum / static_cast<double>(values.size());
 }
 
-void add_fleet(const std::function<void(const worker_capacity&)>& put,
-               int racks)
-{
-    for (int r = 0; r < racks; ++r)
-    {
-        const auto rack = "r" + std::to_string(r);
-        for (int w = 0; w < workers_per_rack; ++w)
-        {
-            put({rack + "-" + std::to_string(w), "dc1", rack, worker_total});
-        }
-    }
-}
-
-/// Returns one data centre of 2 racks with four accounts.
-profile make_profile(const std::string& name,
-                     const std::vector<std::uint32_t>& weights,
-                     std::uint32_t guaranteed_members)
-{
-    profile result;
-    result.name = name;
-    rack_group group;
-    group.data_centre = "dc1";
-    group.racks = 2;
-    group.workers_per_rack = workers_per_rack;
-    group.cores = worker_total.cores;
-    group.memory_mib = worker_total.memory_mib;
-    group.accelerators = worker_accelerators;
-    result.config.fleet.push_back(group);
-    for (std::size_t i = 0; i < weights.size(); ++i)
-    {
-        client_account account;
-        account.name = "account" + std::to_string(i);
-        account.weight = weights[i];
-        if (i == 0)
-        {
-            guaranteed_shape shape;
-            shape.data_centre = "dc1";
-            shape.members = guaranteed_members;
-            shape.accelerators = worker_accelerators;
-            shape.cores = 8;
-            shape.memory_mib = 32 << 10;
-            shape.placement = adjacency::rack;
-            account.guarantees.push_back(shape);
-        }
-        result.config.client_accounts.push_back(account);
-    }
-    return result;
-}
-
-class arrival_list
-{
-public:
-    explicit arrival_list(std::uint64_t seed)
-        : random_(seed)
-    {
-    }
-
-    /// Adds jobs with exponential gaps until `end`; those that begin later than
-    /// at 0 count as a flood. Run times are lognormal;
-    /// declared ones are wrong by a factor of about ten either way.
-    void add(int account, gang_shape shape, urgency level, double gap_s,
-             double run_s, double end_s, double begin_s = 0)
-    {
-        std::exponential_distribution<> gap(1 / gap_s);
-        std::lognormal_distribution<> spread(0, 0.5);
-        std::lognormal_distribution<> error(-1, 1.5);
-        for (double at = begin_s + gap(random_); at < end_s; at += gap(random_))
-        {
-            arrival a;
-            a.job.id = (begin_s > 0 ? "f" : "j") + std::to_string(list_.size());
-            a.job.account = "account" + std::to_string(account);
-            a.job.shape = shape;
-            a.job.service = class_of(a.job);
-            a.job.level = level;
-            a.at =
-                time_point(milliseconds(static_cast<std::int64_t>(at * 1000)));
-            a.run_time = milliseconds(
-                static_cast<std::int64_t>(run_s * spread(random_) * 1000));
-            a.job.declared = milliseconds(static_cast<std::int64_t>(
-                static_cast<double>(a.run_time.count()) * error(random_)));
-            list_.push_back(std::move(a));
-        }
-    }
-
-    std::vector<arrival> sorted()
-    {
-        std::stable_sort(list_.begin(), list_.end(),
-                         [](const auto& a, const auto& b)
-                         {
-                             return a.at < b.at;
-                         });
-        return list_;
-    }
-
-private:
-    std::mt19937_64 random_;
-    std::vector<arrival> list_;
-};
-
-gang_shape gang(std::uint32_t members, std::uint32_t accelerators,
-                adjacency placement = adjacency::any)
-{
-    return {members, {accelerators, accelerators, 4096}, placement};
-}
-
-std::vector<arrival> arrivals_of(const std::string& scenario,
-                                 std::uint64_t seed)
-{
-    constexpr double hour = 3600;
-    constexpr double day = 24 * hour;
-    arrival_list list(seed);
-    const auto rack = adjacency::rack;
-    list.add(0, gang(4, 8, rack), urgency::normal, 4 * hour, hour, day);
-    list.add(1, gang(1, 8), urgency::normal, hour / 2, hour, day);
-    list.add(1, gang(1, 1), urgency::normal, 120, 900, day);
-    list.add(2, gang(1, 2), urgency::normal, 300, 1200, day);
-    list.add(3, gang(2, 4), urgency::normal, 2 * hour, hour, day);
-    list.add(2, gang(4, 8, rack), urgency::normal, 6 * hour, hour, day);
-    if (scenario == "low_flood")
-    {
-        list.add(1, gang(1, 1), urgency::low, 3, 900, 4 * hour, 3 * hour);
-    }
-    if (scenario == "urgent_flood")
-    {
-        list.add(1, gang(1, 1), urgency::urgent, 3, 900, 4 * hour, 3 * hour);
-    }
-    if (scenario == "large_mix")
-    {
-        list.add(3, gang(6, 8, rack), urgency::normal, 5 * hour, hour, day);
-        list.add(0, gang(2, 8, rack), urgency::normal, 3 * hour, hour, day);
-    }
-    return list.sorted();
-}
-
-/// What a scheduler under test is driven through.
-class table
-{
-public:
-    virtual ~table() = default;
-    virtual void submit(const queued_job& job, bool front) = 0;
-    virtual void finished(const std::string& id, milliseconds ran) = 0;
-    virtual std::vector<start_decision> decide(time_point now) = 0;
-    virtual const worker_index& workers() const = 0;
-};
-
-class policy_table : public table
-{
-public:
-    policy_table(const profile& p, const scheduling_policy& policy)
-        : scheduler_("dc1", policy)
-    {
-        scheduler_.configure(p.config);
-        add_fleet(
-            [this](const auto& worker)
-            {
-                scheduler_.put_worker(worker);
-            },
-            2);
-    }
-
-    void submit(const queued_job& job, bool front) override
-    {
-        scheduler_.submit(job, front);
-    }
-    void finished(const std::string& id, milliseconds ran) override
-    {
-        scheduler_.finished(id, ran.count() > 0
-                                    ? std::optional<milliseconds>(ran)
-                                    : std::nullopt);
-    }
-    std::vector<start_decision> decide(time_point now) override
-    {
-        return scheduler_.decide(now, 1000);
-    }
-    const worker_index& workers() const override
-    {
-        return scheduler_.workers();
-    }
-
-private:
-    job_scheduler scheduler_;
-};
-
-/// First come first served with first fit. With `skip`, later jobs may start
-/// while the first does not fit.
-class plain_table : public table
-{
-public:
-    explicit plain_table(bool skip)
-        : skip_(skip)
-    {
-        add_fleet(
-            [this](const auto& worker)
-            {
-                index_.put(worker);
-                order_.push_back(worker.id);
-            },
-            2);
-    }
-
-    void submit(const queued_job& job, bool /*front*/) override
-    {
-        queue_.push_back(job);
-    }
-
-    void finished(const std::string& id, milliseconds /*ran*/) override
-    {
-        const auto& [placement, each] = running_.at(id);
-        index_.give(placement, each);
-        running_.erase(id);
-    }
-
-    std::vector<start_decision> decide(time_point /*now*/) override
-    {
-        std::vector<start_decision> result;
-        for (auto at = queue_.begin(); at != queue_.end();)
-        {
-            auto placement = first_fit(at->shape);
-            if (placement.empty())
-            {
-                if (!skip_)
-                {
-                    break;
-                }
-                ++at;
-                continue;
-            }
-            index_.take(placement, at->shape.each);
-            running_[at->id] = {placement, at->shape.each};
-            result.push_back({at->id, std::move(placement), {}, false});
-            at = queue_.erase(at);
-        }
-        return result;
-    }
-
-    const worker_index& workers() const override { return index_; }
-
-private:
-    gang_placement first_fit(const gang_shape& shape) const
-    {
-        gang_placement placement;
-        std::string rack;
-        for (const auto& worker : order_)
-        {
-            if (shape.placement == adjacency::rack &&
-                index_.rack_of(worker) != rack)
-            {
-                rack = index_.rack_of(worker);
-                placement.clear();
-            }
-            const auto room = fit_count(
-                index_.free(worker).value_or(resources{}), shape.each);
-            placement.insert(
-                placement.end(),
-                std::min<std::size_t>(room, shape.members - placement.size()),
-                worker);
-            if (placement.size() == shape.members)
-            {
-                return placement;
-            }
-        }
-        return {};
-    }
-
-    bool skip_;
-    worker_index index_;
-    std::vector<std::string> order_;
-    std::list<queued_job> queue_;
-    std::map<std::string, std::pair<gang_placement, resources>> running_;
-};
-
 /// Returns the part of the gang that free accelerators could form in one rack
 /// that does not fit in any rack.
 double fragmentation(const worker_index& index)
@@ -525,7 +231,7 @@
     {
         return [&p, policy]
         {
-            return std::make_unique<policy_table>(p, policy);
+            return make_policy_table(p, policy);
         };
     };
     const auto full = average(with({}), scenario);
@@ -534,7 +240,7 @@
         const auto plain = average(
             [skip]
             {
-                return std::make_unique<plain_table>(skip);
+                return make_plain_table(skip);
             },
             scenario);
         compare(p, scenario, full, plain, skip ? "fcfs_skipping" : "fcfs");
