Note ends of hosts in the soak; release peer connections at the end

The soak did not notice a host that ended by itself, because it started it again. Under the address sanitizer it shows connections that hold themselves when a host stops.

--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -46,10 +46,11 @@
     alive_.reset();
     for (const auto& [address, item] : targets_)
     {
+        // The connection's handlers hold the target.
         item->wanted = false;
-        if (item->connection)
+        if (const auto connection = std::exchange(item->connection, nullptr))
         {
-            item->connection->close();
+            connection->close();
         }
     }
 }
--- a/test/programs/fleet-soak.cpp
+++ b/test/programs/fleet-soak.cpp
@@ -46,7 +46,9 @@
     std::unique_ptr<test::process> process;
     bool core = false;
     bool paused = false;
-    time_point back_at; // When it is started or woken again.
+    bool ending = false; // It was killed or told to stop.
+    bool ended = false;  // Its end was noted.
+    time_point back_at;  // When it is started or woken again.
 };
 
 class soak
@@ -155,6 +157,27 @@
             test::program_folder() + "/limpetstack-fleetd",
             std::vector<std::string>{}, item.log);
         item.paused = false;
+        item.ending = false;
+        item.ended = false;
+    }
+
+    // A host ends only when this program ends it, and without an error.
+    void check_ends()
+    {
+        for (auto& item : hosts_)
+        {
+            if (item.ended || item.process->running())
+            {
+                continue;
+            }
+            item.ended = true;
+            const int code = item.process->wait();
+            if (!item.ending || (code != 0 && code != 128 + SIGKILL))
+            {
+                rules_.broken.push_back(item.name + " ended with code " +
+                                        std::to_string(code));
+            }
+        }
     }
 
     void tick(bool busy)
@@ -166,6 +189,7 @@
         {
             worker->advance();
         }
+        check_ends();
         revive(now);
         if (now - reported_ >= milliseconds(500))
         {
@@ -211,9 +235,11 @@
             item.paused = true;
             break;
         case 1:
+            item.ending = true;
             item.process->kill();
             break;
         default:
+            item.ending = true;
             item.process->signal(SIGTERM);
         }
     }
