Remove formats and state of waves, tickets and pacing that nothing used

Waves were stored and answered although no machine was ever taken down, so a wave looked accepted; they are refused with 501 now. Tickets, pacing and the machine list had codecs but no caller.

--- a/src/coordination/fleet/fleet_control.cpp
+++ b/src/coordination/fleet/fleet_control.cpp
@@ -4,7 +4,6 @@
 
 #include "base/log.hpp"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include <utility>
@@ -50,11 +49,11 @@
                          : plain_answer(200, state_.document().text()));
             });
         break;
-    case control_request::start_wave:
-        start_wave(call, done);
-        break;
-    case control_request::wave_state:
-        wave_state(target.id, done);
+    case control_request::maintain_machines:
+        log_event(log_level::warning, "maintenance_refused",
+                  {{"target", call.target()}});
+        done(plain_answer(
+            501, protocol_.encode_error("maintenance is not supported")));
         break;
     case control_request::unknown:
         done(plain_answer(404));
@@ -174,46 +173,4 @@
             });
 }
 
-void fleet_service::start_wave(const forwarded_call& call,
-                               const answer_handler& done)
-{
-    auto wave = protocol_.decode_wave(call.body());
-    if (!wave.ok())
-    {
-        done(plain_answer(
-            400, protocol_.encode_error(std::string(wave.status().message()))));
-        return;
-    }
-    fleet_command command;
-    wave->set_due_ms(wave->due_ms() + parts_.wall_ms());
-    *command.mutable_wave() = *wave;
-    propose(std::move(command), done,
-            [](applied)
-            {
-                return plain_answer(200);
-            });
-}
-
-void fleet_service::wave_state(const std::string& id,
-                               const answer_handler& done)
-{
-    parts_.read(
-        [this, id, done](bool confirmed)
-        {
-            std::uint64_t number = 0;
-            if (!confirmed || !absl::SimpleAtoi(id, &number))
-            {
-                forwarded_answer answer = plain_answer(400);
-                answer.set_not_leader(!confirmed);
-                done(answer);
-                return;
-            }
-            const auto found = state_.waves().find(number);
-            done(found == state_.waves().end()
-                     ? plain_answer(404)
-                     : plain_answer(200, protocol_.encode_wave_state(
-                                             found->second.complete())));
-        });
-}
-
 } // namespace limpetstack::fleet
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -20,7 +20,6 @@
 /// Factors of the deployment that placement depends on.
 struct fleet_scheduler_options
 {
-    double far_factor = 3;           // Slow-down away from the preferred rack.
     milliseconds reclaim{2900};      // Bound for starts inside a guarantee.
     milliseconds keep_ended{130000}; // How long an ended job can be asked for.
 };
--- a/src/coordination/fleet/fleet_service.hpp
+++ b/src/coordination/fleet/fleet_service.hpp
@@ -64,8 +64,6 @@
     void remove(const forwarded_call& call, const std::string& id,
                 const answer_handler& done);
     void put_document(const forwarded_call& call, const answer_handler& done);
-    void start_wave(const forwarded_call& call, const answer_handler& done);
-    void wave_state(const std::string& id, const answer_handler& done);
     void propose(fleet_command command, const answer_handler& done,
                  std::function<forwarded_answer(applied)> answer);
 
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -82,7 +82,6 @@
     time_point started_at; // When it became present.
     std::string checkpoint;
     int percent = 0;
-    std::int64_t load = 0;
     time_point listed_at;     // When the worker last listed it.
     time_point progressed_at; // When `percent` last rose.
 };
@@ -115,7 +114,6 @@
     time_point retry_at;       // No hold before this time.
     time_point last_answer;    // Of a hold or look.
     time_point avoid_until;    // No placement before this time.
-    int failures_in_row = 0;
 };
 
 /// The leader's knowledge of workers and of what runs on them: sessions,
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -183,7 +183,6 @@
         }
         run.listed_at = now;
         run.percent = item.percent;
-        run.load = item.load;
         if (!item.checkpoint.empty())
         {
             run.checkpoint = item.checkpoint;
--- a/src/daemon/fleet/node_settings.hpp
+++ b/src/daemon/fleet/node_settings.hpp
@@ -26,10 +26,7 @@
     bool first_start = false;         // Of the whole deployment.
     std::string data_folder;          // Empty without a disk.
     std::size_t tolerated_losses = 1; // Of hosts with a disk, at once.
-    std::string advice_address;
-    std::string provider_address;
     milliseconds stop_grace{6000}; // Between the signal to stop and the kill.
-    milliseconds drain{2000};      // Until the balancer sends nothing more.
     worker_fleet_options workers;
     fleet_scheduler_options scheduler;
 
--- a/src/protocol/external_protocol.hpp
+++ b/src/protocol/external_protocol.hpp
@@ -14,14 +14,6 @@
 namespace limpetstack::fleet
 {
 
-/// How a queue's policy service is asked which workers may run a step.
-struct advice_policy
-{
-    std::int64_t decision_ms = 0;   // Fixed part of a call's duration.
-    std::int64_t per_worker_ms = 0; // Added for each worker that is named.
-    std::int64_t valid_ms = 0;      // How long a ticket may be used.
-};
-
 /// A queue of jobs. Callers select it by host and path prefix.
 struct queue_config
 {
@@ -35,14 +27,12 @@
     std::int64_t allowance_ms = 0; // Added to the objective.
     std::int64_t timeout_ms = 0;   // Of one call.
     bool public_access = false;    // Callers need no key.
-    std::optional<advice_policy> advice;
+    bool needs_tickets = false;    // A policy service must allow each worker.
 };
 
 struct service_config
 {
     std::string name;
-    bool guards_capacity = false; // Its workers refuse what does not fit.
-    bool standby = false;         // Its machines are off.
 };
 
 struct account_config
@@ -77,7 +67,6 @@
     worker_record worker;
     std::uint64_t sequence = 0;
     std::int64_t worker_time_ms = 0; // The worker's steady clock when sent.
-    std::int64_t remaining_ms = 0;   // While draining: at least this long.
 };
 
 /// A run that a worker lists as present.
@@ -86,7 +75,6 @@
     run_ref run;
     std::string checkpoint;
     int percent = 0;
-    std::int64_t load = 0; // Tail in ms when it serves, else cpu_milli in use.
 };
 
 /// A run that a worker lists as ended.
@@ -147,7 +135,6 @@
     std::int64_t lease_end_ms = 0; // On the worker's clock.
     std::uint64_t epoch = 0;
     std::string checkpoint;
-    std::string ticket;
 };
 
 struct hold_order
@@ -167,15 +154,14 @@
     remove_worker,
     put_document,
     get_document,
-    start_wave,
-    wave_state,
+    maintain_machines, // Not supported.
     unknown
 };
 
 struct control_target
 {
     control_request kind = control_request::unknown;
-    std::string id; // Worker or wave.
+    std::string id; // Of a worker.
 };
 
 enum class job_phase
@@ -187,28 +173,6 @@
     cancelled
 };
 
-/// Tickets that the policy service returned.
-struct advice_answer
-{
-    std::vector<std::pair<std::string, std::string>> tickets; // Worker, ticket.
-    std::int64_t valid_ms = 0;
-};
-
-/// A machine as the provider lists it.
-struct listed_machine
-{
-    std::string machine;
-    std::string service;
-    std::string state;
-    std::string worker;
-};
-
-struct machine_page
-{
-    std::vector<listed_machine> machines;
-    std::string next_page;
-};
-
 /// The formats that outside parties speak. Implementations decode and encode
 /// only. Decoding errors are kInvalidArgument with the field's name.
 class external_protocol
@@ -222,8 +186,6 @@
     decode_job(std::string_view body) const = 0;
     virtual absl::StatusOr<worker_report>
     decode_report(const std::string& id, std::string_view body) const = 0;
-    virtual absl::StatusOr<maintenance_wave>
-    decode_wave(std::string_view body) const = 0;
     virtual control_target decode_target(std::string_view method,
                                          std::string_view target) const = 0;
     /// Returns the key of an authorization header, empty when there is none.
@@ -232,7 +194,6 @@
 
     virtual std::string encode_phase(job_phase phase) const = 0;
     virtual std::string encode_pending(std::uint64_t jobs) const = 0;
-    virtual std::string encode_wave_state(bool complete) const = 0;
     virtual std::string
     encode_report_answer(const std::string& address) const = 0;
     virtual std::string encode_error(std::string_view message) const = 0;
@@ -242,28 +203,11 @@
                                       const std::string& worker,
                                       std::uint64_t epoch) const = 0;
     virtual outgoing_call encode_hold(const hold_order& order) const = 0;
-    virtual outgoing_call encode_pace(const run_ref& run,
-                                      const std::string& worker, int percent,
-                                      std::uint64_t epoch) const = 0;
-    virtual outgoing_call
-    encode_advice(const std::string& job, std::uint32_t occurrence,
-                  std::uint32_t step,
-                  const std::vector<std::string>& workers) const = 0;
-    virtual outgoing_call
-    encode_machine_list(const std::string& page) const = 0;
-    virtual outgoing_call encode_maintenance(const std::string& machine,
-                                             std::uint64_t wave,
-                                             const std::string& holder,
-                                             std::uint64_t epoch) const = 0;
 
     virtual order_answer decode_order(unsigned status,
                                       std::string_view body) const = 0;
     virtual absl::StatusOr<worker_lists>
     decode_lists(std::string_view body) const = 0;
-    virtual absl::StatusOr<advice_answer>
-    decode_advice(std::string_view body) const = 0;
-    virtual absl::StatusOr<machine_page>
-    decode_machines(std::string_view body) const = 0;
 };
 
 } // namespace limpetstack::fleet
--- a/src/state/fleet_state.cpp
+++ b/src/state/fleet_state.cpp
@@ -40,22 +40,6 @@
     case fleet_command::kForget:
         return jobs_.erase(command.forget().job()) > 0 ? applied::changed
                                                        : applied::unchanged;
-    case fleet_command::kWave:
-        return waves_.emplace(command.wave().wave(), command.wave()).second
-                   ? applied::changed
-                   : applied::unchanged;
-    case fleet_command::kWaveBegin:
-        return begin_maintenance(command.wave_begin());
-    case fleet_command::kWaveComplete:
-    {
-        const auto found = waves_.find(command.wave_complete().wave());
-        if (found == waves_.end())
-        {
-            return applied::refused;
-        }
-        found->second.set_complete(true);
-        return applied::changed;
-    }
     default:
         return applied::refused;
     }
@@ -290,22 +274,6 @@
     return applied::changed;
 }
 
-applied fleet_state::begin_maintenance(const wave_step& begun)
-{
-    const auto found = waves_.find(begun.wave());
-    if (found == waves_.end())
-    {
-        return applied::refused;
-    }
-    const auto& names = found->second.begun();
-    if (std::find(names.begin(), names.end(), begun.machine()) != names.end())
-    {
-        return applied::unchanged;
-    }
-    found->second.add_begun(begun.machine());
-    return applied::changed;
-}
-
 const job_state* fleet_state::find_job(const std::string& id) const
 {
     const auto found = jobs_.find(id);
@@ -402,10 +370,6 @@
     {
         *out.add_workers() = worker;
     }
-    for (const auto& [number, wave] : waves_)
-    {
-        *out.add_waves() = wave;
-    }
     return out.SerializeAsString();
 }
 
@@ -461,10 +425,6 @@
     {
         workers_[worker.id()] = worker;
     }
-    for (const auto& wave : in.waves())
-    {
-        waves_[wave.wave()] = wave;
-    }
     return true;
 }
 
--- a/src/state/fleet_state.hpp
+++ b/src/state/fleet_state.hpp
@@ -83,7 +83,7 @@
 };
 
 /// The replicated state of the fleet: the document, jobs with the runs that
-/// may be present on workers, workers and maintenance waves. Equal commands
+/// may be present on workers, and workers. Equal commands
 /// give equal states; nothing depends on clocks. For one thread.
 class fleet_state
 {
@@ -101,10 +101,6 @@
     {
         return workers_;
     }
-    const std::map<std::uint64_t, maintenance_wave>& waves() const
-    {
-        return waves_;
-    }
 
     const job_state* find_job(const std::string& id) const;
     const step_state* find_step(const run_ref& run) const;
@@ -123,7 +119,6 @@
     applied remove_worker(const worker_ref& worker);
     applied fail(const finished_job& job);
     applied finish(const finished_job& job);
-    applied begin_maintenance(const wave_step& begun);
     occurrence_state& occurrence(job_state& job, std::uint32_t number);
     static void note_done(job_state& job, occurrence_state& occurrence,
                           step_state& step, const step_spec& spec,
@@ -132,7 +127,6 @@
     stored_document document_;
     std::map<std::string, job_state> jobs_;
     std::map<std::string, worker_record> workers_;
-    std::map<std::uint64_t, maintenance_wave> waves_;
     std::uint64_t next_order_ = 1;
 };
 
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -223,10 +223,4 @@
     return true;
 }
 
-bool peer_links::is_up(const std::string& address) const
-{
-    const auto found = targets_.find(address);
-    return found != targets_.end() && found->second->up;
-}
-
 } // namespace limpetstack
--- a/src/transport/peer_links.hpp
+++ b/src/transport/peer_links.hpp
@@ -45,9 +45,6 @@
     /// Sends when the connection is up; false otherwise.
     bool send(const std::string& address, const fleet::peer_frame& frame);
 
-    /// Returns true when the target has answered since it was dialled.
-    bool is_up(const std::string& address) const;
-
 private:
     struct target;
     void dial(const std::shared_ptr<target>& item);
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -272,7 +272,7 @@
             hold_answer answer;
             answer.result = order_result::accepted;
             answer.lists.worker_time_ms = bed.worker_clock();
-            answer.lists.running.push_back({make_run("job", 0, 1), "", 10, 0});
+            answer.lists.running.push_back({make_run("job", 0, 1), "", 10});
             hold.done(answer);
             bed.commit();
             break;
--- a/test/fleet_service-test.cpp
+++ b/test/fleet_service-test.cpp
@@ -200,6 +200,7 @@
     EXPECT_EQ(control("PUT", "/-/config", "{}"), 400U);
     EXPECT_EQ(control("PUT", "/-/instances/w", "{}"), 400U);
     EXPECT_EQ(control("GET", "/-/other"), 404U);
+    EXPECT_EQ(control("POST", "/-/wave-start", "{}"), 501U);
     EXPECT_TRUE(state.jobs().empty());
     EXPECT_TRUE(state.workers().empty());
     EXPECT_EQ(state.document().version(), 0U);
--- a/test/platform_protocol-test.cpp
+++ b/test/platform_protocol-test.cpp
@@ -212,9 +212,6 @@
                     report->worker.address().size() > 1);
         static_cast<void>(protocol.decode_lists(text));
         static_cast<void>(protocol.decode_order(200, text));
-        static_cast<void>(protocol.decode_machines(text));
-        static_cast<void>(protocol.decode_advice(text));
-        static_cast<void>(protocol.decode_wave(text));
     }
 }
 
--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -166,7 +166,7 @@
         // A run that is being stopped is not listed as running.
         if (!run.stopping)
         {
-            answer.lists.running.push_back({run.run, "", 10, 0});
+            answer.lists.running.push_back({run.run, "", 10});
         }
     }
     answer.lists.ended = worker.ended;
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -166,7 +166,7 @@
     bed.report("w1");
     bed.commit();
     auto lists = lists_at(bed.worker_clock());
-    lists.lists.running.push_back({make_run("job", 1, 1), "", 10, 0});
+    lists.lists.running.push_back({make_run("job", 1, 1), "", 10});
     answer_hold(bed, lists);
     // The absent one may be about to end; its room counts until it is sure.
     EXPECT_TRUE(bed.workers->runs().count(first_run));
