Leave room for urgent work that recent urgent work shows to be needed

Ruled out: leader changes (one takeover), slow notice of ends. Less urgent work now leaves free what urgent work took in the last 4 s, at most a quarter of the fleet. Windows of 2 s and 4 s without a limit were tried.

--- a/src/coordination/fleet/fleet_rooms.cpp
+++ b/src/coordination/fleet/fleet_rooms.cpp
@@ -46,6 +46,15 @@
                                                                     : nullptr;
 }
 
+// What others may use of a room; less than nothing is free when more is
+// reserved than the stopped runs have left so far.
+amounts usable(const amounts& free)
+{
+    return {std::max<std::int64_t>(free.cpu_milli, 0),
+            std::max<std::int64_t>(free.memory_mb, 0),
+            std::max<std::int64_t>(free.accelerators, 0)};
+}
+
 } // namespace
 
 placement_request fleet_scheduler::request_for(const demand& item,
@@ -119,6 +128,21 @@
             room->free = room->free - kept;
         }
     }
+    free_ = {};
+    amounts capacity;
+    for (const auto& room : rooms_)
+    {
+        free_ = free_ + usable(room.free);
+        capacity = capacity + room.worker->capacity;
+    }
+    headroom_.refresh(capacity, now);
+}
+
+void fleet_scheduler::change_room(worker_room& room, const amounts& change)
+{
+    free_ = free_ - usable(room.free);
+    room.free = room.free + change;
+    free_ = free_ + usable(room.free);
 }
 
 // Adds (1) or removes (-1) a reservation's rooms from the sums.
@@ -138,7 +162,7 @@
     {
         if (auto* const at = find_room(rooms_, id))
         {
-            at->free = at->free - room;
+            change_room(*at, amounts{} - room);
         }
     }
     reservations_[key] = std::move(kept);
@@ -156,7 +180,7 @@
     {
         if (auto* const at = find_room(rooms_, id))
         {
-            at->free = at->free + room;
+            change_room(*at, room);
         }
     }
     reservations_.erase(held);
@@ -233,7 +257,11 @@
                    {"document", absl::StrCat(state_.document().version())}});
         workers_.place(ref, worker, *item.spec, item.queue.priority, now);
         auto& room = rooms_[chosen[i]];
-        room.free = room.free - request.need;
+        change_room(room, amounts{} - request.need);
+        if (item.queue.priority == 0)
+        {
+            headroom_.note(request.need, now);
+        }
         room.has_fillers = room.has_fillers || request.filler;
         room.serves_users = room.serves_users || request.serves_users;
     }
@@ -263,6 +291,16 @@
     {
         return false;
     }
+    if (item.queue.priority > 0)
+    {
+        const auto allowed =
+            headroom_.allowed(free_, request.need, request.count);
+        if (allowed == 0 || (request.whole && allowed < request.count))
+        {
+            return false;
+        }
+        request.count = allowed;
+    }
     const auto rooms = rooms_for(key, item);
     const auto chosen = choose_workers(rooms, request);
     if (chosen.empty())
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include "base/metrics.hpp"
 #include "coordination/fleet/placement_choice.hpp"
+#include "coordination/fleet/urgent_headroom.hpp"
 #include "coordination/fleet/worker_fleet.hpp"
 #include "protocol/external_protocol.hpp"
 #include "state/fleet_state.hpp"
@@ -93,6 +94,7 @@
     int urgency(const demand& item) const;
     placement_request request_for(const demand& item, time_point now) const;
     void survey_rooms(time_point now);
+    void change_room(worker_room& room, const amounts& change);
     void count_reserved(const reservation& kept, int sign);
     void reserve(const demand_key& key, reservation kept);
     void unreserve(const demand_key& key);
@@ -125,6 +127,8 @@
     std::map<demand_key, reservation> reservations_;
     std::map<std::string, amounts> reserved_; // By worker, of all demands.
     std::vector<worker_room> rooms_;          // Usable workers in this round.
+    amounts free_;                            // Sum of what is free in them.
+    urgent_headroom headroom_;
     std::set<std::string> misses_; // Shapes that found no room in this round.
     std::map<std::string, std::int64_t> urgent_accelerators_; // By account.
     // Workers on which a subtask has failed, by its name.
--- /dev/null
+++ b/src/coordination/fleet/urgent_headroom.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "coordination/fleet/worker_fleet.hpp"
+
+#include <cstdint>
+#include <deque>
+
+namespace limpetstack::fleet
+{
+
+/// Free room that less urgent work leaves to urgent work: as much as urgent
+/// work took during the last window, and at most a quarter of the fleet, so
+/// that work which fits twice into a half-empty fleet always starts. Without it
+/// each urgent gang on a full fleet waits until other runs have been stopped
+/// for it. For one thread.
+class urgent_headroom
+{
+public:
+    explicit urgent_headroom(milliseconds window)
+        : window_(window)
+    {
+    }
+
+    /// Records urgent work that was placed.
+    void note(const amounts& placed, time_point now);
+
+    /// Drops what was placed before the window and takes the fleet's capacity.
+    void refresh(const amounts& capacity, time_point now);
+
+    /// Returns how many subtasks of `need`, at most `count`, fit into `free`
+    /// beside the headroom.
+    std::uint32_t allowed(const amounts& free, const amounts& need,
+                          std::uint32_t count) const;
+
+private:
+    struct entry
+    {
+        time_point at;
+        amounts placed;
+    };
+
+    milliseconds window_;
+    std::deque<entry> entries_;
+    amounts sum_;
+    amounts kept_;
+};
+
+} // namespace limpetstack::fleet
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -157,6 +157,43 @@
     EXPECT_EQ(bed.port.starts.back().order.run.job(), "urgent");
 }
 
+// Accelerators of all workers that runs are counted against.
+std::int64_t used_accelerators(const fleet_bed& bed)
+{
+    std::int64_t used = 0;
+    for (const auto& [id, worker] : bed.workers->workers())
+    {
+        used += worker.used.accelerators;
+    }
+    return used;
+}
+
+// Guards against urgent work that waits for stops although urgent work has just
+// ended: room that it took is not given to the lowest queue at once.
+TEST(fleet_scheduler, room_of_urgent_work_is_left_to_the_next)
+{
+    fleet_bed bed;
+    for (const auto* const worker : {"w1", "w2", "w3", "w4"})
+    {
+        add_ready_worker(bed, worker, "r1");
+    }
+    bed.submit("urgent", make_step(4, 2), "urgent");
+    bed.schedule();
+    ASSERT_EQ(bed.port.starts.size(), 4U);
+    accept_starts(bed);
+    bed.submit("low", make_step(32, 1), "low");
+    bed.schedule();
+    EXPECT_EQ(used_accelerators(bed), 24);
+    bed.pass(milliseconds(5000));
+    for (const auto* const worker : {"w1", "w2", "w3", "w4"})
+    {
+        bed.report(worker);
+    }
+    confirm_workers(bed);
+    bed.schedule();
+    EXPECT_EQ(used_accelerators(bed), 32);
+}
+
 // Guards against urgent work that starts far from its data, where it takes
 // several times as long, while room near its data is being made for it.
 TEST(fleet_scheduler, reclaimed_room_is_waited_for)
