Let holds of a small fleet wait 500 ms, so that leases outlast longer cuts

Holds now wait so that at most 100 a second are answered without an end, from 500 ms to 2 s; fleets of 200 workers and more wait as before.

--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -24,7 +24,7 @@
     milliseconds max_lease{6000};
     milliseconds report_interval{1500};
     double clock_slowness = 0.02;
-    milliseconds hold_wait{2000};
+    milliseconds max_hold_wait{2000};
     milliseconds stop_time{900}; // Longest time that a stop takes.
 };
 
@@ -192,6 +192,7 @@
     hold_order hold_for(const worker_session& worker) const;
     std::function<void(const hold_answer&)>
     lists_to(const worker_session& worker, bool is_hold, time_point sent);
+    milliseconds hold_wait(const worker_session& worker, time_point now) const;
     void hold(worker_session& worker, time_point now);
     void look(worker_session& worker, time_point now);
     void on_lists(const incarnation& where, const hold_answer& answer,
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -15,10 +15,14 @@
 // Between two attempts of a stop or a hold that failed.
 constexpr milliseconds order_retry_delay{150};
 
+// Holds of this many workers may be answered in a second without an end. Each
+// answer renews a lease, so a small fleet's leases outlast longer cuts.
+constexpr std::int64_t idle_holds_per_second = 100;
+constexpr milliseconds shortest_hold_wait{500};
+
 // After a hold without an answer, holds wait less for a while, because a lost
 // answer is noticed only when the wait is over.
 constexpr milliseconds unsteady_time{8000};
-constexpr milliseconds unsteady_hold_wait{500};
 
 } // namespace
 
@@ -48,6 +52,17 @@
     };
 }
 
+milliseconds worker_fleet::hold_wait(const worker_session& worker,
+                                     time_point now) const
+{
+    const milliseconds affordable(static_cast<std::int64_t>(workers_.size()) *
+                                  1000 / idle_holds_per_second);
+    return now < worker.unsteady_until
+               ? shortest_hold_wait
+               : std::clamp(affordable, shortest_hold_wait,
+                            options_.max_hold_wait);
+}
+
 void worker_fleet::hold(worker_session& worker, time_point now)
 {
     worker.holding = true;
@@ -61,9 +76,7 @@
     }
     if (!worker.runs.empty() && worker.confirmed && worker.hold_failures == 0)
     {
-        const bool unsteady = now < worker.unsteady_until;
-        order.longest_wait_ms =
-            (unsteady ? unsteady_hold_wait : options_.hold_wait).count();
+        order.longest_wait_ms = hold_wait(worker, now).count();
     }
     port_.hold(worker.record, order, lists_to(worker, true, now));
 }
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -45,6 +45,37 @@
 
 const std::string first_run = "job.0.0.0#1";
 
+// Guards against runs that a short cut ends: between two renewals a lease runs
+// down by the time that a hold waits. A large fleet's holds wait longer, since
+// one leader renews all leases.
+TEST(worker_fleet, holds_of_a_small_fleet_wait_less)
+{
+    for (const auto& [workers, wait_ms] :
+         {std::pair(1, 500), std::pair(120, 1200), std::pair(400, 2000)})
+    {
+        fleet_bed bed;
+        start_one(bed);
+        for (int i = 1; i < workers; ++i)
+        {
+            bed.add_worker("v" + std::to_string(i), "r1");
+        }
+        bed.port.starts.back().done(
+            order_at(order_result::accepted, bed.worker_clock()));
+        for (auto held = std::exchange(bed.port.holds, {}); !held.empty();
+             held.pop_front())
+        {
+            held.front().done(lists_at(bed.worker_clock()));
+        }
+        bed.schedule();
+        std::int64_t longest = 0;
+        for (const auto& hold : bed.port.holds)
+        {
+            longest = std::max(longest, hold.order.longest_wait_ms);
+        }
+        EXPECT_EQ(longest, wait_ms);
+    }
+}
+
 // Guards against an order before its placement is committed, which a later
 // leader would not know of.
 TEST(worker_fleet, start_follows_commit)
