Keep a request that is being written until the write has ended

Cause: the end of a leadership, a worker that left and one with another address destroy channels in the middle of a call. Ruled out: callbacks of the ended leadership (guarded by a weak pointer), re-entrance of the log driver.

--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <optional>
+#include <utility>
 
 namespace limpetstack
 {
@@ -40,7 +41,10 @@
     void send(http::request<http::string_body> request,
               std::chrono::milliseconds timeout, callback done)
     {
-        calls_.push_back({std::move(request), timeout, std::move(done)});
+        calls_.push_back(
+            {std::make_shared<const http::request<http::string_body>>(
+                 std::move(request)),
+             timeout, std::move(done)});
         next();
     }
 
@@ -48,7 +52,10 @@
     {
         calls_.clear();
         abandoned_ = true;
-        stream_.reset();
+        if (const auto stream = std::exchange(stream_, nullptr))
+        {
+            stream->close();
+        }
     }
 
     std::size_t backlog() const { return calls_.size(); }
@@ -60,7 +67,8 @@
 private:
     struct call
     {
-        http::request<http::string_body> request;
+        // Shared with the write in progress, which may outlive the call.
+        std::shared_ptr<const http::request<http::string_body>> request;
         std::chrono::milliseconds timeout;
         callback done;
     };
@@ -108,9 +116,10 @@
     void write()
     {
         stream_->expires_after(calls_.front().timeout);
-        http::async_write(*stream_, calls_.front().request,
-                          [self = shared_from_this(), stream = stream_](
-                              beast::error_code error, std::size_t)
+        const auto request = calls_.front().request;
+        http::async_write(*stream_, *request,
+                          [self = shared_from_this(), stream = stream_,
+                           request](beast::error_code error, std::size_t)
                           {
                               if (self->ends(stream, error, true))
                               {
--- a/test/http_channel-test.cpp
+++ b/test/http_channel-test.cpp
@@ -8,6 +8,7 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -100,6 +101,36 @@
     EXPECT_EQ(last, "/b");
 }
 
+// Guards against a crash when a channel is destroyed in the middle of a call,
+// as at the end of a leadership: what is being written must outlive it. The
+// address sanitizer sees a read of freed memory; see CMakeLists.txt.
+TEST_F(http_channel_test, destruction_during_a_call_is_safe)
+{
+    // Larger than what the connection takes at once.
+    const std::string body(4U << 20U, 'x');
+    for (int steps = 0; steps < 12; ++steps)
+    {
+        for (const auto& content : {std::string("small"), body})
+        {
+            auto channel = std::make_unique<http_channel>(io, address);
+            bool answered = false;
+            channel->send("POST", "/silent", {{"X-Name", "value"}}, content,
+                          milliseconds(200),
+                          [&](const http_channel_answer&)
+                          {
+                              answered = true;
+                          });
+            for (int i = 0; i < steps; ++i)
+            {
+                io.run_one_for(milliseconds(5));
+            }
+            channel.reset();
+            io.run_for(milliseconds(5));
+            EXPECT_FALSE(answered);
+        }
+    }
+}
+
 // Guards against a call that is said to have been sent when nothing was.
 TEST_F(http_channel_test, refused_connection_sends_nothing)
 {
