Run queues with a policy on workers that hold a ticket

Cause: steps of queues with a policy never ran, because their workers refuse starts without a ticket. Other ways weighed: asking about all workers at once (each adds to the answer's time) and tickets in the log (the policy gives the same answers again).

--- a/src/coordination/fleet/fleet_demands.cpp
+++ b/src/coordination/fleet/fleet_demands.cpp
@@ -162,12 +162,6 @@
         }
         return;
     }
-    if (queue.needs_tickets)
-    {
-        // Its workers would refuse every start without a ticket.
-        drop_demands(id);
-        return;
-    }
     const auto& spec = job.job.spec();
     for (std::uint32_t k = 0; k < occurrence_count(spec); ++k)
     {
--- a/src/coordination/fleet/fleet_rooms.cpp
+++ b/src/coordination/fleet/fleet_rooms.cpp
@@ -84,6 +84,19 @@
     }
     request.far_allowed =
         static_cast<double>((now - item.since).count()) >= patience;
+    if (item.queue.policy)
+    {
+        request.allowed.emplace();
+        for (const auto& room : rooms_)
+        {
+            const auto& record = room.worker->record;
+            if (tickets_.find({item.job, item.occurrence, item.step},
+                              {record.id(), record.born_ms()}, now) != nullptr)
+            {
+                request.allowed->insert(record.id());
+            }
+        }
+    }
     run_ref ref;
     ref.set_job(item.job);
     ref.set_occurrence(item.occurrence);
@@ -136,6 +149,8 @@
         capacity = capacity + room.worker->capacity;
     }
     headroom_.refresh(capacity, now);
+    counters_.set("urgent_headroom_accelerators",
+                  static_cast<double>(headroom_.kept().accelerators));
 }
 
 void fleet_scheduler::change_room(worker_room& room, const amounts& change)
@@ -255,7 +270,11 @@
                    {"priority", absl::StrCat(item.queue.priority)},
                    {"waited_ms", absl::StrCat((now - item.since).count())},
                    {"document", absl::StrCat(state_.document().version())}});
-        workers_.place(ref, worker, *item.spec, item.queue.priority, now);
+        const auto* const ticket =
+            tickets_.find({item.job, item.occurrence, item.step},
+                          {worker.record.id(), worker.record.born_ms()}, now);
+        workers_.place(ref, worker, *item.spec, item.queue.priority,
+                       ticket == nullptr ? std::string() : *ticket, now);
         auto& room = rooms_[chosen[i]];
         change_room(room, amounts{} - request.need);
         if (item.queue.priority == 0)
@@ -273,6 +292,40 @@
                            static_cast<std::ptrdiff_t>(chosen.size()));
 }
 
+// Asks the queue's policy about workers that could take the step: those near
+// its data first, then those with the most room now.
+void fleet_scheduler::ask_policy(const demand_key& key, const demand& item,
+                                 placement_request request, time_point now)
+{
+    request.allowed.reset();
+    std::vector<std::tuple<bool, std::int64_t, const worker_record*>> order;
+    for (const auto& room : rooms_)
+    {
+        const auto& record = room.worker->record;
+        if (is_eligible(room, request) &&
+            slots(room, room.worker->capacity, request) > 0)
+        {
+            order.emplace_back(
+                record.rack() != request.preferred_rack,
+                -static_cast<std::int64_t>(slots(room, room.free, request)),
+                &record);
+        }
+    }
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto& a, const auto& b)
+                     {
+                         return std::tie(std::get<0>(a), std::get<1>(a)) <
+                                std::tie(std::get<0>(b), std::get<1>(b));
+                     });
+    std::vector<policy_candidate> candidates;
+    candidates.reserve(order.size());
+    for (const auto& [away, room, record] : order)
+    {
+        candidates.push_back({record->id(), record->born_ms()});
+    }
+    tickets_.ask(key, *item.queue.policy, candidates, now);
+}
+
 // Returns true when everything that waited has a place.
 bool fleet_scheduler::place(const demand_key& key, demand& item, time_point now)
 {
@@ -287,7 +340,7 @@
         request.whole ? request.count : 0, "/", request.same_rack, "/",
         request.far_allowed, "/", request.max_per_worker, "/", request.filler,
         "/", request.serves_users);
-    if (!reserved && misses_.count(shape) > 0)
+    if (!reserved && !request.allowed && misses_.count(shape) > 0)
     {
         return false;
     }
@@ -303,9 +356,13 @@
     }
     const auto rooms = rooms_for(key, item);
     const auto chosen = choose_workers(rooms, request);
+    if (item.queue.policy && chosen.size() < request.count)
+    {
+        ask_policy(key, item, request, now);
+    }
     if (chosen.empty())
     {
-        if (request.max_per_worker == 0)
+        if (request.max_per_worker == 0 && !request.allowed)
         {
             misses_.insert(shape);
         }
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -32,14 +32,20 @@
 
 fleet_scheduler::fleet_scheduler(const fleet_scheduler_options& options,
                                  const fleet_state& state,
-                                 worker_fleet& workers, proposer propose,
-                                 metrics& counters)
+                                 worker_fleet& workers, policy_port& policy,
+                                 policy_tickets::clock_reader clock,
+                                 proposer propose, metrics& counters)
     : options_(options)
     , state_(state)
     , workers_(workers)
     , propose_(std::move(propose))
     , counters_(counters)
     , headroom_(headroom_window)
+    , tickets_(policy, std::move(clock),
+               [this]
+               {
+                   changed_ = true;
+               })
 {
     for (const auto& [id, job] : state_.jobs())
     {
@@ -142,6 +148,7 @@
         ended_.erase(command.forget().job());
         open_urgent_.erase(command.forget().job());
         drop_demands(command.forget().job());
+        tickets_.forget(command.forget().job());
         break;
     default:
         break;
@@ -159,6 +166,13 @@
         failed_on_.erase(key);
         return;
     }
+    if (ended.end() == run_never)
+    {
+        // Its ticket may be why; another one is asked for.
+        tickets_.drop(
+            {ended.run().job(), ended.run().occurrence(), ended.run().step()},
+            ended.worker());
+    }
     if (ended.end() != run_failed)
     {
         return;
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include "base/metrics.hpp"
 #include "coordination/fleet/placement_choice.hpp"
+#include "coordination/fleet/policy_tickets.hpp"
 #include "coordination/fleet/urgent_headroom.hpp"
 #include "coordination/fleet/worker_fleet.hpp"
 #include "protocol/external_protocol.hpp"
@@ -35,6 +36,7 @@
 
     fleet_scheduler(const fleet_scheduler_options& options,
                     const fleet_state& state, worker_fleet& workers,
+                    policy_port& policy, policy_tickets::clock_reader clock,
                     proposer propose, metrics& counters);
 
     /// Takes the document in force; `document` must outlive its use.
@@ -100,6 +102,8 @@
     void unreserve(const demand_key& key);
     std::vector<worker_room> rooms_for(const demand_key& key,
                                        const demand& item) const;
+    void ask_policy(const demand_key& key, const demand& item,
+                    placement_request request, time_point now);
     bool place(const demand_key& key, demand& item, time_point now);
     void commit(demand& item, const placement_request& request,
                 const std::vector<worker_room>& rooms,
@@ -129,6 +133,7 @@
     std::vector<worker_room> rooms_;          // Usable workers in this round.
     amounts free_;                            // Sum of what is free in them.
     urgent_headroom headroom_;
+    policy_tickets tickets_;
     std::set<std::string> misses_; // Shapes that found no room in this round.
     std::map<std::string, std::int64_t> urgent_accelerators_; // By account.
     // Workers on which a subtask has failed, by its name.
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -116,7 +116,9 @@
     // Fillers would disturb those who serve users.
     const bool disturbs = (request.filler && room.serves_users) ||
                           (request.serves_users && room.has_fillers);
-    return !disturbs && record.service() == request.service &&
+    const bool allowed =
+        !request.allowed || request.allowed->count(record.id()) > 0;
+    return !disturbs && allowed && record.service() == request.service &&
            (request.required_label.empty() ||
             std::find(labels.begin(), labels.end(), request.required_label) !=
                 labels.end());
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -3,6 +3,7 @@
 #include "coordination/fleet/worker_fleet.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
     std::string preferred_rack;
     std::uint32_t max_per_worker = 0; // 0: no limit.
     std::set<std::string> avoided;    // Workers to use only as a last resort.
+    // Workers that the queue's policy allows; nothing: any.
+    std::optional<std::set<std::string>> allowed;
 };
 
 /// Returns true when the worker may run the request's subtasks at all.
--- a/src/coordination/fleet/urgent_headroom.hpp
+++ b/src/coordination/fleet/urgent_headroom.hpp
@@ -28,6 +28,9 @@
     /// Drops what was placed before the window and takes the fleet's capacity.
     void refresh(const amounts& capacity, time_point now);
 
+    /// Returns the room to leave.
+    const amounts& kept() const { return kept_; }
+
     /// Returns how many subtasks of `need`, at most `count`, fit into `free`
     /// beside the headroom.
     std::uint32_t allowed(const amounts& free, const amounts& need,
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -195,12 +195,13 @@
 
 void worker_fleet::place(const run_ref& run, const worker_session& worker,
                          const step_spec& step, std::int64_t priority,
-                         time_point now)
+                         const std::string& ticket, time_point now)
 {
     const incarnation where{worker.record.id(), worker.record.born_ms()};
     auto& live = add_run(run, where, run_phase::proposed, now);
     live.priority = priority;
     live.gang = step.gang();
+    live.ticket = ticket;
     fleet_command command;
     auto& placed = *command.mutable_place();
     *placed.mutable_run() = run;
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -75,6 +75,7 @@
     bool stop_sent = false;
     bool stop_acknowledged = false;
     bool end_proposed = false;
+    std::string ticket;     // Of the queue's policy.
     bool displaced = false; // Its worker was born again meanwhile.
     int start_attempts = 0;
     time_point since;      // Of the phase.
@@ -141,9 +142,11 @@
     /// runs whose lease is over.
     void advance(time_point now);
 
-    /// Proposes a placement; the run starts once it is committed.
+    /// Proposes a placement; the run starts once it is committed. `ticket` is
+    /// that of the queue's policy, empty without one.
     void place(const run_ref& run, const worker_session& worker,
-               const step_spec& step, std::int64_t priority, time_point now);
+               const step_spec& step, std::int64_t priority,
+               const std::string& ticket, time_point now);
 
     /// Stops a run, with all members when it belongs to a gang.
     void stop(const std::string& key, const char* reason, time_point now);
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -149,6 +149,7 @@
     order.lease_end_ms = lease_end(worker, now);
     order.epoch = epoch_;
     order.checkpoint = run.gang ? step->checkpoint : subtask->checkpoint;
+    order.ticket = run.ticket;
     const auto key = key_of(run.ref);
     if (run.start_attempts == 1)
     {
--- a/src/daemon/fleet/core_leadership.cpp
+++ b/src/daemon/fleet/core_leadership.cpp
@@ -20,6 +20,7 @@
 
 core_node::leadership::leadership(core_node& node, std::uint64_t term)
     : port(node.io_, node.protocol_)
+    , policy(node.io_, node.protocol_, node.settings_.policy_address)
     , workers(
           node.settings_.workers, node.state_, port,
           [&node](fleet_command command)
@@ -28,7 +29,7 @@
           },
           boot_now, term, node.counters_)
     , scheduler(
-          node.settings_.scheduler, node.state_, workers,
+          node.settings_.scheduler, node.state_, workers, policy, boot_now,
           [&node](fleet_command command)
           {
               node.runner_->propose(std::move(command), {});
--- a/src/daemon/fleet/core_node.hpp
+++ b/src/daemon/fleet/core_node.hpp
@@ -10,6 +10,7 @@
 #include "daemon/fleet/node_settings.hpp"
 #include "daemon/fleet/replica_identity.hpp"
 #include "transport/frame_link.hpp"
+#include "transport/http_policy_port.hpp"
 #include "transport/http_server.hpp"
 #include "transport/http_worker_port.hpp"
 #include "transport/peer_links.hpp"
@@ -55,6 +56,7 @@
     {
         leadership(core_node& node, std::uint64_t term);
         http_worker_port port;
+        http_policy_port policy;
         worker_fleet workers;
         fleet_scheduler scheduler;
         time_point since;
--- a/src/daemon/fleet/node_settings.hpp
+++ b/src/daemon/fleet/node_settings.hpp
@@ -22,6 +22,7 @@
     std::string control_address; // Empty unless the host serves control.
     std::string peer_address;    // Where other hosts reach this one.
     std::string metrics_address;
+    std::string policy_address;       // Of the policy service; may be empty.
     std::vector<std::string> seeds;   // Peer addresses of hosts with a disk.
     bool first_start = false;         // Of the whole deployment.
     std::string data_folder;          // Empty without a disk.
--- a/src/protocol/external_protocol.hpp
+++ b/src/protocol/external_protocol.hpp
@@ -14,6 +14,14 @@
 namespace limpetstack::fleet
 {
 
+/// A queue's policy: a service decides which workers may run each step.
+struct ticket_policy
+{
+    std::int64_t decision_ms = 0;   // Fixed part of the time of an answer.
+    std::int64_t per_worker_ms = 0; // Added for each worker that is named.
+    std::int64_t valid_ms = 0;      // How long a ticket may be used.
+};
+
 /// A queue of jobs. Callers select it by host and path prefix.
 struct queue_config
 {
@@ -23,11 +31,11 @@
     std::string service;
     std::int64_t priority = 0; // 0 is the most urgent.
     std::uint32_t attempts = 1;
-    double stretch = 1;            // Objective as a multiple of the work.
-    std::int64_t allowance_ms = 0; // Added to the objective.
-    std::int64_t timeout_ms = 0;   // Of one call.
-    bool public_access = false;    // Callers need no key.
-    bool needs_tickets = false;    // A policy service must allow each worker.
+    double stretch = 1;                  // Objective as a multiple of the work.
+    std::int64_t allowance_ms = 0;       // Added to the objective.
+    std::int64_t timeout_ms = 0;         // Of one call.
+    bool public_access = false;          // Callers need no key.
+    std::optional<ticket_policy> policy; // Nothing: any worker will do.
 };
 
 struct service_config
@@ -135,6 +143,23 @@
     std::int64_t lease_end_ms = 0; // On the worker's clock.
     std::uint64_t epoch = 0;
     std::string checkpoint;
+    std::string ticket; // Of the queue's policy; empty without one.
+};
+
+/// Asks which of some workers may run a step.
+struct policy_question
+{
+    std::string job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::vector<std::string> workers;
+};
+
+/// A worker that may run the step, and the ticket that shows it.
+struct policy_ticket
+{
+    std::string worker;
+    std::string ticket;
 };
 
 struct hold_order
@@ -203,11 +228,15 @@
                                       const std::string& worker,
                                       std::uint64_t epoch) const = 0;
     virtual outgoing_call encode_hold(const hold_order& order) const = 0;
+    virtual outgoing_call
+    encode_question(const policy_question& question) const = 0;
 
     virtual order_answer decode_order(unsigned status,
                                       std::string_view body) const = 0;
     virtual absl::StatusOr<worker_lists>
     decode_lists(std::string_view body) const = 0;
+    virtual absl::StatusOr<std::vector<policy_ticket>>
+    decode_tickets(std::string_view body) const = 0;
 };
 
 } // namespace limpetstack::fleet
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -194,6 +194,39 @@
     EXPECT_EQ(used_accelerators(bed), 32);
 }
 
+// Guards against starts that a worker refuses because the queue's policy does
+// not allow it, and against a queue with a policy that never runs.
+TEST(fleet_scheduler, queue_with_a_policy_runs_where_it_is_allowed)
+{
+    fleet_bed bed;
+    add_ready_worker(bed, "w1", "r1");
+    add_ready_worker(bed, "w2", "r1");
+    bed.submit("job", make_step(2, 1), "restricted");
+    bed.schedule();
+    EXPECT_TRUE(bed.port.starts.empty());
+    ASSERT_EQ(bed.policy.questions.size(), 1U);
+    const auto asked = bed.policy.questions.front();
+    bed.policy.questions.clear();
+    EXPECT_EQ(asked.question.job, "job");
+    EXPECT_EQ(asked.question.workers.size(), 2U);
+    asked.done(std::vector<policy_ticket>{{"w2", "ticket"}});
+    bed.schedule();
+    ASSERT_EQ(bed.port.starts.size(), 2U);
+    for (const auto& start : bed.port.starts)
+    {
+        EXPECT_EQ(start.order.worker, "w2");
+        EXPECT_EQ(start.order.ticket, "ticket");
+    }
+    // The worker does not take the ticket: another one is asked for.
+    bed.port.starts[0].done({order_result::bad_ticket, bed.worker_clock()});
+    bed.commit();
+    bed.schedule();
+    EXPECT_EQ(bed.port.starts.size(), 2U);
+    ASSERT_EQ(bed.policy.questions.size(), 1U);
+    EXPECT_EQ(bed.policy.questions.front().question.workers,
+              std::vector<std::string>{"w2"});
+}
+
 // Guards against urgent work that starts far from its data, where it takes
 // several times as long, while room near its data is being made for it.
 TEST(fleet_scheduler, reclaimed_room_is_waited_for)
--- a/test/platform_protocol-test.cpp
+++ b/test/platform_protocol-test.cpp
@@ -140,6 +140,34 @@
             .ok());
 }
 
+// Guards against a queue with a policy whose steps are started without asking.
+TEST(platform_protocol, speaks_with_the_policy_service)
+{
+    const platform_protocol protocol;
+    const auto document = protocol.decode_document(
+        replaced(document_text, R"("public":false)",
+                 R"("public":false,"advice":{"decision_ms":40,"period_ms":5,)"
+                 R"("valid_ms":4000})"));
+    ASSERT_TRUE(document.ok()) << document.status();
+    ASSERT_TRUE(document->queues[0].policy.has_value());
+    EXPECT_EQ(document->queues[0].policy->decision_ms, 40);
+    EXPECT_EQ(document->queues[0].policy->per_worker_ms, 5);
+    EXPECT_EQ(document->queues[0].policy->valid_ms, 4000);
+    const auto call =
+        protocol.encode_question({"5c0e7a21d94b36f8", 0, 1, {"i-1", "i-2"}});
+    EXPECT_EQ(call.target, "/-/advise");
+    EXPECT_EQ(call.body,
+              R"({"step":"5c0e7a21d94b36f8.0.1","workers":["i-1","i-2"]})");
+    const auto tickets =
+        protocol.decode_tickets(R"({"allowed":[["i-2","t"]]})");
+    ASSERT_TRUE(tickets.ok()) << tickets.status();
+    ASSERT_EQ(tickets->size(), 1U);
+    EXPECT_EQ((*tickets)[0].worker, "i-2");
+    EXPECT_EQ((*tickets)[0].ticket, "t");
+    EXPECT_FALSE(protocol.decode_tickets(R"({"allowed":[["i-2"]]})").ok());
+    EXPECT_FALSE(protocol.decode_tickets("{}").ok());
+}
+
 TEST(platform_protocol, subtask_names_round_trip)
 {
     fleet::run_ref run;
@@ -212,6 +240,7 @@
                     report->worker.address().size() > 1);
         static_cast<void>(protocol.decode_lists(text));
         static_cast<void>(protocol.decode_order(200, text));
+        static_cast<void>(protocol.decode_tickets(text));
     }
 }
 
--- a/test/support/fleet_bed.cpp
+++ b/test/support/fleet_bed.cpp
@@ -25,6 +25,8 @@
     add_queue("urgent", 0);
     add_queue("normal", 1);
     add_queue("low", 2);
+    add_queue("restricted", 1);
+    document.queues.back().policy = {100, 10, 5000};
     account_config account;
     account.name = "account";
     account.guaranteed_accelerators = 16;
@@ -49,7 +51,12 @@
         },
         epoch, counters);
     scheduler = std::make_unique<fleet_scheduler>(
-        fleet_scheduler_options(), state, *workers, propose, counters);
+        fleet_scheduler_options(), state, *workers, policy,
+        [this]
+        {
+            return now;
+        },
+        propose, counters);
     scheduler->use_document(document);
 }
 
--- a/test/support/fleet_bed.hpp
+++ b/test/support/fleet_bed.hpp
@@ -2,6 +2,7 @@
 
 #include "coordination/fleet/fleet_scheduler.hpp"
 #include "coordination/fleet/worker_fleet.hpp"
+#include "fake_policy_port.hpp"
 #include "fake_worker_port.hpp"
 #include "state/fleet_state.hpp"
 
@@ -47,6 +48,7 @@
 
     fleet_state state;
     fake_worker_port port;
+    fake_policy_port policy;
     std::deque<fleet_command> proposals;
     time_point now{milliseconds(1000000)};
     std::int64_t wall_ms = 1700000000000;
