Remove workers that were silent for a minute; forget failures of forgotten jobs

Cause: a worker that crashes and never comes back stayed in the replicated state for ever, and after a lost answer the leader called its address several times a second. Failures of subtasks and records of ends stayed in the leader's memory after their job or worker was gone. A silent worker without runs is removed after 60 s and known again when it reports. Tests: worker_fleet.silent_worker_is_removed_until_it_reports_again, fleet_scheduler.failures_of_a_forgotten_job_are_forgotten; both fail before.

--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -149,6 +149,13 @@
         open_urgent_.erase(command.forget().job());
         drop_demands(command.forget().job());
         tickets_.forget(command.forget().job());
+        forget_failures(command.forget().job());
+        break;
+    case fleet_command::kRemoveWorker:
+        if (result == applied::changed)
+        {
+            ends_of_worker_.erase(command.remove_worker().id());
+        }
         break;
     default:
         break;
@@ -193,6 +200,13 @@
     }
 }
 
+void fleet_scheduler::forget_failures(const std::string& job)
+{
+    // Keys of the job's subtasks begin with its id and a dot.
+    failed_on_.erase(failed_on_.lower_bound(job + "."),
+                     failed_on_.lower_bound(job + "/"));
+}
+
 void fleet_scheduler::stop_job(const std::string& job, const char* reason,
                                time_point now)
 {
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -56,6 +56,9 @@
 
     std::size_t waiting_steps() const { return demands_.size(); }
 
+    /// Returns the subtasks whose failures are remembered.
+    std::size_t failed_subtasks() const { return failed_on_.size(); }
+
 private:
     // A step whose turn has come, with the subtasks that wait.
     struct demand
@@ -112,6 +115,7 @@
     void reclaim(const demand_key& key, const demand& item, time_point now);
     void watch_progress(time_point now);
     void note_end(const ended_run& ended, time_point now);
+    void forget_failures(const std::string& job);
     std::map<std::string, std::int64_t> urgent_use() const;
 
     const fleet_scheduler_options options_;
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -423,9 +423,32 @@
     }
 }
 
+// A worker that crashed and does not come back says nothing. One that was cut
+// off for longer reports itself again.
+void worker_fleet::forget_silent(worker_session& worker, time_point now)
+{
+    const auto silence = now - std::max(worker.last_report, worker.last_answer);
+    if (worker.removal_proposed || !worker.runs.empty() ||
+        silence < options_.forget_after)
+    {
+        return;
+    }
+    worker.removal_proposed = true;
+    log_event(log_level::warning, "silent_worker_removed",
+              {{"worker", worker.record.id()},
+               {"silence_ms", absl::StrCat(silence.count())},
+               {"epoch", absl::StrCat(epoch_)}});
+    fleet_command command;
+    auto& removed = *command.mutable_remove_worker();
+    removed.set_id(worker.record.id());
+    removed.set_born_ms(worker.record.born_ms());
+    propose_(std::move(command));
+}
+
 void worker_fleet::serve(worker_session& worker, time_point now)
 {
     end_lapsed(worker, now);
+    forget_silent(worker, now);
     if (now >= worker.retry_at && needs_hold(worker))
     {
         hold(worker, now);
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -25,7 +25,8 @@
     milliseconds report_interval{1500};
     double clock_slowness = 0.02;
     milliseconds max_hold_wait{2000};
-    milliseconds stop_time{900}; // Longest time that a stop takes.
+    milliseconds stop_time{900};      // Longest time that a stop takes.
+    milliseconds forget_after{60000}; // Of a silent worker without runs.
 };
 
 /// What is needed of one worker, or free on it.
@@ -110,6 +111,7 @@
     std::set<std::string> pending_ends; // Listed, proposed, not committed.
     bool confirmed = false; // Has answered under this leader's epoch.
     bool holding = false;
+    bool removal_proposed = false;
     int hold_failures = 0;
     time_point unsteady_until; // Answers were lost lately.
     time_point retry_at;       // No hold before this time.
@@ -209,6 +211,7 @@
                      time_point sent, time_point now);
     void retry_stops(time_point now);
     void serve(worker_session& worker, time_point now);
+    void forget_silent(worker_session& worker, time_point now);
     bool needs_hold(const worker_session& worker) const;
     void lose_incarnation(const incarnation& where, const char* reason,
                           time_point now);
--- a/src/daemon/fleet/core_leadership.cpp
+++ b/src/daemon/fleet/core_leadership.cpp
@@ -109,6 +109,9 @@
         leading_->scheduler.run_round(now, wall_clock_ms());
         counters_.set("waiting_steps",
                       static_cast<double>(leading_->scheduler.waiting_steps()));
+        counters_.set(
+            "failed_subtasks",
+            static_cast<double>(leading_->scheduler.failed_subtasks()));
         leading_->workers.advance(now);
         manage_members();
     }
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -96,6 +96,21 @@
     EXPECT_EQ(bed.port.starts.size(), 2U);
 }
 
+// Guards against memory that grows with every job that ever failed.
+TEST(fleet_scheduler, failures_of_a_forgotten_job_are_forgotten)
+{
+    fleet_bed bed;
+    add_ready_worker(bed, "w1", "r1");
+    bed.submit("job", make_step(1, 1));
+    bed.schedule();
+    end_run(bed, make_run("job", 0, 1), run_failed);
+    EXPECT_EQ(bed.scheduler->failed_subtasks(), 1U);
+    fleet_command command;
+    command.mutable_forget()->set_job("job");
+    bed.apply(command);
+    EXPECT_EQ(bed.scheduler->failed_subtasks(), 0U);
+}
+
 // Guards against an occurrence that starts before it is due.
 TEST(fleet_scheduler, timed_job_waits_for_its_time)
 {
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -76,6 +76,26 @@
     }
 }
 
+// Guards against state and calls that grow with the workers that ever crashed,
+// and against the loss of one that was only cut off.
+TEST(worker_fleet, silent_worker_is_removed_until_it_reports_again)
+{
+    fleet_bed bed;
+    start_one(bed);
+    bed.port.starts.back().done(
+        order_at(order_result::accepted, bed.worker_clock()));
+    bed.pass(milliseconds(59000));
+    EXPECT_EQ(bed.state.workers().count("w1"), 1U);
+    // Its lease is over by now, so that no run is left there.
+    bed.pass(milliseconds(2000));
+    bed.pass(milliseconds(2000));
+    EXPECT_EQ(bed.state.workers().count("w1"), 0U);
+    EXPECT_EQ(bed.workers->workers().count("w1"), 0U);
+    EXPECT_FALSE(bed.port.forgotten.empty());
+    bed.add_worker("w1", "r1");
+    EXPECT_EQ(bed.workers->workers().count("w1"), 1U);
+}
+
 // Guards against an order before its placement is committed, which a later
 // leader would not know of.
 TEST(worker_fleet, start_follows_commit)
