--- a/test/programs/fleet-soak.cpp
+++ b/test/programs/fleet-soak.cpp
@@ -468,8 +468,11 @@
         std::perror(folder.c_str());
         return EXIT_FAILURE;
     }
-    soak run(static_cast<unsigned>(std::atoi(argv[2])), folder);
-    const int code = run.run(std::atoi(argv[1]));
+    int code = EXIT_FAILURE;
+    {
+        soak run(static_cast<unsigned>(std::atoi(argv[2])), folder);
+        code = run.run(std::atoi(argv[1]));
+    } // Ends the hosts, which write to the folder.
     if (code == EXIT_SUCCESS)
     {
         std::filesystem::remove_all(folder);
