Keep headroom by service, and none from lasting work

Cause: found by reading. The headroom was taken over all workers, so that the urgent work of one service held back another one, and lasting subtasks waited although there was room, which is against the rule that they start wherever it is. Both are in fleet_scheduler.headroom_holds_for_its_service_and_not_for_ lasting_work, red before.

--- a/src/coordination/fleet/fleet_rooms.cpp
+++ b/src/coordination/fleet/fleet_rooms.cpp
@@ -24,6 +24,9 @@
 // from its rack.
 constexpr double reclaim_patience = 0.35;
 
+// Time in which room that urgent work took is left free for more of it.
+constexpr milliseconds headroom_window{4000};
+
 // Share of the time that waiting for a near place may cost.
 constexpr double near_patience = 0.8;
 
@@ -141,23 +144,43 @@
             room->free = room->free - kept;
         }
     }
-    free_ = {};
-    amounts capacity;
+    std::map<std::string, amounts> capacities;
+    for (auto& [service, room] : services_)
+    {
+        room.free = {};
+    }
     for (const auto& room : rooms_)
     {
-        free_ = free_ + usable(room.free);
+        const auto& service = room.worker->record.service();
+        auto& free = room_of(service).free;
+        free = free + usable(room.free);
+        auto& capacity = capacities[service];
         capacity = capacity + room.worker->capacity;
     }
-    headroom_.refresh(capacity, now);
-    counters_.set("urgent_headroom_accelerators",
-                  static_cast<double>(headroom_.kept().accelerators));
+    std::int64_t kept = 0;
+    for (auto& [service, room] : services_)
+    {
+        room.headroom.refresh(capacities[service], now);
+        kept += room.headroom.kept().accelerators;
+    }
+    counters_.set("urgent_headroom_accelerators", static_cast<double>(kept));
+}
+
+fleet_scheduler::service_room&
+fleet_scheduler::room_of(const std::string& service)
+{
+    return services_
+        .try_emplace(service,
+                     service_room{{}, urgent_headroom(headroom_window)})
+        .first->second;
 }
 
 void fleet_scheduler::change_room(worker_room& room, const amounts& change)
 {
-    free_ = free_ - usable(room.free);
+    auto& free = room_of(room.worker->record.service()).free;
+    free = free - usable(room.free);
     room.free = room.free + change;
-    free_ = free_ + usable(room.free);
+    free = free + usable(room.free);
 }
 
 // Adds (1) or removes (-1) a reservation's rooms from the sums.
@@ -279,7 +302,7 @@
         change_room(room, amounts{} - request.need);
         if (item.queue.priority == 0)
         {
-            headroom_.note(request.need, now);
+            room_of(request.service).headroom.note(request.need, now);
         }
         room.has_fillers = room.has_fillers || request.filler;
         room.serves_users = room.serves_users || request.serves_users;
@@ -344,10 +367,12 @@
     {
         return false;
     }
-    if (item.queue.priority > 0)
+    // What lasts starts wherever there is room, however full the service is.
+    if (item.queue.priority > 0 && !item.spec->lasting())
     {
+        const auto& service = room_of(request.service);
         const auto allowed =
-            headroom_.allowed(free_, request.need, request.count);
+            service.headroom.allowed(service.free, request.need, request.count);
         if (allowed == 0 || (request.whole && allowed < request.count))
         {
             return false;
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -22,9 +22,6 @@
 constexpr milliseconds first_pause{4000};
 constexpr int max_pause_doublings = 3;
 
-// Time in which room that urgent work took is left free for more of it.
-constexpr milliseconds headroom_window{4000};
-
 // Steps that are looked at in one round without being placed.
 constexpr std::size_t max_misses_per_round = 200;
 
@@ -40,7 +37,6 @@
     , workers_(workers)
     , propose_(std::move(propose))
     , counters_(counters)
-    , headroom_(headroom_window)
     , tickets_(policy, std::move(clock),
                [this]
                {
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -85,6 +85,14 @@
         time_point until;
     };
 
+    // What is free on the usable workers of a service, and what of it other
+    // work leaves to urgent work.
+    struct service_room
+    {
+        amounts free;
+        urgent_headroom headroom;
+    };
+
     void refresh_jobs(time_point now, std::int64_t wall_ms);
     void refresh_job(const job_state& job, time_point now,
                      std::int64_t wall_ms);
@@ -99,6 +107,7 @@
     int urgency(const demand& item) const;
     placement_request request_for(const demand& item, time_point now) const;
     void survey_rooms(time_point now);
+    service_room& room_of(const std::string& service);
     void change_room(worker_room& room, const amounts& change);
     void count_reserved(const reservation& kept, int sign);
     void reserve(const demand_key& key, reservation kept);
@@ -135,8 +144,7 @@
     std::map<demand_key, reservation> reservations_;
     std::map<std::string, amounts> reserved_; // By worker, of all demands.
     std::vector<worker_room> rooms_;          // Usable workers in this round.
-    amounts free_;                            // Sum of what is free in them.
-    urgent_headroom headroom_;
+    std::map<std::string, service_room> services_; // By name.
     policy_tickets tickets_;
     std::set<std::string> misses_; // Shapes that found no room in this round.
     std::map<std::string, std::int64_t> urgent_accelerators_; // By account.
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -209,6 +209,36 @@
     EXPECT_EQ(used_accelerators(bed), 32);
 }
 
+// Guards against lasting work that is down although there is room, and against
+// a service that is held back by the urgent work of another one.
+TEST(fleet_scheduler, headroom_holds_for_its_service_and_not_for_lasting_work)
+{
+    fleet_bed bed;
+    add_ready_worker(bed, "w1", "r1");
+    bed.submit("urgent", make_step(2, 1), "urgent");
+    bed.schedule();
+    accept_starts(bed);
+    bed.submit("low", make_step(8, 1), "low");
+    bed.schedule();
+    EXPECT_EQ(used_accelerators(bed), 6);
+    auto step = make_step(2, 1);
+    step.set_lasting(true);
+    bed.submit("lasting", step, "low");
+    bed.schedule();
+    EXPECT_EQ(used_accelerators(bed), 8);
+
+    bed.add_worker("w2", "r1", 1, "other");
+    confirm_workers(bed);
+    fleet_command command;
+    auto& job = *command.mutable_accept();
+    job.set_id("elsewhere");
+    job.set_queue("other");
+    *job.mutable_spec()->add_steps() = make_step(8, 1);
+    bed.apply(command);
+    bed.schedule();
+    EXPECT_EQ(used_accelerators(bed), 16);
+}
+
 // Guards against starts that a worker refuses because the queue's policy does
 // not allow it, and against a queue with a policy that never runs.
 TEST(fleet_scheduler, queue_with_a_policy_runs_where_it_is_allowed)
--- a/test/support/fleet_bed.cpp
+++ b/test/support/fleet_bed.cpp
@@ -27,6 +27,8 @@
     add_queue("low", 2);
     add_queue("restricted", 1);
     document.queues.back().policy = {100, 10, 5000};
+    add_queue("other", 2);
+    document.queues.back().service = "other";
     account_config account;
     account.name = "account";
     account.guaranteed_accelerators = 16;
@@ -90,13 +92,13 @@
 }
 
 void fleet_bed::add_worker(const std::string& id, const std::string& rack,
-                           std::int64_t born_ms)
+                           std::int64_t born_ms, const std::string& service)
 {
     fleet_command command;
     auto& worker = *command.mutable_worker();
     worker.set_id(id);
     worker.set_born_ms(born_ms);
-    worker.set_service("service");
+    worker.set_service(service);
     worker.set_address("10.0.0.1:80");
     worker.set_rack(rack);
     worker.mutable_capacity()->set_cpu_milli(32000);
--- a/test/support/fleet_bed.hpp
+++ b/test/support/fleet_bed.hpp
@@ -33,7 +33,8 @@
 
     /// Adds a worker of 32 cores, 128 GB and 8 accelerators.
     void add_worker(const std::string& id, const std::string& rack,
-                    std::int64_t born_ms = 1);
+                    std::int64_t born_ms = 1,
+                    const std::string& service = "service");
     void report(const std::string& id);
 
     /// Accepts a job of one step.
