--- a/src/coordination/fleet/urgent_headroom.cpp
+++ b/src/coordination/fleet/urgent_headroom.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-// Part of the fleet's capacity that may be kept: one in this many.
+// Part of the service's capacity that may be kept: one in this many.
 constexpr std::int64_t max_share_divisor = 4;
 
 } // namespace
--- a/src/coordination/fleet/urgent_headroom.hpp
+++ b/src/coordination/fleet/urgent_headroom.hpp
@@ -9,11 +9,11 @@
 namespace limpetstack::fleet
 {
 
-/// Free room that less urgent work leaves to urgent work: as much as urgent
-/// work took during the last window, and at most a quarter of the fleet, so
-/// that work which fits twice into a half-empty fleet always starts. Without it
-/// each urgent gang on a full fleet waits until other runs have been stopped
-/// for it. For one thread.
+/// Room on a service's workers that less urgent work leaves to urgent work: as
+/// much as urgent work took during the last window, and at most a quarter of
+/// the capacity, so that work which fits twice into a half-empty service always
+/// starts. Without it each urgent gang on a full service waits until other runs
+/// have been stopped for it. For one thread.
 class urgent_headroom
 {
 public:
@@ -25,7 +25,7 @@
     /// Records urgent work that was placed.
     void note(const amounts& placed, time_point now);
 
-    /// Drops what was placed before the window and takes the fleet's capacity.
+    /// Drops what was placed before the window; `capacity` is the service's.
     void refresh(const amounts& capacity, time_point now);
 
     /// Returns the room to leave.
