Wait longer for progress of long runs

A run without a risen percentage for 5 s was stopped, whatever its length; one of an hour rises each 36 s, so that it would have been stopped for ever. The time is half of the estimate now, at least 5 s, and a minute without an estimate; a new checkpoint counts as progress. Test: fleet_scheduler.long_run_without_progress_for_a_minute_goes_on, red before.

--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -13,8 +13,24 @@
 {
 
 // A run whose progress stands still for this long is stopped. The lists that
-// tell it come at least every two seconds.
-constexpr milliseconds stall_time{5000};
+// tell it come at least every two seconds. Progress is told in whole percent:
+// half of the estimate is the time of one percent of a run that takes fifty
+// times as long as estimated.
+constexpr milliseconds min_stall_time{5000};
+constexpr double stall_share_of_estimate = 0.5;
+
+// Of a run without an estimate.
+constexpr milliseconds unknown_stall_time{60000};
+
+milliseconds stall_time(const live_run& run)
+{
+    return run.estimate_ms <= 0
+               ? unknown_stall_time
+               : std::max(min_stall_time,
+                          milliseconds(static_cast<std::int64_t>(
+                              stall_share_of_estimate *
+                              static_cast<double>(run.estimate_ms))));
+}
 
 // A worker on which runs of this many jobs failed in a row is avoided, each
 // time twice as long.
@@ -291,7 +307,7 @@
     {
         const auto last = std::max(run.progressed_at, run.started_at);
         if (run.phase == run_phase::present && !run.stop_wanted &&
-            !run.lasting && run.listed_at - last >= stall_time)
+            !run.lasting && run.listed_at - last >= stall_time(run))
         {
             stalled.push_back(key);
         }
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -153,6 +153,7 @@
         live.gang = step.gang();
         live.checkpointable = step.checkpointable();
         live.lasting = step.lasting();
+        live.estimate_ms = step.estimate_ms();
         live.filler = step.filler();
         live.serves_users = step.tail_latency_ms() > 0;
     }
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -83,9 +83,10 @@
     time_point looked_at;  // When the lists were asked for after its stop.
     time_point started_at; // When it became present.
     std::string checkpoint;
+    std::int64_t estimate_ms = 0; // Of the whole subtask; often far off.
     int percent = 0;
     time_point listed_at;     // When the worker last listed it.
-    time_point progressed_at; // When `percent` last rose.
+    time_point progressed_at; // Last rise of `percent` or new checkpoint.
 };
 
 /// A worker's session with the leader.
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -190,7 +190,8 @@
             run.since = now;
             run.started_at = now;
         }
-        if (item.percent > run.percent || run.progressed_at < run.started_at)
+        if (item.percent > run.percent || run.progressed_at < run.started_at ||
+            (!item.checkpoint.empty() && item.checkpoint != run.checkpoint))
         {
             run.progressed_at = now;
         }
