Log steps that wait for capacity, with the obstacle

Cause: the logs tell when a step is placed and how long it waited, but nothing of a step that is not placed. Starvation by the headroom, by fragmentation, by preemption and by the limit of a round looked the same.

Change: step_waiting after 2 s and each time the wait has doubled, with the step's size, its obstacle and the free capacity; longest_wait_ms by queue; subtasks and accelerators in job_accepted.

--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -383,6 +383,8 @@
         request.all_or_nothing ? request.count : 0, "/", request.same_rack, "/",
         request.other_racks_allowed, "/", request.max_per_worker, "/",
         request.filler, "/", request.serves_users);
+    item.obstacle = request.allowed ? placement_obstacle::policy
+                                    : placement_obstacle::capacity;
     if (!reserved && !request.allowed && unplaceable_shapes_.count(shape) > 0)
     {
         return false;
@@ -396,6 +398,7 @@
             service.free, request.need, request.count);
         if (allowed == 0 || (request.all_or_nothing && allowed < request.count))
         {
+            item.obstacle = placement_obstacle::headroom;
             return false;
         }
         request.count = allowed;
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -341,6 +341,7 @@
     stop_stalled_runs(now);
     if (pending_.empty())
     {
+        report_waits(now);
         return;
     }
     urgent_accelerators_ = urgent_use();
@@ -364,6 +365,7 @@
             break;
         }
     }
+    report_waits(now);
 }
 
 } // namespace limpetstack::fleet
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -67,6 +67,19 @@
     std::size_t failed_subtasks() const { return failed_workers_.size(); }
 
 private:
+    // Wait of a step before its first log line. Each further line follows
+    // after twice the wait.
+    static constexpr milliseconds first_wait_log{2000};
+
+    // Why the last attempt to place a step did not place all its subtasks.
+    enum class placement_obstacle
+    {
+        not_tried, // No round has reached the step yet.
+        headroom,  // The free capacity is reserved for urgent work.
+        capacity,  // No choice of workers has enough free capacity.
+        policy     // The queue's policy has not allowed enough workers.
+    };
+
     // A step that is ready to run, with its subtasks that are not placed yet.
     struct pending_step
     {
@@ -79,6 +92,8 @@
         queue_config queue;
         std::uint64_t order = 0; // Order of acceptance of the job.
         time_point since;        // When the step became ready.
+        placement_obstacle obstacle = placement_obstacle::not_tried;
+        time_point next_wait_log; // When the next log line on its wait is due.
         bool all_or_nothing() const { return spec->gang(); }
     };
     using pending_step_key =
@@ -139,6 +154,9 @@
     void stop_stalled_runs(time_point now);
     void record_end(const ended_run& ended, time_point now);
     void forget_failures(const std::string& job);
+    // Sets the gauges of waiting steps and logs the steps that wait long.
+    void report_waits(time_point now);
+    void log_wait(const pending_step& item, time_point now);
     std::map<std::string, std::int64_t> urgent_use() const;
 
     const fleet_scheduler_options options_;
@@ -184,6 +202,8 @@
     std::map<std::string, failure_history> failure_histories_; // By worker.
     bool changed_ = true; // Something changed since the last round.
     time_point last_round_;
+    std::map<std::string, milliseconds> longest_waits_; // By queue.
+    time_point next_wait_report_;
 };
 
 } // namespace limpetstack::fleet
--- a/src/coordination/fleet/fleet_service.cpp
+++ b/src/coordination/fleet/fleet_service.cpp
@@ -238,14 +238,23 @@
     job.set_stretch(queue.stretch);
     job.set_allowance_ms(queue.allowance_ms);
     *job.mutable_spec() = std::move(*spec);
+    std::int64_t subtasks = 0;
+    std::int64_t accelerators = 0;
+    for (const auto& step : job.spec().steps())
+    {
+        subtasks += step.subtask_count();
+        accelerators += step.subtask_count() * step.need().accelerators();
+    }
     propose(std::move(command), done,
-            [id, queue = queue.name, account,
+            [id, queue = queue.name, account, subtasks, accelerators,
              version = dependencies_.document()->version](apply_result result)
             {
                 log_event(log_level::info, "job_accepted",
                           {{"job", id},
                            {"queue", queue},
                            {"account", account},
+                           {"subtasks", absl::StrCat(subtasks)},
+                           {"accelerators", absl::StrCat(accelerators)},
                            {"document", absl::StrCat(version)},
                            {"repeated",
                             result == apply_result::changed ? "no" : "yes"}});
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -13,53 +13,6 @@
 namespace
 {
 
-// Answers all open holds with empty lists, which confirms the workers to the
-// leader.
-void confirm_workers(fleet_fixture& fixture)
-{
-    fixture.commit();
-    while (!fixture.port.holds.empty())
-    {
-        const auto hold = fixture.port.holds.front();
-        fixture.port.holds.pop_front();
-        hold_answer answer;
-        answer.result = order_result::accepted;
-        answer.lists.worker_time_ms = fixture.worker_clock();
-        hold.done(answer);
-    }
-}
-
-// Adds a worker that has answered the leader, so that it can get runs.
-void add_ready_worker(fleet_fixture& fixture, const std::string& id,
-                      const std::string& rack)
-{
-    fixture.add_worker(id, rack);
-    confirm_workers(fixture);
-}
-
-// Accepts every start that was sent.
-void accept_starts(fleet_fixture& fixture)
-{
-    for (auto& start : fixture.port.starts)
-    {
-        start.done({order_result::accepted, fixture.worker_clock()});
-    }
-}
-
-// Applies the end of a run, as if its worker had listed it.
-void end_run(fleet_fixture& fixture, const run_ref& run, run_end end)
-{
-    const auto& live = fixture.workers->runs().at(worker_fleet::key_of(run));
-    fleet_command command;
-    auto& ended = *command.mutable_end();
-    *ended.mutable_run() = run;
-    ended.set_worker(live.incarnation.worker);
-    ended.set_born_ms(live.incarnation.born_ms);
-    ended.set_end(end);
-    fixture.apply(command);
-    fixture.commit();
-}
-
 // Guards against a step that starts before the steps that it depends on.
 TEST(fleet_scheduler, later_step_waits_for_the_earlier_one)
 {
@@ -177,17 +130,6 @@
     EXPECT_EQ(fixture.port.starts.back().order.run.job(), "urgent");
 }
 
-// Returns the number of accelerators in use on all workers.
-std::int64_t used_accelerators(const fleet_fixture& fixture)
-{
-    std::int64_t used = 0;
-    for (const auto& [id, worker] : fixture.workers->workers())
-    {
-        used += worker.used.accelerators;
-    }
-    return used;
-}
-
 // Guards against urgent work that has to wait for preemption shortly after
 // other urgent work: capacity as large as recent urgent work took is not given
 // to lower queues at once.
--- a/test/support/fleet_fixture.cpp
+++ b/test/support/fleet_fixture.cpp
@@ -137,6 +137,58 @@
     commit();
 }
 
+void confirm_workers(fleet_fixture& fixture)
+{
+    fixture.commit();
+    while (!fixture.port.holds.empty())
+    {
+        const auto hold = fixture.port.holds.front();
+        fixture.port.holds.pop_front();
+        hold_answer answer;
+        answer.result = order_result::accepted;
+        answer.lists.worker_time_ms = fixture.worker_clock();
+        hold.done(answer);
+    }
+}
+
+void add_ready_worker(fleet_fixture& fixture, const std::string& id,
+                      const std::string& rack)
+{
+    fixture.add_worker(id, rack);
+    confirm_workers(fixture);
+}
+
+void accept_starts(fleet_fixture& fixture)
+{
+    for (auto& start : fixture.port.starts)
+    {
+        start.done({order_result::accepted, fixture.worker_clock()});
+    }
+}
+
+void end_run(fleet_fixture& fixture, const run_ref& run, run_end end)
+{
+    const auto& live = fixture.workers->runs().at(worker_fleet::key_of(run));
+    fleet_command command;
+    auto& ended = *command.mutable_end();
+    *ended.mutable_run() = run;
+    ended.set_worker(live.incarnation.worker);
+    ended.set_born_ms(live.incarnation.born_ms);
+    ended.set_end(end);
+    fixture.apply(command);
+    fixture.commit();
+}
+
+std::int64_t used_accelerators(const fleet_fixture& fixture)
+{
+    std::int64_t used = 0;
+    for (const auto& [id, worker] : fixture.workers->workers())
+    {
+        used += worker.used.accelerators;
+    }
+    return used;
+}
+
 step_spec make_step(std::uint32_t count, std::int64_t accelerators, bool gang)
 {
     step_spec step;
--- a/test/support/fleet_fixture.hpp
+++ b/test/support/fleet_fixture.hpp
@@ -63,6 +63,23 @@
     std::uint64_t epoch = 0;
 };
 
+/// Answers all open holds with empty lists, which confirms the workers to the
+/// leader.
+void confirm_workers(fleet_fixture& fixture);
+
+/// Adds a worker that has answered the leader, so that it can get runs.
+void add_ready_worker(fleet_fixture& fixture, const std::string& id,
+                      const std::string& rack);
+
+/// Accepts every start that was sent.
+void accept_starts(fleet_fixture& fixture);
+
+/// Applies the end of a run, as if its worker had listed it.
+void end_run(fleet_fixture& fixture, const run_ref& run, run_end end);
+
+/// Returns the number of accelerators in use on all workers.
+std::int64_t used_accelerators(const fleet_fixture& fixture);
+
 /// Returns a step of `count` subtasks that need `accelerators` each.
 step_spec make_step(std::uint32_t count, std::int64_t accelerators,
                     bool gang = false);
