Add a failing test of a gang that less urgent work keeps from starting

Two whole workers, needed by a gang of the middle queue, never become free together, because single subtasks of the next queue take each accelerator as it becomes free.

--- a/test/fleet_waits-test.cpp
+++ b/test/fleet_waits-test.cpp
@@ -4,7 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 namespace limpetstack::fleet
 {
@@ -42,5 +44,101 @@
     EXPECT_EQ(gauge_line(fixture, wait_gauge), std::string(wait_gauge) + " 0");
 }
 
+// Answers all open holds with the runs that the workers have, each with
+// progress.
+void list_runs(fleet_fixture& fixture)
+{
+    fixture.commit();
+    while (!fixture.port.holds.empty())
+    {
+        const auto hold = fixture.port.holds.front();
+        fixture.port.holds.pop_front();
+        hold_answer answer;
+        answer.result = order_result::accepted;
+        answer.lists.worker_time_ms = fixture.worker_clock();
+        const auto percent = static_cast<int>(fixture.worker_clock() / 1000);
+        for (const auto& key :
+             fixture.workers->workers().at(hold.order.worker).runs)
+        {
+            answer.lists.running.push_back(
+                {fixture.workers->runs().at(key).ref, "", percent % 100});
+        }
+        hold.done(answer);
+    }
+}
+
+// Accepts the starts that were sent since the last call, and forgets them.
+void accept_new_starts(fleet_fixture& fixture)
+{
+    accept_starts(fixture);
+    fixture.port.starts.clear();
+}
+
+// Ends one run of the job as done.
+void end_one_run(fleet_fixture& fixture, const std::string& job)
+{
+    const auto found = fixture.workers->runs().lower_bound(job + ".");
+    if (found != fixture.workers->runs().end() &&
+        found->second.ref.job() == job)
+    {
+        end_run(fixture, run_ref(found->second.ref), run_done);
+    }
+}
+
+// Ends all runs that were told to stop, as their workers would.
+void end_stopped_runs(fleet_fixture& fixture)
+{
+    for (const auto& stop : fixture.port.stops)
+    {
+        if (fixture.workers->runs().count(worker_fleet::key_of(stop.run)) > 0)
+        {
+            end_run(fixture, stop.run, run_stopped);
+        }
+    }
+}
+
+// Guards against a gang that never starts on a full service because single
+// subtasks of a less urgent queue take each accelerator as it becomes free.
+TEST(fleet_waits, gang_starts_although_less_urgent_work_takes_freed_capacity)
+{
+    fleet_fixture fixture;
+    const std::vector<std::string> ids{"w1", "w2", "w3", "w4"};
+    for (const auto& id : ids)
+    {
+        add_ready_worker(fixture, id, "r1");
+    }
+    fixture.submit("low", make_step(500, 1), "low");
+    fixture.schedule();
+    accept_new_starts(fixture);
+    ASSERT_EQ(used_accelerators(fixture), 32);
+    const auto gang = make_step(2, 8, true);
+    fixture.submit("gang", gang, "normal");
+    // The objective of the job, less its run time: stretch 3, allowance 1 s.
+    constexpr milliseconds latest_start{3 * 5000 + 1000 - 5000};
+    constexpr milliseconds step_time{250};
+    bool started = false;
+    for (milliseconds waited{0}; waited < latest_start && !started;
+         waited += step_time)
+    {
+        fixture.advance(step_time);
+        for (const auto& id : ids)
+        {
+            fixture.report(id);
+        }
+        list_runs(fixture);
+        end_stopped_runs(fixture);
+        end_one_run(fixture, "low");
+        fixture.schedule();
+        started =
+            std::any_of(fixture.port.starts.begin(), fixture.port.starts.end(),
+                        [](const auto& start)
+                        {
+                            return start.order.run.job() == "gang";
+                        });
+        accept_new_starts(fixture);
+    }
+    EXPECT_TRUE(started);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
