Hold free capacity for the gang that has waited longest

Cause: backfilling without a reservation. A gang needs all of its workers at once; single subtasks of the next queue, and smaller gangs accepted later, take each part of the capacity as it becomes free, down to the urgent headroom.

One gang of a service at a time, so idle capacity is bounded; urgent and lasting steps are not held back.

The test ends the oldest run first now: before, runs with high keys never ended.

--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -1,5 +1,5 @@
-// Computes the steps that are ready to run, and proposes the commands that end
-// jobs: fail, finish and forget.
+// Computes the steps that are ready to run and what their placement may use,
+// and proposes the commands that end jobs: fail, finish and forget.
 #include "coordination/fleet/fleet_scheduler.hpp"
 
 #include "base/log.hpp"
@@ -14,6 +14,14 @@
 namespace
 {
 
+// An urgent step (priority 0) waits for its preferred rack for at most this
+// share of the reclaim limit; then it may start on other racks.
+constexpr double reclaim_wait_share = 0.35;
+
+// A step waits for its preferred rack for at most this share of the delay that
+// its queue allows (from stretch, estimate and allowance).
+constexpr double local_wait_share = 0.8;
+
 bool earlier_steps_done(const step_spec& spec, const occurrence_state* state)
 {
     return std::all_of(spec.after().begin(), spec.after().end(),
@@ -255,4 +263,64 @@
     item.indices = std::move(pending_indices);
 }
 
+double allowed_delay_ms(const queue_config& queue, const step_spec& step)
+{
+    return (queue.stretch - 1) * static_cast<double>(step.estimate_ms()) +
+           static_cast<double>(queue.allowance_ms);
+}
+
+placement_request fleet_scheduler::request_for(const pending_step& item,
+                                               time_point now) const
+{
+    const auto& spec = *item.spec;
+    placement_request request;
+    request.count = static_cast<std::uint32_t>(item.indices.size());
+    request.need = counted_need(spec);
+    request.all_or_nothing = spec.gang();
+    request.same_rack = spec.same_rack() && spec.gang();
+    request.service = item.queue.service;
+    request.required_label = spec.required_label();
+    request.preferred_rack = spec.preferred_rack();
+    request.max_per_worker = spec.max_per_worker();
+    request.filler = spec.filler();
+    request.serves_users = spec.tail_latency_ms() > 0;
+    auto wait_limit = local_wait_share * allowed_delay_ms(item.queue, spec);
+    if (item.queue.priority == 0)
+    {
+        wait_limit =
+            std::min(wait_limit,
+                     reclaim_wait_share *
+                         static_cast<double>(options_.reclaim_limit.count()));
+    }
+    request.other_racks_allowed =
+        static_cast<double>((now - item.since).count()) >= wait_limit;
+    if (item.queue.policy)
+    {
+        request.allowed.emplace();
+        for (const auto& candidate : candidates_)
+        {
+            const auto& record = candidate.worker->record;
+            if (tickets_.find({item.job, item.occurrence, item.step},
+                              {record.id(), record.born_ms()}, now) != nullptr)
+            {
+                request.allowed->insert(record.id());
+            }
+        }
+    }
+    run_ref ref;
+    ref.set_job(item.job);
+    ref.set_occurrence(item.occurrence);
+    ref.set_step(item.step);
+    for (const auto index : item.indices)
+    {
+        ref.set_index(index);
+        const auto found = failed_workers_.find(subtask_key(ref));
+        if (found != failed_workers_.end())
+        {
+            request.avoided.insert(found->second.begin(), found->second.end());
+        }
+    }
+    return request;
+}
+
 } // namespace limpetstack::fleet
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -22,18 +22,10 @@
 // Time for which capacity is reserved for a step while runs are stopped for it.
 constexpr milliseconds reservation_time{1500};
 
-// An urgent step (priority 0) waits for its preferred rack for at most this
-// share of the reclaim limit; then it may start on other racks.
-constexpr double reclaim_wait_share = 0.35;
-
 // Time for which capacity that urgent work took stays reserved for more urgent
 // work.
 constexpr milliseconds headroom_window{4000};
 
-// A step waits for its preferred rack for at most this share of the delay that
-// its queue allows (from stretch, estimate and allowance).
-constexpr double local_wait_share = 0.8;
-
 double weight(const resource_amounts& need)
 {
     return static_cast<double>(need.cpu_milli) / 1000.0 +
@@ -69,63 +61,6 @@
 
 } // namespace
 
-placement_request fleet_scheduler::request_for(const pending_step& item,
-                                               time_point now) const
-{
-    const auto& spec = *item.spec;
-    placement_request request;
-    request.count = static_cast<std::uint32_t>(item.indices.size());
-    request.need = counted_need(spec);
-    request.all_or_nothing = spec.gang();
-    request.same_rack = spec.same_rack() && spec.gang();
-    request.service = item.queue.service;
-    request.required_label = spec.required_label();
-    request.preferred_rack = spec.preferred_rack();
-    request.max_per_worker = spec.max_per_worker();
-    request.filler = spec.filler();
-    request.serves_users = spec.tail_latency_ms() > 0;
-    const auto estimate = static_cast<double>(spec.estimate_ms());
-    const auto allowance = static_cast<double>(item.queue.allowance_ms);
-    auto wait_limit =
-        local_wait_share * ((item.queue.stretch - 1) * estimate + allowance);
-    if (item.queue.priority == 0)
-    {
-        wait_limit =
-            std::min(wait_limit,
-                     reclaim_wait_share *
-                         static_cast<double>(options_.reclaim_limit.count()));
-    }
-    request.other_racks_allowed =
-        static_cast<double>((now - item.since).count()) >= wait_limit;
-    if (item.queue.policy)
-    {
-        request.allowed.emplace();
-        for (const auto& candidate : candidates_)
-        {
-            const auto& record = candidate.worker->record;
-            if (tickets_.find({item.job, item.occurrence, item.step},
-                              {record.id(), record.born_ms()}, now) != nullptr)
-            {
-                request.allowed->insert(record.id());
-            }
-        }
-    }
-    run_ref ref;
-    ref.set_job(item.job);
-    ref.set_occurrence(item.occurrence);
-    ref.set_step(item.step);
-    for (const auto index : item.indices)
-    {
-        ref.set_index(index);
-        const auto found = failed_workers_.find(subtask_key(ref));
-        if (found != failed_workers_.end())
-        {
-            request.avoided.insert(found->second.begin(), found->second.end());
-        }
-    }
-    return request;
-}
-
 void fleet_scheduler::refresh_candidates(time_point now)
 {
     candidates_.clear();
@@ -159,6 +94,7 @@
     for (auto& [service, capacity_of_service] : services_)
     {
         capacity_of_service.free = {};
+        capacity_of_service.held_for_gang.reset();
     }
     for (const auto& candidate : candidates_)
     {
@@ -184,7 +120,7 @@
 {
     return services_
         .try_emplace(service,
-                     service_capacity{{}, urgent_headroom(headroom_window)})
+                     service_capacity{{}, urgent_headroom(headroom_window), {}})
         .first->second;
 }
 
@@ -394,11 +330,16 @@
     if (item.queue.priority > 0 && !item.spec->lasting())
     {
         const auto& service = capacity_of(request.service);
-        const auto allowed = service.headroom.count_allowed(
-            service.free, request.need, request.count);
+        const auto free =
+            service.free - service.held_for_gang.value_or(resource_amounts{});
+        const auto allowed = std::min(
+            service.headroom.count_allowed(free, request.need, request.count),
+            count_within(free, request.need, request.count));
         if (allowed == 0 || (request.all_or_nothing && allowed < request.count))
         {
-            item.obstacle = placement_obstacle::headroom;
+            item.obstacle = service.held_for_gang
+                                ? placement_obstacle::waiting_gang
+                                : placement_obstacle::headroom;
             return false;
         }
         request.count = allowed;
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -28,6 +29,10 @@
     milliseconds ended_job_retention{130000};
 };
 
+/// Returns the delay of the step's start, in milliseconds, with which its job
+/// still meets the queue's objective, from stretch, estimate and allowance.
+double allowed_delay_ms(const queue_config& queue, const step_spec& step);
+
 /// Decides on the leader which run goes to which worker. It holds the steps
 /// that are ready to run, places them in order of urgency, and preempts less
 /// urgent runs where a guarantee or an urgent step needs their capacity. It
@@ -74,10 +79,11 @@
     // Why the last attempt to place a step did not place all its subtasks.
     enum class placement_obstacle
     {
-        not_tried, // No round has reached the step yet.
-        headroom,  // The free capacity is reserved for urgent work.
-        capacity,  // No choice of workers has enough free capacity.
-        policy     // The queue's policy has not allowed enough workers.
+        not_tried,    // No round has reached the step yet.
+        headroom,     // The free capacity is reserved for urgent work.
+        waiting_gang, // The free capacity is held for a gang that waits longer.
+        capacity,     // No choice of workers has enough free capacity.
+        policy        // The queue's policy has not allowed enough workers.
     };
 
     // A step that is ready to run, with its subtasks that are not placed yet.
@@ -110,12 +116,15 @@
         time_point until;
     };
 
-    // Free capacity on the usable workers of a service, and the part of it that
-    // is reserved for urgent work.
+    // Free capacity on the usable workers of a service, and the parts of it
+    // that are reserved.
     struct service_capacity
     {
         resource_amounts free;
         urgent_headroom headroom;
+        // What steps ranked after a long-waiting gang must leave free in this
+        // round.
+        std::optional<resource_amounts> held_for_gang;
     };
 
     void refresh_jobs(time_point now, std::int64_t wall_ms);
@@ -149,6 +158,7 @@
                 const std::vector<placement_candidate>& candidates,
                 const std::vector<std::size_t>& chosen, time_point now);
     std::int64_t priority_of(const job_state& job) const;
+    void hold_for_gang(const pending_step& item, time_point now);
     void reclaim(const pending_step_key& key, const pending_step& item,
                  time_point now);
     void stop_stalled_runs(time_point now);
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -136,22 +136,29 @@
                 labels.end());
 }
 
-std::uint32_t count_fitting(const placement_candidate& candidate,
-                            const resource_amounts& free,
-                            const placement_request& request)
+std::uint32_t count_within(const resource_amounts& free,
+                           const resource_amounts& need, std::uint32_t count)
 {
-    std::int64_t count = request.count;
-    const auto limit = [&count](std::int64_t available, std::int64_t need)
+    std::int64_t fitting = count;
+    const auto limit = [&fitting](std::int64_t available, std::int64_t wanted)
     {
-        if (need > 0)
+        if (wanted > 0)
         {
-            count =
-                std::min(count, std::max<std::int64_t>(available, 0) / need);
+            fitting = std::min(fitting,
+                               std::max<std::int64_t>(available, 0) / wanted);
         }
     };
-    limit(free.cpu_milli, request.need.cpu_milli);
-    limit(free.memory_mb, request.need.memory_mb);
-    limit(free.accelerators, request.need.accelerators);
+    limit(free.cpu_milli, need.cpu_milli);
+    limit(free.memory_mb, need.memory_mb);
+    limit(free.accelerators, need.accelerators);
+    return static_cast<std::uint32_t>(fitting);
+}
+
+std::uint32_t count_fitting(const placement_candidate& candidate,
+                            const resource_amounts& free,
+                            const placement_request& request)
+{
+    std::int64_t count = count_within(free, request.need, request.count);
     if (request.max_per_worker > 0)
     {
         count = std::min<std::int64_t>(
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -46,6 +46,10 @@
 bool is_eligible(const placement_candidate& candidate,
                  const placement_request& request);
 
+/// Returns how many times `need` fits into `free`, at most `count`.
+std::uint32_t count_within(const resource_amounts& free,
+                           const resource_amounts& need, std::uint32_t count);
+
 /// Returns how many subtasks of the request fit into `free`, at most its count.
 std::uint32_t count_fitting(const placement_candidate& candidate,
                             const resource_amounts& free,
--- a/test/fleet_waits-test.cpp
+++ b/test/fleet_waits-test.cpp
@@ -74,14 +74,22 @@
     fixture.port.starts.clear();
 }
 
-// Ends one run of the job as done.
-void end_one_run(fleet_fixture& fixture, const std::string& job)
+// Ends the run of the job that started first as done. The subtasks of a step
+// start in the order of their indices.
+void end_oldest_run(fleet_fixture& fixture, const std::string& job)
 {
-    const auto found = fixture.workers->runs().lower_bound(job + ".");
-    if (found != fixture.workers->runs().end() &&
-        found->second.ref.job() == job)
+    const live_run* oldest = nullptr;
+    for (const auto& [key, run] : fixture.workers->runs())
     {
-        end_run(fixture, run_ref(found->second.ref), run_done);
+        if (run.ref.job() == job &&
+            (oldest == nullptr || run.ref.index() < oldest->ref.index()))
+        {
+            oldest = &run;
+        }
+    }
+    if (oldest != nullptr)
+    {
+        end_run(fixture, run_ref(oldest->ref), run_done);
     }
 }
 
@@ -115,7 +123,8 @@
     fixture.submit("gang", gang, "normal");
     // The objective of the job, less its run time: stretch 3, allowance 1 s.
     constexpr milliseconds latest_start{3 * 5000 + 1000 - 5000};
-    constexpr milliseconds step_time{250};
+    // Each of the 32 runs takes its estimate, so one ends after each step.
+    constexpr milliseconds step_time{5000 / 32};
     bool started = false;
     for (milliseconds waited{0}; waited < latest_start && !started;
          waited += step_time)
@@ -127,7 +136,7 @@
         }
         list_runs(fixture);
         end_stopped_runs(fixture);
-        end_one_run(fixture, "low");
+        end_oldest_run(fixture, "low");
         fixture.schedule();
         started =
             std::any_of(fixture.port.starts.begin(), fixture.port.starts.end(),
