Hold nothing for a gang that can not fit, nor in a half-empty service

Cause: found by reading. A gang that is larger than its service waits for good, and its hold would keep all less urgent work of the service from starting; and work that fits twice into a half-empty service has to start.

Change: no hold for a gang that the usable workers could not take if they were empty, and none while half of the service is free. The test of the hold uses eight workers in place of four, because its gang is half of four workers, where nothing is held now. The new test fails without the check of the size.

--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -90,24 +90,23 @@
             candidate->free = candidate->free - reserved;
         }
     }
-    std::map<std::string, resource_amounts> capacities;
     for (auto& [service, capacity_of_service] : services_)
     {
+        capacity_of_service.total = {};
         capacity_of_service.free = {};
         capacity_of_service.held_for_gang.reset();
     }
     for (const auto& candidate : candidates_)
     {
         const auto& service = candidate.worker->record.service();
-        auto& free = capacity_of(service).free;
-        free = free + non_negative(candidate.free);
-        auto& capacity = capacities[service];
-        capacity = capacity + candidate.worker->capacity;
+        auto& capacity = capacity_of(service);
+        capacity.free = capacity.free + non_negative(candidate.free);
+        capacity.total = capacity.total + candidate.worker->capacity;
     }
     std::int64_t headroom_accelerators = 0;
     for (auto& [service, capacity_of_service] : services_)
     {
-        capacity_of_service.headroom.refresh(capacities[service], now);
+        capacity_of_service.headroom.refresh(capacity_of_service.total, now);
         headroom_accelerators +=
             capacity_of_service.headroom.reserved().accelerators;
     }
@@ -119,8 +118,9 @@
 fleet_scheduler::capacity_of(const std::string& service)
 {
     return services_
-        .try_emplace(service,
-                     service_capacity{{}, urgent_headroom(headroom_window), {}})
+        .try_emplace(
+            service,
+            service_capacity{{}, {}, urgent_headroom(headroom_window), {}})
         .first->second;
 }
 
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -116,10 +116,11 @@
         time_point until;
     };
 
-    // Free capacity on the usable workers of a service, and the parts of it
-    // that are reserved.
+    // Total and free capacity of the usable workers of a service, and the parts
+    // of the free capacity that are reserved.
     struct service_capacity
     {
+        resource_amounts total;
         resource_amounts free;
         urgent_headroom headroom;
         // What steps ranked after a long-waiting gang must leave free in this
@@ -158,6 +159,7 @@
                 const std::vector<placement_candidate>& candidates,
                 const std::vector<std::size_t>& chosen, time_point now);
     std::int64_t priority_of(const job_state& job) const;
+    bool fits_when_empty(const placement_request& request) const;
     void hold_for_gang(const pending_step& item, time_point now);
     void reclaim(const pending_step_key& key, const pending_step& item,
                  time_point now);
--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -23,31 +23,35 @@
 // that its queue allows.
 constexpr double wait_share_before_hold = 0.4;
 
-std::int64_t times(std::int64_t amount, std::size_t count)
-{
-    return amount * static_cast<std::int64_t>(count);
-}
-
 } // namespace
 
 // Makes all steps ranked after a long-waiting gang leave its need free. Without
 // this, steps of single subtasks take each part of the capacity as it becomes
 // free, and a gang never finds all of its need at once. Only the first such
-// gang of a service counts.
+// gang of a service counts. Nothing is held for a gang that is too large for
+// the service, nor while the free capacity covers the headroom and the need.
 void fleet_scheduler::hold_for_gang(const pending_step& item, time_point now)
 {
-    auto& held = capacity_of(item.queue.service).held_for_gang;
-    if (held || !item.all_or_nothing() || item.queue.priority == 0 ||
+    auto& service = capacity_of(item.queue.service);
+    if (service.held_for_gang || !item.all_or_nothing() ||
+        item.queue.priority == 0 ||
         static_cast<double>((now - item.since).count()) <
-            wait_share_before_hold * allowed_delay_ms(item.queue, *item.spec))
+            wait_share_before_hold * allowed_delay_ms(item.queue, *item.spec) ||
+        !fits_when_empty(request_for(item, now)))
     {
         return;
     }
     const auto need = counted_need(*item.spec);
-    const auto count = item.indices.size();
-    held = resource_amounts{times(need.cpu_milli, count),
-                            times(need.memory_mb, count),
-                            times(need.accelerators, count)};
+    const auto count = static_cast<std::int64_t>(item.indices.size());
+    const auto& total = service.total;
+    const resource_amounts half{total.cpu_milli / 2, total.memory_mb / 2,
+                                total.accelerators / 2};
+    if (!fits(half, service.free))
+    {
+        service.held_for_gang =
+            resource_amounts{need.cpu_milli * count, need.memory_mb * count,
+                             need.accelerators * count};
+    }
 }
 
 void fleet_scheduler::report_waits(time_point now)
--- a/test/fleet_waits-test.cpp
+++ b/test/fleet_waits-test.cpp
@@ -110,7 +110,8 @@
 TEST(fleet_waits, gang_starts_although_less_urgent_work_takes_freed_capacity)
 {
     fleet_fixture fixture;
-    const std::vector<std::string> ids{"w1", "w2", "w3", "w4"};
+    const std::vector<std::string> ids{"w1", "w2", "w3", "w4",
+                                       "w5", "w6", "w7", "w8"};
     for (const auto& id : ids)
     {
         add_ready_worker(fixture, id, "r1");
@@ -118,13 +119,13 @@
     fixture.submit("low", make_step(500, 1), "low");
     fixture.schedule();
     accept_new_starts(fixture);
-    ASSERT_EQ(used_accelerators(fixture), 32);
+    ASSERT_EQ(used_accelerators(fixture), 64);
     const auto gang = make_step(2, 8, true);
     fixture.submit("gang", gang, "normal");
     // The objective of the job, less its run time: stretch 3, allowance 1 s.
     constexpr milliseconds latest_start{3 * 5000 + 1000 - 5000};
-    // Each of the 32 runs takes its estimate, so one ends after each step.
-    constexpr milliseconds step_time{5000 / 32};
+    // Each of the 64 runs takes its estimate, so one ends after each step.
+    constexpr milliseconds step_time{5000 / 64};
     bool started = false;
     for (milliseconds waited{0}; waited < latest_start && !started;
          waited += step_time)
@@ -149,5 +150,21 @@
     EXPECT_TRUE(started);
 }
 
+// Guards against a gang that is too large for the service and keeps all less
+// urgent work from starting.
+TEST(fleet_waits, gang_that_can_not_fit_holds_no_capacity)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.submit("gang", make_step(2, 8, true), "normal");
+    fixture.schedule();
+    fixture.advance(milliseconds(12000));
+    fixture.report("w1");
+    list_runs(fixture);
+    fixture.submit("low", make_step(8, 1), "low");
+    fixture.schedule();
+    EXPECT_EQ(used_accelerators(fixture), 8);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
