Let a gang that one rack could hold wait longer for one

Cause: after 0.8 of its allowed delay a gang for one rack started across racks, where it occupies its workers several times as long.

Change: such a gang of a queue below the urgent one waits three times as long if some rack could hold it when empty. The new test failed before.

--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -22,6 +22,10 @@
 // its queue allows (from stretch, estimate and allowance).
 constexpr double local_wait_share = 0.8;
 
+// A gang that one rack could hold waits this many times as long before it
+// starts across racks, where it occupies its workers several times as long.
+constexpr double one_rack_wait_factor = 3;
+
 bool earlier_steps_done(const step_spec& spec, const occurrence_state* state)
 {
     return std::all_of(spec.after().begin(), spec.after().end(),
@@ -292,8 +296,14 @@
                      reclaim_wait_share *
                          static_cast<double>(options_.reclaim_limit.count()));
     }
-    request.other_racks_allowed =
-        static_cast<double>((now - item.since).count()) >= wait_limit;
+    const auto waited = static_cast<double>((now - item.since).count());
+    request.other_racks_allowed = waited >= wait_limit;
+    if (request.other_racks_allowed && item.queue.priority > 0 &&
+        request.same_rack && request.preferred_rack.empty() &&
+        waited < one_rack_wait_factor * wait_limit)
+    {
+        request.other_racks_allowed = !fits_in_one_rack(request);
+    }
     if (item.queue.policy)
     {
         request.allowed.emplace();
@@ -340,4 +350,24 @@
         });
 }
 
+// Returns true when some rack's usable workers could hold the request if they
+// were empty.
+bool fleet_scheduler::fits_in_one_rack(const placement_request& request) const
+{
+    std::map<std::string, std::uint32_t> slots_by_rack;
+    return std::any_of(candidates_.begin(), candidates_.end(),
+                       [&](const placement_candidate& candidate)
+                       {
+                           if (!is_eligible(candidate, request))
+                           {
+                               return false;
+                           }
+                           auto& slots =
+                               slots_by_rack[candidate.worker->record.rack()];
+                           slots += count_fitting(
+                               candidate, candidate.worker->capacity, request);
+                           return slots >= request.count;
+                       });
+}
+
 } // namespace limpetstack::fleet
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -160,6 +160,7 @@
                 const std::vector<std::size_t>& chosen, time_point now);
     std::int64_t priority_of(const job_state& job) const;
     bool fits_when_empty(const placement_request& request) const;
+    bool fits_in_one_rack(const placement_request& request) const;
     void hold_for_gang(const pending_step& item, time_point now);
     void reclaim(const pending_step_key& key, const pending_step& item,
                  time_point now);
--- a/test/fleet_waits-test.cpp
+++ b/test/fleet_waits-test.cpp
@@ -166,5 +166,53 @@
     EXPECT_EQ(used_accelerators(fixture), 8);
 }
 
+// Guards against a gang for one rack that starts across racks, where it runs
+// several times as long, because its rack was not free within the usual wait.
+TEST(fleet_waits,
+     gang_that_a_rack_could_hold_waits_longer_before_it_spans_racks)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    add_ready_worker(fixture, "w2", "r1");
+    add_ready_worker(fixture, "w3", "r2");
+    add_ready_worker(fixture, "w4", "r2");
+    auto single = make_step(1, 8);
+    for (const auto* const job : {"a", "b", "c", "d"})
+    {
+        fixture.submit(job, single, "normal");
+    }
+    fixture.schedule();
+    ASSERT_EQ(used_accelerators(fixture), 32);
+    accept_new_starts(fixture);
+    auto gang = make_step(2, 8, true);
+    gang.set_same_rack(true);
+    fixture.submit("gang", gang, "normal");
+    fixture.schedule();
+    // Frees one worker in each rack.
+    for (const auto& id : {"w1", "w3"})
+    {
+        const auto key = *fixture.workers->workers().at(id).runs.begin();
+        end_run(fixture, run_ref(fixture.workers->runs().at(key).ref),
+                run_done);
+    }
+    const auto starts_after = [&fixture](milliseconds wait)
+    {
+        for (milliseconds passed{0}; passed < wait; passed += milliseconds(500))
+        {
+            fixture.advance(milliseconds(500));
+            for (const auto* const id : {"w1", "w2", "w3", "w4"})
+            {
+                fixture.report(id);
+            }
+            list_runs(fixture);
+            fixture.schedule();
+        }
+        return fixture.port.starts.size();
+    };
+    // The gang may be delayed by 11 s; it usually waits 0.8 of that for a rack.
+    EXPECT_EQ(starts_after(milliseconds(12000)), 0U);
+    EXPECT_EQ(starts_after(milliseconds(16000)), 2U);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
