--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -106,10 +106,6 @@
         most_in_rack = std::max(most_in_rack, fitting);
     }
     const auto& service = capacity_of(request.service);
-    const auto text = [](std::int64_t number)
-    {
-        return std::to_string(number);
-    };
     const auto obstacle = [&item]
     {
         switch (item.obstacle)
@@ -130,27 +126,27 @@
     log_event(
         log_level::info, "step_waiting",
         {{"job", item.job},
-         {"step", text(item.step)},
-         {"priority", text(item.queue.priority)},
-         {"waited_ms", text((now - item.since).count())},
+         {"step", absl::StrCat(item.step)},
+         {"priority", absl::StrCat(item.queue.priority)},
+         {"waited_ms", absl::StrCat((now - item.since).count())},
          {"obstacle", obstacle()},
-         {"subtasks", text(request.count)},
-         {"cpu_milli", text(request.need.cpu_milli)},
-         {"memory_mb", text(request.need.memory_mb)},
-         {"accelerators", text(request.need.accelerators)},
+         {"subtasks", absl::StrCat(request.count)},
+         {"cpu_milli", absl::StrCat(request.need.cpu_milli)},
+         {"memory_mb", absl::StrCat(request.need.memory_mb)},
+         {"accelerators", absl::StrCat(request.need.accelerators)},
          {"gang", request.all_or_nothing ? "yes" : "no"},
          {"one_rack",
           request.same_rack && !request.other_racks_allowed ? "yes" : "no"},
          {"preferred_rack", request.preferred_rack},
-         {"free_slots", text(static_cast<std::int64_t>(slots))},
-         {"free_slots_in_a_rack",
-          text(static_cast<std::int64_t>(most_in_rack))},
-         {"free_accelerators", text(service.free.accelerators)},
+         {"free_slots", absl::StrCat(slots)},
+         {"free_slots_in_a_rack", absl::StrCat(most_in_rack)},
+         {"free_accelerators", absl::StrCat(service.free.accelerators)},
          {"headroom_accelerators",
-          text(service.headroom.reserved().accelerators)},
-         {"free_memory_mb", text(service.free.memory_mb)},
-         {"headroom_memory_mb", text(service.headroom.reserved().memory_mb)},
-         {"document", text(state_.document().version())}});
+          absl::StrCat(service.headroom.reserved().accelerators)},
+         {"free_memory_mb", absl::StrCat(service.free.memory_mb)},
+         {"headroom_memory_mb",
+          absl::StrCat(service.headroom.reserved().memory_mb)},
+         {"document", absl::StrCat(state_.document().version())}});
 }
 
 } // namespace limpetstack::fleet
