Make the test of a gang that can not fit fail without the size check

Now more than half of the service is in use first. With fits_when_empty taken out of hold_for_gang the test fails; with it, it passes.

--- a/test/fleet_waits-test.cpp
+++ b/test/fleet_waits-test.cpp
@@ -156,12 +156,21 @@
 {
     fleet_fixture fixture;
     add_ready_worker(fixture, "w1", "r1");
+    // More than half of the service is in use, so holds are possible.
+    fixture.submit("early", make_step(5, 1), "low");
+    fixture.schedule();
+    accept_new_starts(fixture);
     fixture.submit("gang", make_step(2, 8, true), "normal");
     fixture.schedule();
-    fixture.advance(milliseconds(12000));
-    fixture.report("w1");
-    list_runs(fixture);
-    fixture.submit("low", make_step(8, 1), "low");
+    constexpr milliseconds step_time{500};
+    for (milliseconds waited{0}; waited < milliseconds(6000);
+         waited += step_time)
+    {
+        fixture.advance(step_time);
+        fixture.report("w1");
+        list_runs(fixture);
+    }
+    fixture.submit("low", make_step(3, 1), "low");
     fixture.schedule();
     EXPECT_EQ(used_accelerators(fixture), 8);
 }
