--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -29,7 +29,8 @@
 // this, steps of single subtasks take each part of the capacity as it becomes
 // free, and a gang never finds all of its need at once. Only the first such
 // gang of a service counts. Nothing is held for a gang that is too large for
-// the service, nor while the free capacity covers the headroom and the need.
+// the service, nor while half of the service is free, so that work which fits
+// into a half-empty service starts.
 void fleet_scheduler::hold_for_gang(const pending_step& item, time_point now)
 {
     auto& service = capacity_of(item.queue.service);
