--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -333,23 +333,6 @@
     return request;
 }
 
-// Returns true when the usable workers together could hold the request if they
-// were empty.
-bool fleet_scheduler::fits_when_empty(const placement_request& request) const
-{
-    std::uint32_t slots = 0;
-    return std::any_of(
-        candidates_.begin(), candidates_.end(),
-        [&](const placement_candidate& candidate)
-        {
-            slots += is_eligible(candidate, request)
-                         ? count_fitting(candidate, candidate.worker->capacity,
-                                         request)
-                         : 0;
-            return slots >= request.count;
-        });
-}
-
 // Returns true when some rack's usable workers could hold the request if they
 // were empty.
 bool fleet_scheduler::fits_in_one_rack(const placement_request& request) const
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -94,7 +94,6 @@
     {
         capacity_of_service.total = {};
         capacity_of_service.free = {};
-        capacity_of_service.held_for_gang.reset();
     }
     for (const auto& candidate : candidates_)
     {
@@ -118,9 +117,8 @@
 fleet_scheduler::capacity_of(const std::string& service)
 {
     return services_
-        .try_emplace(
-            service,
-            service_capacity{{}, {}, urgent_headroom(headroom_window), {}})
+        .try_emplace(service,
+                     service_capacity{{}, {}, urgent_headroom(headroom_window)})
         .first->second;
 }
 
@@ -330,16 +328,11 @@
     if (item.queue.priority > 0 && !item.spec->lasting())
     {
         const auto& service = capacity_of(request.service);
-        const auto free =
-            service.free - service.held_for_gang.value_or(resource_amounts{});
-        const auto allowed = std::min(
-            service.headroom.count_allowed(free, request.need, request.count),
-            count_within(free, request.need, request.count));
+        const auto allowed = service.headroom.count_allowed(
+            service.free, request.need, request.count);
         if (allowed == 0 || (request.all_or_nothing && allowed < request.count))
         {
-            item.obstacle = service.held_for_gang
-                                ? placement_obstacle::waiting_gang
-                                : placement_obstacle::headroom;
+            item.obstacle = placement_obstacle::headroom;
             return false;
         }
         request.count = allowed;
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -360,7 +360,6 @@
         {
             reclaim(key, at->second, now);
         }
-        hold_for_gang(at->second, now);
         if (++failed_placements >= max_failed_placements_per_round)
         {
             break;
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -79,11 +79,10 @@
     // Why the last attempt to place a step did not place all its subtasks.
     enum class placement_obstacle
     {
-        not_tried,    // No round has reached the step yet.
-        headroom,     // The free capacity is reserved for urgent work.
-        waiting_gang, // The free capacity is held for a gang that waits longer.
-        capacity,     // No choice of workers has enough free capacity.
-        policy        // The queue's policy has not allowed enough workers.
+        not_tried, // No round has reached the step yet.
+        headroom,  // The free capacity is reserved for urgent work.
+        capacity,  // No choice of workers has enough free capacity.
+        policy     // The queue's policy has not allowed enough workers.
     };
 
     // A step that is ready to run, with its subtasks that are not placed yet.
@@ -123,9 +122,6 @@
         resource_amounts total;
         resource_amounts free;
         urgent_headroom headroom;
-        // What steps ranked after a long-waiting gang must leave free in this
-        // round.
-        std::optional<resource_amounts> held_for_gang;
     };
 
     void refresh_jobs(time_point now, std::int64_t wall_ms);
@@ -159,9 +155,7 @@
                 const std::vector<placement_candidate>& candidates,
                 const std::vector<std::size_t>& chosen, time_point now);
     std::int64_t priority_of(const job_state& job) const;
-    bool fits_when_empty(const placement_request& request) const;
     bool fits_in_one_rack(const placement_request& request) const;
-    void hold_for_gang(const pending_step& item, time_point now);
     void reclaim(const pending_step_key& key, const pending_step& item,
                  time_point now);
     void stop_stalled_runs(time_point now);
--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -1,5 +1,4 @@
-// Steps that wait for capacity: holds capacity for gangs, and shows which steps
-// wait, for how long and why.
+// Shows which steps wait for capacity, for how long and why.
 #include "coordination/fleet/fleet_scheduler.hpp"
 
 #include "base/log.hpp"
@@ -19,42 +18,8 @@
 // Log lines on waiting steps in one report; the rest follow in the next ones.
 constexpr std::size_t max_wait_logs_per_report = 20;
 
-// Capacity is held for a gang once it has waited for this share of the delay
-// that its queue allows.
-constexpr double wait_share_before_hold = 0.4;
-
 } // namespace
 
-// Makes all steps ranked after a long-waiting gang leave its need free. Without
-// this, steps of single subtasks take each part of the capacity as it becomes
-// free, and a gang never finds all of its need at once. Only the first such
-// gang of a service counts. Nothing is held for a gang that is too large for
-// the service, nor while half of the service is free, so that work which fits
-// into a half-empty service starts.
-void fleet_scheduler::hold_for_gang(const pending_step& item, time_point now)
-{
-    auto& service = capacity_of(item.queue.service);
-    if (service.held_for_gang || !item.all_or_nothing() ||
-        item.queue.priority == 0 ||
-        static_cast<double>((now - item.since).count()) <
-            wait_share_before_hold * allowed_delay_ms(item.queue, *item.spec) ||
-        !fits_when_empty(request_for(item, now)))
-    {
-        return;
-    }
-    const auto need = counted_need(*item.spec);
-    const auto count = static_cast<std::int64_t>(item.indices.size());
-    const auto& total = service.total;
-    const resource_amounts half{total.cpu_milli / 2, total.memory_mb / 2,
-                                total.accelerators / 2};
-    if (!fits(half, service.free))
-    {
-        service.held_for_gang =
-            resource_amounts{need.cpu_milli * count, need.memory_mb * count,
-                             need.accelerators * count};
-    }
-}
-
 void fleet_scheduler::report_waits(time_point now)
 {
     if (now < next_wait_report_)
@@ -113,8 +78,6 @@
         {
         case placement_obstacle::headroom:
             return "headroom";
-        case placement_obstacle::waiting_gang:
-            return "waiting_gang";
         case placement_obstacle::capacity:
             return "capacity";
         case placement_obstacle::policy:
