--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -258,7 +258,7 @@
         item.occurrence = occurrence;
         item.step = step;
         item.since = now;
-        item.next_wait_log = now + first_wait_log;
+        item.next_wait_log = now + wait_before_log(queue);
         item.account = job.job.account();
         item.order = job.order;
     }
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -67,7 +67,7 @@
     unplaceable_shapes_.clear();
     for (const auto& [id, worker] : workers_.workers())
     {
-        if (workers_.is_usable(worker, now))
+        if (workers_.availability(worker, now) == worker_availability::usable)
         {
             candidates_.push_back({&worker, worker.capacity - worker.used, 0,
                                    worker.filler_runs > 0,
@@ -356,13 +356,14 @@
     return item.indices.empty();
 }
 
-void fleet_scheduler::reclaim(const pending_step_key& key,
-                              const pending_step& item, time_point now)
+void fleet_scheduler::reclaim(const pending_step_key& key, pending_step& item,
+                              time_point now)
 {
     if (reservations_.count(key) > 0)
     {
         return;
     }
+    item.last_plan = preemption_plan::none_found;
     const bool guaranteed = urgency(item) == 0;
     std::map<std::string, std::vector<victim>> victims;
     std::map<std::string, double> gang_costs;
@@ -419,6 +420,8 @@
     {
         return;
     }
+    item.last_plan = preemption_plan::made;
+    ++item.plans;
     counters_.add("runs_preempted_total", plan->keys.size());
     reserve(key, {plan->reserved_by_worker, now + reservation_time});
     for (const auto& victim : plan->keys)
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -262,6 +262,17 @@
     return use;
 }
 
+// Returns true when the account's open urgent jobs need no more than its
+// guarantee.
+bool fleet_scheduler::within_guarantee(const std::string& account) const
+{
+    const auto guaranteed = guarantees_.find(account);
+    const auto used = urgent_accelerators_.find(account);
+    return guaranteed != guarantees_.end() &&
+           used != urgent_accelerators_.end() &&
+           used->second <= guaranteed->second;
+}
+
 // Returns the rank of a step, lowest first: 0 for priority 0 inside the
 // account's guarantee, 1 for other work of priority 0, then the priority
 // plus 1.
@@ -269,13 +280,7 @@
 {
     if (item.queue.priority == 0)
     {
-        const auto guaranteed = guarantees_.find(item.account);
-        const auto used = urgent_accelerators_.find(item.account);
-        return guaranteed != guarantees_.end() &&
-                       used != urgent_accelerators_.end() &&
-                       used->second <= guaranteed->second
-                   ? 0
-                   : 1;
+        return within_guarantee(item.account) ? 0 : 1;
     }
     return static_cast<int>(std::min<std::int64_t>(item.queue.priority, 1000)) +
            1;
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -72,9 +72,11 @@
     std::size_t failed_subtasks() const { return failed_workers_.size(); }
 
 private:
-    // Wait of a step before its first log line. Each further line follows
-    // after twice the wait.
+    // Wait of a step before its first log line; an urgent step is logged after
+    // half of the reclaim limit. Each further line follows after twice the
+    // wait, but at most after the longest interval.
     static constexpr milliseconds first_wait_log{2000};
+    static constexpr milliseconds max_wait_log_interval{4000};
 
     // Why the last attempt to place a step did not place all its subtasks.
     enum class placement_obstacle
@@ -85,6 +87,25 @@
         policy     // The queue's policy has not allowed enough workers.
     };
 
+    // The result of the last attempt to preempt runs for a step.
+    enum class preemption_plan
+    {
+        not_tried,  // The step is not urgent, or was not reached.
+        none_found, // No runs that may be stopped free enough capacity.
+        made        // Runs were stopped for the step.
+    };
+
+    // What the accelerators of a service's workers are used for. Runs that are
+    // being stopped count as stopping only.
+    struct accelerator_use
+    {
+        std::int64_t lasting = 0;
+        std::int64_t urgent_guaranteed = 0; // Of accounts in their guarantee.
+        std::int64_t urgent_other = 0;
+        std::int64_t lower = 0;
+        std::int64_t stopping = 0;
+    };
+
     // A step that is ready to run, with its subtasks that are not placed yet.
     struct pending_step
     {
@@ -98,6 +119,8 @@
         std::uint64_t order = 0; // Order of acceptance of the job.
         time_point since;        // When the step became ready.
         placement_obstacle obstacle = placement_obstacle::not_tried;
+        preemption_plan last_plan = preemption_plan::not_tried;
+        std::uint32_t plans = 0;  // Preemptions made for the step.
         time_point next_wait_log; // When the next log line on its wait is due.
         bool all_or_nothing() const { return spec->gang(); }
     };
@@ -136,6 +159,7 @@
     void stop_job(const std::string& job, const char* reason, time_point now);
     void close_job(const job_state& job, std::int64_t wall_ms);
     std::vector<pending_step_map::iterator> ranked_by_urgency();
+    bool within_guarantee(const std::string& account) const;
     int urgency(const pending_step& item) const;
     placement_request request_for(const pending_step& item,
                                   time_point now) const;
@@ -156,14 +180,17 @@
                 const std::vector<std::size_t>& chosen, time_point now);
     std::int64_t priority_of(const job_state& job) const;
     bool fits_in_one_rack(const placement_request& request) const;
-    void reclaim(const pending_step_key& key, const pending_step& item,
+    void reclaim(const pending_step_key& key, pending_step& item,
                  time_point now);
     void stop_stalled_runs(time_point now);
     void record_end(const ended_run& ended, time_point now);
     void forget_failures(const std::string& job);
     // Sets the gauges of waiting steps and logs the steps that wait long.
     void report_waits(time_point now);
-    void log_wait(const pending_step& item, time_point now);
+    void log_wait(const pending_step& item, const accelerator_use& use,
+                  time_point now);
+    std::map<std::string, accelerator_use> use_by_service() const;
+    milliseconds wait_before_log(const queue_config& queue) const;
     std::map<std::string, std::int64_t> urgent_use() const;
 
     const fleet_scheduler_options options_;
--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace limpetstack::fleet
 {
@@ -32,6 +33,7 @@
     {
         longest = milliseconds(0);
     }
+    std::optional<std::map<std::string, accelerator_use>> use;
     std::size_t logged = 0;
     for (auto& [key, item] : pending_)
     {
@@ -39,8 +41,13 @@
         longest = std::max(longest, now - item.since);
         if (item.next_wait_log <= now && logged < max_wait_logs_per_report)
         {
-            log_wait(item, now);
-            item.next_wait_log = now + (now - item.since);
+            if (!use)
+            {
+                use = use_by_service();
+            }
+            log_wait(item, (*use)[item.queue.service], now);
+            item.next_wait_log =
+                now + std::min(now - item.since, max_wait_log_interval);
             ++logged;
         }
     }
@@ -51,7 +58,45 @@
     }
 }
 
-void fleet_scheduler::log_wait(const pending_step& item, time_point now)
+milliseconds fleet_scheduler::wait_before_log(const queue_config& queue) const
+{
+    return queue.priority == 0 ? options_.reclaim_limit / 2 : first_wait_log;
+}
+
+std::map<std::string, fleet_scheduler::accelerator_use>
+fleet_scheduler::use_by_service() const
+{
+    std::map<std::string, accelerator_use> services;
+    for (const auto& [id, worker] : workers_.workers())
+    {
+        auto& use = services[worker.record.service()];
+        for (const auto& key : worker.runs)
+        {
+            const auto& run = workers_.runs().at(key);
+            const auto* const job = state_.find_job(run.ref.job());
+            auto* part = &use.lower;
+            if (run.stop_requested || job == nullptr)
+            {
+                part = &use.stopping;
+            }
+            else if (run.lasting)
+            {
+                part = &use.lasting;
+            }
+            else if (priority_of(*job) == 0)
+            {
+                part = within_guarantee(job->job.account())
+                           ? &use.urgent_guaranteed
+                           : &use.urgent_other;
+            }
+            *part += run.need.accelerators;
+        }
+    }
+    return services;
+}
+
+void fleet_scheduler::log_wait(const pending_step& item,
+                               const accelerator_use& use, time_point now)
 {
     const auto request = request_for(item, now);
     std::uint64_t slots = 0;
@@ -66,6 +111,24 @@
             slots_by_rack[candidate.worker->record.rack()] += fitting;
         }
     }
+    // Workers that get no placements now, and what would fit there.
+    std::map<worker_availability, std::uint64_t> workers;
+    std::uint64_t slots_avoided = 0;
+    for (const auto& [id, worker] : workers_.workers())
+    {
+        const placement_candidate candidate{&worker,
+                                            worker.capacity - worker.used};
+        if (!is_eligible(candidate, request))
+        {
+            continue;
+        }
+        const auto availability = workers_.availability(worker, now);
+        ++workers[availability];
+        if (availability == worker_availability::avoided)
+        {
+            slots_avoided += count_fitting(candidate, candidate.free, request);
+        }
+    }
     std::uint64_t most_in_rack = 0;
     for (const auto& [rack, fitting] : slots_by_rack)
     {
@@ -87,6 +150,19 @@
         }
         return "not_tried";
     };
+    const auto plan = [&item]
+    {
+        switch (item.last_plan)
+        {
+        case preemption_plan::none_found:
+            return "none_found";
+        case preemption_plan::made:
+            return "made";
+        case preemption_plan::not_tried:
+            break;
+        }
+        return "not_tried";
+    };
     log_event(
         log_level::info, "step_waiting",
         {{"job", item.job},
@@ -110,6 +186,24 @@
          {"free_memory_mb", absl::StrCat(service.free.memory_mb)},
          {"headroom_memory_mb",
           absl::StrCat(service.headroom.reserved().memory_mb)},
+         {"urgency", absl::StrCat(urgency(item))},
+         {"plan", plan()},
+         {"plans", absl::StrCat(item.plans)},
+         {"reservations", absl::StrCat(reservations_.size())},
+         {"workers", absl::StrCat(workers[worker_availability::usable])},
+         {"workers_avoided",
+          absl::StrCat(workers[worker_availability::avoided])},
+         {"workers_unreachable",
+          absl::StrCat(workers[worker_availability::unreachable])},
+         {"workers_draining",
+          absl::StrCat(workers[worker_availability::draining])},
+         {"free_slots_avoided", absl::StrCat(slots_avoided)},
+         {"total_accelerators", absl::StrCat(service.total.accelerators)},
+         {"used_lasting", absl::StrCat(use.lasting)},
+         {"used_urgent_guaranteed", absl::StrCat(use.urgent_guaranteed)},
+         {"used_urgent_other", absl::StrCat(use.urgent_other)},
+         {"used_lower", absl::StrCat(use.lower)},
+         {"used_stopping", absl::StrCat(use.stopping)},
          {"document", absl::StrCat(state_.document().version())}});
 }
 
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -397,12 +397,21 @@
     }
 }
 
-bool worker_fleet::is_usable(const worker_session& worker, time_point now) const
+worker_availability worker_fleet::availability(const worker_session& worker,
+                                               time_point now) const
 {
     const auto silence = now - std::max(worker.last_report, worker.last_answer);
-    return !worker.record.draining() && worker.clock.has_reading() &&
-           worker.hold_failures == 0 && now >= worker.avoid_until &&
-           silence <= 2 * options_.report_interval + report_tolerance;
+    if (worker.record.draining())
+    {
+        return worker_availability::draining;
+    }
+    if (!worker.clock.has_reading() || worker.hold_failures > 0 ||
+        silence > 2 * options_.report_interval + report_tolerance)
+    {
+        return worker_availability::unreachable;
+    }
+    return now < worker.avoid_until ? worker_availability::avoided
+                                    : worker_availability::usable;
 }
 
 void worker_fleet::end_expired(worker_session& worker, time_point now)
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -66,6 +66,15 @@
     adopted    // An earlier leader placed it; the worker has not listed it.
 };
 
+/// Whether a worker may get placements, or why not.
+enum class worker_availability
+{
+    usable,
+    draining,   // It reported that it is about to leave.
+    avoided,    // Runs failed there, or it refused a start, a short time ago.
+    unreachable // It does not report, or does not answer the leader.
+};
+
 /// A run that is or may be present on a worker, as the leader sees it.
 struct live_run
 {
@@ -179,8 +188,9 @@
     /// Stops a run. Stopping a member of a gang stops the whole gang.
     void stop(const std::string& key, const char* reason, time_point now);
 
-    /// Returns true when the worker may get placements now.
-    bool is_usable(const worker_session& worker, time_point now) const;
+    /// Returns whether the worker may get placements now, or why not.
+    worker_availability availability(const worker_session& worker,
+                                     time_point now) const;
 
     const std::map<std::string, worker_session>& workers() const
     {
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -269,5 +269,31 @@
     EXPECT_EQ(fixture.port.stops.front().run.index(), 0U);
 }
 
+// Guards against a log that names the wrong reason for a worker without
+// placements.
+TEST(worker_fleet, availability_names_why_a_worker_gets_no_placements)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    const auto availability = [&fixture]
+    {
+        return fixture.workers->availability(
+            fixture.workers->workers().at("w1"), fixture.now);
+    };
+    EXPECT_EQ(availability(), worker_availability::usable);
+    fixture.workers->avoid("w1", fixture.now + milliseconds(1000));
+    EXPECT_EQ(availability(), worker_availability::avoided);
+    fixture.advance(milliseconds(1000));
+    EXPECT_EQ(availability(), worker_availability::usable);
+    fixture.advance(milliseconds(10000));
+    EXPECT_EQ(availability(), worker_availability::unreachable);
+    fixture.report("w1");
+    fleet_command command;
+    *command.mutable_worker() = fixture.state.workers().at("w1");
+    command.mutable_worker()->set_draining(true);
+    fixture.apply(command);
+    EXPECT_EQ(availability(), worker_availability::draining);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
