Ask a worker that reports again after a failed call

Cause: after a failed hold a worker gets no placement until a hold is answered. Holds are sent only while runs are on the worker. Once its last run had lapsed none was sent any more, so a worker that had been cut off for longer than its lease stayed unusable until the next leader, however often it reported.

Change: a worker with failed holds that reports is asked again, runs or not. The new test failed before: the worker stays unreachable after it reports and would answer. A worker that does not report is not asked.

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -397,16 +397,21 @@
     }
 }
 
+bool worker_fleet::is_silent(const worker_session& worker, time_point now) const
+{
+    const auto silence = now - std::max(worker.last_report, worker.last_answer);
+    return silence > 2 * options_.report_interval + report_tolerance;
+}
+
 worker_availability worker_fleet::availability(const worker_session& worker,
                                                time_point now) const
 {
-    const auto silence = now - std::max(worker.last_report, worker.last_answer);
     if (worker.record.draining())
     {
         return worker_availability::draining;
     }
     if (!worker.clock.has_reading() || worker.hold_failures > 0 ||
-        silence > 2 * options_.report_interval + report_tolerance)
+        is_silent(worker, now))
     {
         return worker_availability::unreachable;
     }
@@ -463,7 +468,7 @@
 {
     end_expired(worker, now);
     remove_silent(worker, now);
-    if (now >= worker.retry_at && needs_hold(worker))
+    if (now >= worker.retry_at && needs_hold(worker, now))
     {
         hold(worker, now);
     }
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -253,10 +253,15 @@
     }
 }
 
-bool worker_fleet::needs_hold(const worker_session& worker) const
+bool worker_fleet::needs_hold(const worker_session& worker,
+                              time_point now) const
 {
+    // Only an answer to a hold makes a worker usable again after a failed one,
+    // so a worker that reports is asked even when no run is left on it.
+    const bool may_answer_again =
+        worker.hold_failures > 0 && !is_silent(worker, now);
     return !worker.holding && worker.pending_ends.empty() &&
-           (!worker.confirmed ||
+           (!worker.confirmed || may_answer_again ||
             worker.acknowledged_end < worker.committed_end ||
             std::any_of(worker.runs.begin(), worker.runs.end(),
                         [this](const std::string& key)
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -205,6 +205,49 @@
     EXPECT_FALSE(fixture.workers->runs().count(first_run));
 }
 
+// Guards against a worker that gets no work any more once its runs have lapsed
+// while it did not answer, although it reports and answers again.
+TEST(worker_fleet, worker_is_usable_again_after_its_runs_lapsed_in_a_cut)
+{
+    fleet_fixture fixture;
+    start_one(fixture);
+    fixture.port.starts.front().done(
+        order_at(order_result::accepted, fixture.worker_clock()));
+    const auto pass = [&fixture](const auto& answer)
+    {
+        fixture.advance(milliseconds(100));
+        if (!fixture.port.holds.empty())
+        {
+            answer_hold(fixture, answer());
+        }
+    };
+    for (int i = 0; i < 80; ++i)
+    {
+        pass(
+            []
+            {
+                return hold_answer();
+            });
+    }
+    ASSERT_TRUE(fixture.workers->runs().empty());
+    const auto availability = [&fixture]
+    {
+        return fixture.workers->availability(
+            fixture.workers->workers().at("w1"), fixture.now);
+    };
+    EXPECT_EQ(availability(), worker_availability::unreachable);
+    fixture.report("w1");
+    for (int i = 0; i < 10; ++i)
+    {
+        pass(
+            [&fixture]
+            {
+                return lists_at(fixture.worker_clock());
+            });
+    }
+    EXPECT_EQ(availability(), worker_availability::usable);
+}
+
 // Guards against a new leader that starts runs again which the worker lists as
 // running.
 TEST(worker_fleet, takeover_adopts_listed_runs_and_ends_absent_ones)
