End the wait for a rack after 1.5 s on a half-empty service

Callers saw jobs that never ran although most of the service was free: a gang for one rack waited up to 2.4 of its allowed delays, and a step with a preferred rack 0.8, while other racks fitted it several times over.

The preference was held as a limit whatever the service was used for. A step that has waited 1.5 s may now start on any rack while less than half of the service is in use and the step fits twice over; a lasting step, which must run however full the service is, as soon as it fits twice over. The use is computed over all workers of the service, by processor and accelerators together or by accelerators alone, whichever is lower. On a busy service the waits are as before, so the longer wait for one rack keeps its effect there.

--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -26,6 +26,29 @@
 // starts across racks, where it occupies its workers several times as long.
 constexpr double one_rack_wait_factor = 3;
 
+// Preferences for certain workers or racks, and capacity that is kept for
+// urgent work, delay a step for at most this time while less than half of the
+// service is in use.
+constexpr milliseconds preference_wait_limit{1500};
+
+// One accelerator counts as this many thousandths of a core when the part of a
+// service that is in use is computed.
+constexpr std::int64_t milli_cores_per_accelerator = 8000;
+
+// Returns true when less than half of the capacity is in use, by processor and
+// accelerators together or by accelerators alone.
+bool under_half_in_use(const resource_amounts& used,
+                       const resource_amounts& capacity)
+{
+    const auto cores = [](const resource_amounts& amounts)
+    {
+        return amounts.cpu_milli +
+               milli_cores_per_accelerator * amounts.accelerators;
+    };
+    return 2 * cores(used) < cores(capacity) ||
+           2 * used.accelerators < capacity.accelerators;
+}
+
 bool earlier_steps_done(const step_spec& spec, const occurrence_state* state)
 {
     return std::all_of(spec.after().begin(), spec.after().end(),
@@ -273,6 +296,51 @@
            static_cast<double>(queue.allowance_ms);
 }
 
+// Returns true when the workers that are not about to leave, whether they get
+// placements now or not, have free capacity for two gangs or two subtasks.
+bool fleet_scheduler::fits_twice(const placement_request& request) const
+{
+    auto doubled = request;
+    doubled.count = request.all_or_nothing ? 2 * request.count : 2;
+    doubled.max_per_worker = 0;
+    doubled.allowed.reset();
+    std::uint32_t slots = 0;
+    const auto& workers = workers_.workers();
+    return std::any_of(
+        workers.begin(), workers.end(),
+        [&](const auto& item)
+        {
+            const auto& worker = item.second;
+            const placement_candidate candidate{
+                &worker, worker.capacity - worker.used, 0,
+                worker.filler_runs > 0, worker.serving_runs > 0};
+            if (!worker.record.draining() && is_eligible(candidate, doubled))
+            {
+                slots += count_fitting(candidate, candidate.free, doubled);
+            }
+            return slots >= doubled.count;
+        });
+}
+
+// Returns true when the step may start on any worker that fits it, because it
+// has waited for long enough on a service with capacity for it. Lasting steps
+// have to run however full the service is.
+bool fleet_scheduler::preferences_expired(const pending_step& item,
+                                          const placement_request& request,
+                                          time_point now) const
+{
+    if (now - item.since < preference_wait_limit)
+    {
+        return false;
+    }
+    const auto service = services_.find(request.service);
+    return service != services_.end() &&
+           (item.spec->lasting() ||
+            under_half_in_use(service->second.used,
+                              service->second.installed)) &&
+           fits_twice(request);
+}
+
 placement_request fleet_scheduler::request_for(const pending_step& item,
                                                time_point now) const
 {
@@ -304,6 +372,9 @@
     {
         request.other_racks_allowed = !fits_in_one_rack(request);
     }
+    request.preferences_expired = preferences_expired(item, request, now);
+    request.other_racks_allowed =
+        request.other_racks_allowed || request.preferences_expired;
     if (item.queue.policy)
     {
         request.allowed.emplace();
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -94,6 +94,14 @@
     {
         capacity_of_service.total = {};
         capacity_of_service.free = {};
+        capacity_of_service.installed = {};
+        capacity_of_service.used = {};
+    }
+    for (const auto& [id, worker] : workers_.workers())
+    {
+        auto& capacity = capacity_of(worker.record.service());
+        capacity.installed = capacity.installed + worker.capacity;
+        capacity.used = capacity.used + worker.used;
     }
     for (const auto& candidate : candidates_)
     {
@@ -117,8 +125,9 @@
 fleet_scheduler::capacity_of(const std::string& service)
 {
     return services_
-        .try_emplace(service,
-                     service_capacity{{}, {}, urgent_headroom(headroom_window)})
+        .try_emplace(
+            service,
+            service_capacity{{}, {}, {}, {}, urgent_headroom(headroom_window)})
         .first->second;
 }
 
@@ -251,6 +260,8 @@
                        ticket == nullptr ? std::string() : *ticket, now);
         auto& candidate = candidates_[chosen[i]];
         change_free(candidate, resource_amounts{} - request.need);
+        auto& used = capacity_of(request.service).used;
+        used = used + request.need;
         if (item.queue.priority == 0)
         {
             capacity_of(request.service).headroom.record(request.need, now);
@@ -309,7 +320,8 @@
     const bool reserved = reservations_.count(key) > 0;
     // Runs are being stopped to free capacity in the preferred rack, so the
     // step waits for it instead of starting on another rack.
-    request.other_racks_allowed = request.other_racks_allowed && !reserved;
+    request.other_racks_allowed = request.other_racks_allowed &&
+                                  (!reserved || request.preferences_expired);
     const auto shape = absl::StrCat(
         request.service, "/", request.required_label, "/",
         request.preferred_rack, "/", request.need.cpu_milli, "/",
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -139,11 +139,14 @@
     };
 
     // Total and free capacity of the usable workers of a service, and the parts
-    // of the free capacity that are reserved.
+    // of the free capacity that are reserved. `installed` and `used` also count
+    // the workers that get no placements now.
     struct service_capacity
     {
         resource_amounts total;
         resource_amounts free;
+        resource_amounts installed;
+        resource_amounts used;
         urgent_headroom headroom;
     };
 
@@ -180,6 +183,10 @@
                 const std::vector<std::size_t>& chosen, time_point now);
     std::int64_t priority_of(const job_state& job) const;
     bool fits_in_one_rack(const placement_request& request) const;
+    bool fits_twice(const placement_request& request) const;
+    bool preferences_expired(const pending_step& item,
+                             const placement_request& request,
+                             time_point now) const;
     void reclaim(const pending_step_key& key, pending_step& item,
                  time_point now);
     void stop_stalled_runs(time_point now);
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -32,6 +32,8 @@
     bool serves_users = false;
     bool other_racks_allowed = false; // Racks other than the preferred one are
                                       // allowed, and a gang may span racks.
+    // The step has waited for so long that preferences delay it no more.
+    bool preferences_expired = false;
     std::string service;
     std::string required_label;
     std::string preferred_rack;
--- /dev/null
+++ b/test/fleet_progress-test.cpp
@@ -0,0 +1,153 @@
+// Checks that a step which fits into a service with most of its capacity free
+// starts in time.
+#include "coordination/fleet/fleet_scheduler.hpp"
+
+#include "support/fleet_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+// A step must not wait this long while it fits twice over and less than half of
+// the service is in use.
+constexpr milliseconds longest_wait{3000};
+
+class fleet_progress : public ::testing::Test
+{
+protected:
+    // Adds the workers PREFIX1, PREFIX2 and so on in one rack.
+    void add_rack(const std::string& rack, int workers)
+    {
+        for (int i = 1; i <= workers; ++i)
+        {
+            add_ready_worker(fixture, rack + "w" + std::to_string(i), rack);
+        }
+    }
+
+    // Starts a run that occupies accelerators in the rack until the test ends.
+    void occupy(const std::string& rack, std::int64_t accelerators,
+                const std::string& queue = "normal")
+    {
+        auto step = make_step(1, accelerators);
+        step.set_preferred_rack(rack);
+        step.set_estimate_ms(1000000);
+        const auto job = "early" + std::to_string(early_jobs_++);
+        fixture.submit(job, step, queue, "other");
+        fixture.schedule();
+        accept_starts(fixture);
+        fixture.port.starts.clear();
+    }
+
+    // Lets time pass with connected workers, in steps of 100 ms.
+    void pass(milliseconds time)
+    {
+        for (milliseconds passed{0}; passed < time; passed += milliseconds(100))
+        {
+            fixture.advance(milliseconds(100));
+            for (const auto& [id, worker] : fixture.workers->workers())
+            {
+                fixture.report(id);
+            }
+            list_runs(fixture);
+            fixture.schedule();
+        }
+    }
+
+    // Returns the workers that were told to start runs of the job.
+    std::multiset<std::string> workers_of(const std::string& job) const
+    {
+        std::multiset<std::string> result;
+        for (const auto& start : fixture.port.starts)
+        {
+            if (start.order.run.job() == job)
+            {
+                result.insert(start.order.worker);
+            }
+        }
+        return result;
+    }
+
+    // Returns the accelerators in use, out of 8 per worker.
+    std::int64_t used() const { return used_accelerators(fixture); }
+
+    fleet_fixture fixture;
+
+private:
+    int early_jobs_ = 0;
+};
+
+// Guards against a gang for one rack that waits for its rack in a service that
+// is almost empty.
+TEST_F(fleet_progress, gang_for_one_rack_spans_racks_in_an_empty_service)
+{
+    for (const auto* const rack : {"r1", "r2", "r3", "r4"})
+    {
+        add_rack(rack, 3);
+        occupy(rack, 1);
+    }
+    ASSERT_EQ(used(), 4);
+    auto gang = make_step(3, 8, true);
+    gang.set_same_rack(true);
+    fixture.submit("gang", gang);
+    pass(longest_wait);
+    EXPECT_EQ(workers_of("gang").size(), 3U);
+}
+
+// Guards against a step that waits for the rack with its data while the rest of
+// the service is empty.
+TEST_F(fleet_progress, step_leaves_its_preferred_rack_in_an_empty_service)
+{
+    add_rack("r1", 1);
+    add_rack("r2", 2);
+    occupy("r1", 8);
+    ASSERT_EQ(used(), 8);
+    auto step = make_step(1, 8);
+    step.set_preferred_rack("r1");
+    fixture.submit("job", step);
+    pass(longest_wait);
+    EXPECT_EQ(workers_of("job").size(), 1U);
+}
+
+// Guards against a preference that ends early on a busy service, where the
+// preferred rack will have free capacity soon.
+TEST_F(fleet_progress, step_waits_for_its_preferred_rack_on_a_busy_service)
+{
+    add_rack("r1", 1);
+    add_rack("r2", 3);
+    occupy("r1", 8);
+    occupy("r2", 8);
+    occupy("r2", 8);
+    ASSERT_EQ(used(), 24);
+    auto step = make_step(1, 1);
+    step.set_preferred_rack("r1");
+    fixture.submit("job", step);
+    pass(2 * longest_wait);
+    EXPECT_EQ(workers_of("job").size(), 0U);
+}
+
+// Guards against a subtask of a lasting step that stays down for the sake of a
+// rack: it has to run within the limit however full the service is.
+TEST_F(fleet_progress, lasting_step_leaves_its_preferred_rack_on_a_full_service)
+{
+    add_rack("r1", 1);
+    add_rack("r2", 2);
+    occupy("r1", 8);
+    occupy("r2", 8);
+    ASSERT_EQ(used(), 16);
+    auto step = make_step(1, 4);
+    step.set_preferred_rack("r1");
+    step.set_lasting(true);
+    fixture.submit("job", step);
+    pass(longest_wait);
+    EXPECT_EQ(workers_of("job").size(), 1U);
+}
+
+} // namespace
+} // namespace limpetstack::fleet
--- a/test/fleet_waits-test.cpp
+++ b/test/fleet_waits-test.cpp
@@ -44,29 +44,6 @@
     EXPECT_EQ(gauge_line(fixture, wait_gauge), std::string(wait_gauge) + " 0");
 }
 
-// Answers all open holds with the runs that the workers have, each with
-// progress.
-void list_runs(fleet_fixture& fixture)
-{
-    fixture.commit();
-    while (!fixture.port.holds.empty())
-    {
-        const auto hold = fixture.port.holds.front();
-        fixture.port.holds.pop_front();
-        hold_answer answer;
-        answer.result = order_result::accepted;
-        answer.lists.worker_time_ms = fixture.worker_clock();
-        const auto percent = static_cast<int>(fixture.worker_clock() / 1000);
-        for (const auto& key :
-             fixture.workers->workers().at(hold.order.worker).runs)
-        {
-            answer.lists.running.push_back(
-                {fixture.workers->runs().at(key).ref, "", percent % 100});
-        }
-        hold.done(answer);
-    }
-}
-
 // Accepts the starts that were sent since the last call, and forgets them.
 void accept_new_starts(fleet_fixture& fixture)
 {
--- a/test/support/fleet_fixture.cpp
+++ b/test/support/fleet_fixture.cpp
@@ -92,7 +92,8 @@
 }
 
 void fleet_fixture::add_worker(const std::string& id, const std::string& rack,
-                               std::int64_t born_ms, const std::string& service)
+                               std::int64_t born_ms, const std::string& service,
+                               const std::string& label)
 {
     fleet_command command;
     auto& worker = *command.mutable_worker();
@@ -104,6 +105,10 @@
     worker.mutable_capacity()->set_cpu_milli(32000);
     worker.mutable_capacity()->set_memory_mb(131072);
     worker.mutable_capacity()->set_accelerators(8);
+    if (!label.empty())
+    {
+        worker.add_labels(label);
+    }
     apply(command);
     report(id);
 }
@@ -151,6 +156,27 @@
     }
 }
 
+void list_runs(fleet_fixture& fixture)
+{
+    fixture.commit();
+    while (!fixture.port.holds.empty())
+    {
+        const auto hold = fixture.port.holds.front();
+        fixture.port.holds.pop_front();
+        hold_answer answer;
+        answer.result = order_result::accepted;
+        answer.lists.worker_time_ms = fixture.worker_clock();
+        const auto percent = static_cast<int>(fixture.worker_clock() / 1000);
+        for (const auto& key :
+             fixture.workers->workers().at(hold.order.worker).runs)
+        {
+            answer.lists.running.push_back(
+                {fixture.workers->runs().at(key).ref, "", percent % 100});
+        }
+        hold.done(answer);
+    }
+}
+
 void add_ready_worker(fleet_fixture& fixture, const std::string& id,
                       const std::string& rack)
 {
--- a/test/support/fleet_fixture.hpp
+++ b/test/support/fleet_fixture.hpp
@@ -35,7 +35,8 @@
     /// Adds a worker of 32 cores, 128 GB and 8 accelerators.
     void add_worker(const std::string& id, const std::string& rack,
                     std::int64_t born_ms = 1,
-                    const std::string& service = "service");
+                    const std::string& service = "service",
+                    const std::string& label = "");
 
     /// Delivers a report of the worker to the leader.
     void report(const std::string& id);
@@ -67,6 +68,10 @@
 /// leader.
 void confirm_workers(fleet_fixture& fixture);
 
+/// Answers all open holds with the runs that the workers have, each with
+/// progress.
+void list_runs(fleet_fixture& fixture);
+
 /// Adds a worker that has answered the leader, so that it can get runs.
 void add_ready_worker(fleet_fixture& fixture, const std::string& id,
                       const std::string& rack);
