Start work on avoided workers when no others fit it

Avoided workers are now candidates of last resort, ranked behind all others; one on which the subtask itself failed comes last. Preemption plans follow the same order. A worker that refused a start stays out for its short pause, as a state of its own ("refusing"), so that refused starts are not repeated at once.

--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -15,7 +15,8 @@
 {
 
 // An urgent step (priority 0) waits for its preferred rack for at most this
-// share of the reclaim limit; then it may start on other racks.
+// share of the reclaim limit; then it may start on other racks, and inside its
+// account's guarantee on avoided workers.
 constexpr double reclaim_wait_share = 0.35;
 
 // A step waits for its preferred rack for at most this share of the delay that
@@ -322,6 +323,33 @@
         });
 }
 
+// Returns true when a run of the job is or may be present on a worker.
+bool fleet_scheduler::has_live_run(const std::string& job) const
+{
+    const auto prefix = job + ".";
+    const auto first = workers_.runs().lower_bound(prefix);
+    return first != workers_.runs().end() &&
+           first->first.compare(0, prefix.size(), prefix) == 0;
+}
+
+// Returns true when the step may start on avoided workers if no others fit it:
+// its job would have nothing at work on a service with free capacity, or it is
+// inside its account's guarantee, which holds however full the service is.
+bool fleet_scheduler::may_use_last_resort(const pending_step& item,
+                                          const placement_request& request,
+                                          time_point now) const
+{
+    if (request.preferences_expired &&
+        (item.spec->lasting() || !has_live_run(item.job)))
+    {
+        return true;
+    }
+    return urgency(item) == 0 &&
+           static_cast<double>((now - item.since).count()) >=
+               reclaim_wait_share *
+                   static_cast<double>(options_.reclaim_limit.count());
+}
+
 // Returns true when the step may start on any worker that fits it, because it
 // has waited for long enough on a service with capacity for it. Lasting steps
 // have to run however full the service is.
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -67,11 +67,14 @@
     unplaceable_shapes_.clear();
     for (const auto& [id, worker] : workers_.workers())
     {
-        if (workers_.availability(worker, now) == worker_availability::usable)
+        const auto availability = workers_.availability(worker, now);
+        if (availability == worker_availability::usable ||
+            availability == worker_availability::avoided)
         {
-            candidates_.push_back({&worker, worker.capacity - worker.used, 0,
-                                   worker.filler_runs > 0,
-                                   worker.serving_runs > 0});
+            candidates_.push_back(
+                {&worker, worker.capacity - worker.used, 0,
+                 worker.filler_runs > 0, worker.serving_runs > 0,
+                 availability == worker_availability::avoided});
         }
     }
     for (auto at = reservations_.begin(); at != reservations_.end();)
@@ -105,6 +108,10 @@
     }
     for (const auto& candidate : candidates_)
     {
+        if (candidate.last_resort)
+        {
+            continue;
+        }
         const auto& service = candidate.worker->record.service();
         auto& capacity = capacity_of(service);
         capacity.free = capacity.free + non_negative(candidate.free);
@@ -134,6 +141,11 @@
 void fleet_scheduler::change_free(placement_candidate& candidate,
                                   const resource_amounts& change)
 {
+    if (candidate.last_resort)
+    {
+        candidate.free = candidate.free + change;
+        return;
+    }
     auto& free = capacity_of(candidate.worker->record.service()).free;
     free = free - non_negative(candidate.free);
     candidate.free = candidate.free + change;
@@ -278,34 +290,38 @@
 }
 
 // Asks the queue's policy about the workers that could take the step: workers
-// in the preferred rack first, then those with the most free capacity.
+// in the preferred rack first, then those with the most free capacity, and
+// workers of last resort at the end.
 void fleet_scheduler::ask_policy(const pending_step_key& key,
                                  const pending_step& item,
                                  placement_request request, time_point now)
 {
     request.allowed.reset();
-    std::vector<std::tuple<bool, std::int64_t, const worker_record*>> order;
+    std::vector<std::tuple<bool, bool, std::int64_t, const worker_record*>>
+        order;
     for (const auto& candidate : candidates_)
     {
         const auto& record = candidate.worker->record;
         if (is_eligible(candidate, request) &&
             count_fitting(candidate, candidate.worker->capacity, request) > 0)
         {
-            order.emplace_back(record.rack() != request.preferred_rack,
+            order.emplace_back(candidate.last_resort,
+                               record.rack() != request.preferred_rack,
                                -static_cast<std::int64_t>(count_fitting(
                                    candidate, candidate.free, request)),
                                &record);
         }
     }
-    std::stable_sort(order.begin(), order.end(),
-                     [](const auto& a, const auto& b)
-                     {
-                         return std::tie(std::get<0>(a), std::get<1>(a)) <
-                                std::tie(std::get<0>(b), std::get<1>(b));
-                     });
+    std::stable_sort(
+        order.begin(), order.end(),
+        [](const auto& a, const auto& b)
+        {
+            return std::tie(std::get<0>(a), std::get<1>(a), std::get<2>(a)) <
+                   std::tie(std::get<0>(b), std::get<1>(b), std::get<2>(b));
+        });
     std::vector<policy_candidate> policy_candidates;
     policy_candidates.reserve(order.size());
-    for (const auto& [other_rack, free_slots, record] : order)
+    for (const auto& [last_resort, other_rack, free_slots, record] : order)
     {
         policy_candidates.push_back({record->id(), record->born_ms()});
     }
@@ -322,13 +338,14 @@
     // step waits for it instead of starting on another rack.
     request.other_racks_allowed = request.other_racks_allowed &&
                                   (!reserved || request.preferences_expired);
+    const bool last_resort = may_use_last_resort(item, request, now);
     const auto shape = absl::StrCat(
         request.service, "/", request.required_label, "/",
         request.preferred_rack, "/", request.need.cpu_milli, "/",
         request.need.memory_mb, "/", request.need.accelerators, "/",
         request.all_or_nothing ? request.count : 0, "/", request.same_rack, "/",
         request.other_racks_allowed, "/", request.max_per_worker, "/",
-        request.filler, "/", request.serves_users);
+        request.filler, "/", request.serves_users, "/", last_resort);
     item.obstacle = request.allowed ? placement_obstacle::policy
                                     : placement_obstacle::capacity;
     if (!reserved && !request.allowed && unplaceable_shapes_.count(shape) > 0)
@@ -350,7 +367,12 @@
         request.count = allowed;
     }
     const auto candidates = candidates_for(key, item);
-    const auto chosen = choose_workers(candidates, request);
+    auto chosen = choose_workers(candidates, request);
+    if (chosen.empty() && last_resort)
+    {
+        request.last_resort_allowed = true;
+        chosen = choose_workers(candidates, request);
+    }
     if (item.queue.policy && chosen.size() < request.count)
     {
         ask_policy(key, item, request, now);
@@ -426,8 +448,13 @@
     }
     auto request = request_for(item, now);
     request.all_or_nothing = true;
-    const auto plan =
-        choose_victims(candidates_for(key, item), victims, request);
+    const auto candidates = candidates_for(key, item);
+    auto plan = choose_victims(candidates, victims, request);
+    if (!plan && may_use_last_resort(item, request, now))
+    {
+        request.last_resort_allowed = true;
+        plan = choose_victims(candidates, victims, request);
+    }
     if (!plan)
     {
         return;
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -183,6 +183,10 @@
                 const std::vector<std::size_t>& chosen, time_point now);
     std::int64_t priority_of(const job_state& job) const;
     bool fits_in_one_rack(const placement_request& request) const;
+    bool may_use_last_resort(const pending_step& item,
+                             const placement_request& request,
+                             time_point now) const;
+    bool has_live_run(const std::string& job) const;
     bool fits_twice(const placement_request& request) const;
     bool preferences_expired(const pending_step& item,
                              const placement_request& request,
@@ -225,7 +229,8 @@
     std::map<pending_step_key, reservation> reservations_;
     // Sum of all reservations by worker.
     std::map<std::string, resource_amounts> reserved_;
-    // Usable workers in this round, sorted by id.
+    // Usable workers in this round, and avoided ones as candidates of last
+    // resort, sorted by id.
     std::vector<placement_candidate> candidates_;
     std::map<std::string, service_capacity> services_; // Keyed by service name.
     policy_tickets tickets_;
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -12,8 +12,9 @@
 
 using candidate_indices = std::vector<std::size_t>;
 
-// Returns the candidates that fit at least one subtask: avoided workers last,
-// and within each group those with the least free capacity first.
+// Returns the candidates that fit at least one subtask: those of last resort at
+// the end, avoided workers at the end of the other ones and of these, and
+// within each group those with the least free capacity first.
 candidate_indices
 by_fullness(const std::vector<placement_candidate>& candidates,
             const placement_request& request)
@@ -31,6 +32,7 @@
     {
         const auto& candidate = candidates[i];
         return std::make_tuple(
+            candidate.last_resort,
             request.avoided.count(candidate.worker->record.id()),
             candidate.free.accelerators, candidate.free.memory_mb,
             candidate.free.cpu_milli);
@@ -130,7 +132,8 @@
                           (request.serves_users && candidate.has_fillers);
     const bool allowed =
         !request.allowed || request.allowed->count(record.id()) > 0;
-    return !disturbs && allowed && record.service() == request.service &&
+    return (!candidate.last_resort || request.last_resort_allowed) &&
+           !disturbs && allowed && record.service() == request.service &&
            (request.required_label.empty() ||
             std::find(labels.begin(), labels.end(), request.required_label) !=
                 labels.end());
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -19,6 +19,7 @@
     std::uint32_t runs_of_step = 0; // Runs of the same step on this worker.
     bool has_fillers = false;       // Runs filler work.
     bool serves_users = false;      // Has runs with a tail-latency target.
+    bool last_resort = false;       // To be used only when no other fits.
 };
 
 /// Describes the subtasks of one step that are to be placed.
@@ -34,6 +35,7 @@
                                       // allowed, and a gang may span racks.
     // The step has waited for so long that preferences delay it no more.
     bool preferences_expired = false;
+    bool last_resort_allowed = false; // Candidates of last resort are eligible.
     std::string service;
     std::string required_label;
     std::string preferred_rack;
@@ -61,7 +63,7 @@
 /// to the workers with the least free capacity that still fit them, so that
 /// empty workers and racks stay free. With `all_or_nothing` the result is empty
 /// unless all subtasks fit; otherwise it may be shorter than `count`.
-/// `candidates` must contain usable workers only.
+/// `candidates` must contain workers only that may get placements.
 std::vector<std::size_t>
 choose_workers(const std::vector<placement_candidate>& candidates,
                const placement_request& request);
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -410,6 +410,10 @@
     {
         return worker_availability::unreachable;
     }
+    if (now < worker.refuses_until)
+    {
+        return worker_availability::refusing;
+    }
     return now < worker.avoid_until ? worker_availability::avoided
                                     : worker_availability::usable;
 }
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -71,7 +71,8 @@
 {
     usable,
     draining,   // It reported that it is about to leave.
-    avoided,    // Runs failed there, or it refused a start, a short time ago.
+    avoided,    // Runs failed or stalled there a short time ago.
+    refusing,   // It refused a start, or did not answer it, just now.
     unreachable // It does not report, or does not answer the leader.
 };
 
@@ -149,7 +150,9 @@
     time_point retry_at; // No hold is sent before this time.
     // The last accepted answer to a hold or list request.
     time_point last_answer;
-    time_point avoid_until; // The worker gets no placement before this time.
+    // Before this time the worker gets placements only when no other fits.
+    time_point avoid_until;
+    time_point refuses_until; // The worker gets no placement before this time.
 };
 
 /// Tracks workers and their runs on the leader: it grants leases, sends orders,
@@ -198,7 +201,7 @@
     }
     const std::map<std::string, live_run>& runs() const { return runs_; }
 
-    /// Gives the worker no placement before `until`.
+    /// Gives the worker no placement before `until` that another worker fits.
     void avoid(const std::string& worker, time_point until);
 
     /// Returns the keys of all live runs of the same step with the same run
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -205,7 +205,8 @@
     {
         if (worker != nullptr)
         {
-            worker->avoid_until = std::max(worker->avoid_until, now + pause);
+            worker->refuses_until =
+                std::max(worker->refuses_until, now + pause);
         }
         if (run.start_attempts > 1)
         {
@@ -242,7 +243,7 @@
         }
         else
         {
-            worker->avoid_until = now + refusal_pause;
+            worker->refuses_until = now + refusal_pause;
             stop(key, "start_unanswered", now);
         }
         break;
@@ -263,7 +264,7 @@
     case order_result::other_worker:
         if (worker != nullptr)
         {
-            worker->avoid_until = now + 5 * refusal_pause;
+            worker->refuses_until = now + 5 * refusal_pause;
         }
         propose_end(run, run_never, "", "worker_gone");
         break;
--- a/test/fleet_progress-test.cpp
+++ b/test/fleet_progress-test.cpp
@@ -77,12 +77,19 @@
     // Returns the accelerators in use, out of 8 per worker.
     std::int64_t used() const { return used_accelerators(fixture); }
 
+    void avoid(const std::string& worker)
+    {
+        fixture.workers->avoid(worker, fixture.now + milliseconds(30000));
+    }
+
     fleet_fixture fixture;
 
 private:
     int early_jobs_ = 0;
 };
 
+using workers = std::multiset<std::string>;
+
 // Guards against a gang for one rack that waits for its rack in a service that
 // is almost empty.
 TEST_F(fleet_progress, gang_for_one_rack_spans_racks_in_an_empty_service)
@@ -149,5 +156,91 @@
     EXPECT_EQ(workers_of("job").size(), 1U);
 }
 
+// Guards against work that waits for workers to come back from a pause although
+// only these have room for it.
+TEST_F(fleet_progress, avoided_workers_are_used_when_no_others_fit)
+{
+    add_rack("r1", 6);
+    occupy("r1", 1);
+    ASSERT_EQ(used(), 1);
+    for (const auto* const id : {"r1w2", "r1w3", "r1w4", "r1w5"})
+    {
+        avoid(id);
+    }
+    fixture.submit("gang", make_step(2, 8, true));
+    pass(longest_wait);
+    const auto chosen = workers_of("gang");
+    EXPECT_EQ(chosen.size(), 2U);
+    // The usable worker with room for a member comes before the avoided ones.
+    EXPECT_EQ(chosen.count("r1w6"), 1U);
+}
+
+// Guards against a subtask that fails twice on the same worker while another
+// one has room, when both are avoided.
+TEST_F(fleet_progress, failed_subtask_prefers_an_avoided_worker_without_failure)
+{
+    add_rack("r1", 1);
+    fixture.submit("job", make_step(1, 1));
+    fixture.schedule();
+    ASSERT_EQ(workers_of("job"), workers({"r1w1"}));
+    accept_starts(fixture);
+    fixture.port.starts.clear();
+    add_ready_worker(fixture, "r1w2", "r1");
+    avoid("r1w1");
+    avoid("r1w2");
+    end_run(fixture, make_run("job", 0, 1), run_failed);
+    pass(longest_wait);
+    EXPECT_EQ(workers_of("job"), workers({"r1w2"}));
+}
+
+// Guards against work on failing workers while the service is busy, and while
+// another subtask of the job is at work.
+TEST_F(fleet_progress, avoided_workers_are_left_alone_otherwise)
+{
+    add_rack("r1", 4);
+    occupy("r1", 8);
+    occupy("r1", 8);
+    occupy("r1", 4);
+    ASSERT_EQ(used(), 20);
+    avoid("r1w4");
+    fixture.submit("busy", make_step(1, 8));
+    pass(longest_wait);
+    EXPECT_EQ(workers_of("busy"), workers());
+    // Less than half of the service is in use with these workers.
+    add_rack("r2", 8);
+    for (int i = 1; i <= 8; ++i)
+    {
+        avoid("r2w" + std::to_string(i));
+    }
+    fixture.submit("wide", make_step(2, 4));
+    pass(milliseconds(100));
+    ASSERT_EQ(workers_of("wide"), workers({"r1w3"}));
+    accept_starts(fixture);
+    fixture.port.starts.clear();
+    pass(longest_wait);
+    EXPECT_EQ(workers_of("wide"), workers());
+}
+
+// Guards against guaranteed work that misses its time limit because the only
+// workers with room are in a pause.
+TEST_F(fleet_progress, guaranteed_work_uses_avoided_workers_on_a_full_service)
+{
+    add_rack("r1", 3);
+    auto lasting = make_step(2, 8);
+    lasting.set_lasting(true);
+    fixture.submit("lasting", lasting);
+    fixture.schedule();
+    accept_starts(fixture);
+    fixture.port.starts.clear();
+    ASSERT_EQ(used(), 16);
+    for (const auto* const id : {"r1w1", "r1w2", "r1w3"})
+    {
+        avoid(id);
+    }
+    fixture.submit("urgent", make_step(1, 8), "urgent");
+    pass(milliseconds(1500));
+    EXPECT_EQ(workers_of("urgent").size(), 1U);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -295,5 +295,28 @@
     EXPECT_EQ(availability(), worker_availability::draining);
 }
 
+// Guards against starts that are sent again at once to a worker that refuses
+// them, as to a candidate of last resort.
+TEST(worker_fleet, worker_that_refused_a_start_gets_no_placements)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.submit("job", make_step(1, 1));
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.starts.size(), 1U);
+    fixture.port.starts.front().done(
+        order_at(order_result::unhealthy, fixture.worker_clock()));
+    fixture.commit();
+    EXPECT_EQ(fixture.workers->availability(fixture.workers->workers().at("w1"),
+                                            fixture.now),
+              worker_availability::refusing);
+    fixture.advance(milliseconds(900));
+    fixture.schedule();
+    EXPECT_EQ(fixture.port.starts.size(), 1U);
+    fixture.advance(milliseconds(100));
+    fixture.schedule();
+    EXPECT_EQ(fixture.port.starts.size(), 2U);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
