Let a step use the headroom after 1.5 s on a half-empty service

A step that fits twice over could wait behind the capacity kept for urgent work although most of the service was free: the headroom is at most a quarter of each resource, but where one resource is scarce, as memory beside free accelerators, that quarter may be all that is free of it.

A step for which preferences have expired (1.5 s, less than half in use, fits twice over) is no longer held back by the headroom.

fleet_progress-test: the new test fails before the change (not started within 3 s) and passes after it.

--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -353,8 +353,11 @@
         return false;
     }
     // Lasting steps may use the headroom: they start wherever there is free
-    // capacity, however full the service is.
-    if (item.queue.priority > 0 && !item.spec->lasting())
+    // capacity, however full the service is. So may steps that have waited for
+    // long on a half-empty service: the headroom of one resource may take all
+    // that is free of it.
+    if (item.queue.priority > 0 && !item.spec->lasting() &&
+        !request.preferences_expired)
     {
         const auto& service = capacity_of(request.service);
         const auto allowed = service.headroom.count_allowed(
--- a/test/fleet_progress-test.cpp
+++ b/test/fleet_progress-test.cpp
@@ -242,5 +242,40 @@
     EXPECT_EQ(workers_of("urgent").size(), 1U);
 }
 
+// Guards against a step that fits twice over and waits behind the capacity kept
+// for urgent work, when memory is scarce and most accelerators are free.
+TEST_F(fleet_progress, headroom_does_not_hold_a_step_in_a_half_empty_service)
+{
+    add_rack("r1", 4);
+    auto large = make_step(3, 1);
+    large.mutable_need()->set_memory_mb(128000);
+    fixture.submit("early", large, "low");
+    fixture.schedule();
+    accept_starts(fixture);
+    ASSERT_EQ(used(), 3);
+    auto urgent = make_step(16, 0);
+    urgent.mutable_need()->set_memory_mb(8000);
+    auto step = make_step(1, 1);
+    step.mutable_need()->set_memory_mb(60000);
+    for (int i = 0; i < 5 && workers_of("job").empty(); ++i)
+    {
+        if (i == 2)
+        {
+            fixture.submit("job", step);
+        }
+        const auto id = "urgent" + std::to_string(i);
+        fixture.submit(id, urgent, "urgent");
+        fixture.schedule();
+        accept_starts(fixture);
+        ASSERT_EQ(workers_of(id).size(), 16U);
+        for (std::uint32_t index = 0; index < 16; ++index)
+        {
+            end_run(fixture, make_run(id, index, 1), run_done);
+        }
+        pass(milliseconds(1000));
+    }
+    EXPECT_EQ(workers_of("job").size(), 1U);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
