Try each waiting step at least once a second

A round ended after 200 steps that could not be placed. The same steps came first in each round, so a step behind them was never tried, whatever was free: with 250 gangs that do not fit, a small step did not start on empty workers.

Beyond 200 failed attempts a round now tries only the steps whose last attempt is a second or more ago.

fleet_progress-test: the new test fails before the change (not started within 3 s) and passes after it.

--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -39,8 +39,10 @@
 constexpr milliseconds first_pause{4000};
 constexpr int max_pause_doublings = 3;
 
-// A round ends after this many steps that could not be placed completely.
+// After this many steps that could not be placed completely, a round tries only
+// those whose last attempt is longer ago than the retry interval.
 constexpr std::size_t max_failed_placements_per_round = 200;
+constexpr milliseconds retry_interval{1000};
 
 } // namespace
 
@@ -355,6 +357,12 @@
     for (const auto at : ranked_by_urgency())
     {
         const auto key = at->first;
+        if (failed_placements >= max_failed_placements_per_round &&
+            now - at->second.tried_at < retry_interval)
+        {
+            continue;
+        }
+        at->second.tried_at = now;
         if (place(key, at->second, now))
         {
             unreserve(key);
@@ -365,10 +373,7 @@
         {
             reclaim(key, at->second, now);
         }
-        if (++failed_placements >= max_failed_placements_per_round)
-        {
-            break;
-        }
+        ++failed_placements;
     }
     report_waits(now);
 }
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -122,6 +122,7 @@
         preemption_plan last_plan = preemption_plan::not_tried;
         std::uint32_t plans = 0;  // Preemptions made for the step.
         time_point next_wait_log; // When the next log line on its wait is due.
+        time_point tried_at;      // The last attempt to place it.
         bool all_or_nothing() const { return spec->gang(); }
     };
     using pending_step_key =
--- a/test/fleet_progress-test.cpp
+++ b/test/fleet_progress-test.cpp
@@ -277,5 +277,21 @@
     EXPECT_EQ(workers_of("job").size(), 1U);
 }
 
+// Guards against a step that is never tried because many steps before it can
+// not be placed.
+TEST_F(fleet_progress, step_behind_many_others_that_do_not_fit_is_tried)
+{
+    add_rack("r1", 2);
+    for (int i = 0; i < 250; ++i)
+    {
+        auto gang = make_step(3, 8, true);
+        gang.mutable_need()->set_memory_mb(1000 + i);
+        fixture.submit("gang" + std::to_string(i), gang);
+    }
+    fixture.submit("job", make_step(1, 1));
+    pass(longest_wait);
+    EXPECT_EQ(workers_of("job").size(), 1U);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
