--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -23,9 +23,10 @@
 {
 }
 
-void model_workers::add(const std::string& id, const std::string& rack)
+void model_workers::add(const std::string& id, const std::string& rack,
+                        const std::string& label)
 {
-    fixture_.add_worker(id, rack);
+    fixture_.add_worker(id, rack, 1, "service", label);
     workers_[id];
 }
 
@@ -34,6 +35,36 @@
     workers_[id].disconnected = disconnected;
 }
 
+void model_workers::set_failing(const std::string& id, bool failing)
+{
+    workers_[id].failing = failing;
+}
+
+resource_amounts model_workers::used(const std::string& id) const
+{
+    resource_amounts used;
+    for (const auto& [key, run] : workers_.at(id).runs)
+    {
+        used = used + run.need;
+    }
+    return used;
+}
+
+bool model_workers::has_run_of(const std::string& job) const
+{
+    return std::any_of(workers_.begin(), workers_.end(),
+                       [&job](const auto& worker)
+                       {
+                           const auto& runs = worker.second.runs;
+                           return std::any_of(runs.begin(), runs.end(),
+                                              [&job](const auto& run)
+                                              {
+                                                  return run.second.run.job() ==
+                                                         job;
+                                              });
+                       });
+}
+
 std::string model_workers::subtask_of(const run_ref& run)
 {
     return absl::StrCat(run.job(), ".", run.step(), ".", run.index());
@@ -348,7 +379,7 @@
             }
             else if (run.remaining <= milliseconds(0))
             {
-                ends.emplace_back(key, run_done);
+                ends.emplace_back(key, worker.failing ? run_failed : run_done);
             }
         }
         for (const auto& [key, end] : ends)
--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -31,7 +31,8 @@
 public:
     model_workers(fleet_fixture& fixture, unsigned seed);
 
-    void add(const std::string& id, const std::string& rack);
+    void add(const std::string& id, const std::string& rack,
+             const std::string& label = "");
 
     /// Advances to the fixture's time and processes the orders that were sent.
     void advance();
@@ -40,6 +41,15 @@
     /// its answers, are lost.
     void set_disconnected(const std::string& id, bool disconnected);
 
+    /// Makes all runs that end on the worker fail, or lets them succeed again.
+    void set_failing(const std::string& id, bool failing);
+
+    /// Returns the sum of the needs of the runs that are on the worker.
+    resource_amounts used(const std::string& id) const;
+
+    /// Returns true when a run of the job is on any worker.
+    bool has_run_of(const std::string& job) const;
+
     order_faults faults;
     std::vector<std::string> violations;
     std::size_t starts = 0;
@@ -68,6 +78,7 @@
         std::uint64_t epoch = 0;
         std::int64_t lease_until = 0; // In ms, on the worker's clock.
         bool disconnected = false;
+        bool failing = false;
     };
     struct delayed_action
     {
