--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -122,6 +122,7 @@
         preemption_plan last_plan = preemption_plan::not_tried;
         std::uint32_t plans = 0;  // Preemptions made for the step.
         time_point next_wait_log; // When the next log line on its wait is due.
+        time_point tried_at;      // The last attempt to place it.
         bool all_or_nothing() const { return spec->gang(); }
     };
     using pending_step_key =
@@ -139,11 +140,14 @@
     };
 
     // Total and free capacity of the usable workers of a service, and the parts
-    // of the free capacity that are reserved.
+    // of the free capacity that are reserved. `installed` and `used` also count
+    // the workers that get no placements now.
     struct service_capacity
     {
         resource_amounts total;
         resource_amounts free;
+        resource_amounts installed;
+        resource_amounts used;
         urgent_headroom headroom;
     };
 
@@ -180,6 +184,14 @@
                 const std::vector<std::size_t>& chosen, time_point now);
     std::int64_t priority_of(const job_state& job) const;
     bool fits_in_one_rack(const placement_request& request) const;
+    bool may_use_last_resort(const pending_step& item,
+                             const placement_request& request,
+                             time_point now) const;
+    bool has_live_run(const std::string& job) const;
+    bool fits_twice(const placement_request& request) const;
+    bool preferences_expired(const pending_step& item,
+                             const placement_request& request,
+                             time_point now) const;
     void reclaim(const pending_step_key& key, pending_step& item,
                  time_point now);
     void stop_stalled_runs(time_point now);
@@ -218,7 +230,8 @@
     std::map<pending_step_key, reservation> reservations_;
     // Sum of all reservations by worker.
     std::map<std::string, resource_amounts> reserved_;
-    // Usable workers in this round, sorted by id.
+    // Usable workers in this round, and avoided ones as candidates of last
+    // resort, sorted by id.
     std::vector<placement_candidate> candidates_;
     std::map<std::string, service_capacity> services_; // Keyed by service name.
     policy_tickets tickets_;
