Count only present workers when a service is called half empty

Cause: the capacity of workers that had crashed or were cut off counted as installed and free for up to 60 s, so a busy service could look half empty and preferences for racks ended early.

Change: use and room are computed over workers that answer and do not leave; these include the avoided and refusing ones.

--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -297,9 +297,10 @@
            static_cast<double>(queue.allowance_ms);
 }
 
-// Returns true when the workers that are not about to leave, whether they get
-// placements now or not, have free capacity for two gangs or two subtasks.
-bool fleet_scheduler::fits_twice(const placement_request& request) const
+// Returns true when the present workers, whether they get placements now or
+// not, have free capacity for two gangs or two subtasks.
+bool fleet_scheduler::fits_twice(const placement_request& request,
+                                 time_point now) const
 {
     auto doubled = request;
     doubled.count = request.all_or_nothing ? 2 * request.count : 2;
@@ -307,20 +308,21 @@
     doubled.allowed.reset();
     std::uint32_t slots = 0;
     const auto& workers = workers_.workers();
-    return std::any_of(
-        workers.begin(), workers.end(),
-        [&](const auto& item)
-        {
-            const auto& worker = item.second;
-            const placement_candidate candidate{
-                &worker, worker.capacity - worker.used, 0,
-                worker.filler_runs > 0, worker.serving_runs > 0};
-            if (!worker.record.draining() && is_eligible(candidate, doubled))
-            {
-                slots += count_fitting(candidate, candidate.free, doubled);
-            }
-            return slots >= doubled.count;
-        });
+    return std::any_of(workers.begin(), workers.end(),
+                       [&](const auto& item)
+                       {
+                           const auto& worker = item.second;
+                           const placement_candidate candidate{
+                               &worker, worker.capacity - worker.used, 0,
+                               worker.filler_runs > 0, worker.serving_runs > 0};
+                           if (workers_.is_present(worker, now) &&
+                               is_eligible(candidate, doubled))
+                           {
+                               slots += count_fitting(candidate, candidate.free,
+                                                      doubled);
+                           }
+                           return slots >= doubled.count;
+                       });
 }
 
 // Returns true when a run of the job is or may be present on a worker.
@@ -366,7 +368,7 @@
            (item.spec->lasting() ||
             under_half_in_use(service->second.used,
                               service->second.installed)) &&
-           fits_twice(request);
+           fits_twice(request, now);
 }
 
 placement_request fleet_scheduler::request_for(const pending_step& item,
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -102,6 +102,10 @@
     }
     for (const auto& [id, worker] : workers_.workers())
     {
+        if (!workers_.is_present(worker, now))
+        {
+            continue;
+        }
         auto& capacity = capacity_of(worker.record.service());
         capacity.installed = capacity.installed + worker.capacity;
         capacity.used = capacity.used + worker.used;
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -141,7 +141,7 @@
 
     // Total and free capacity of the usable workers of a service, and the parts
     // of the free capacity that are reserved. `installed` and `used` also count
-    // the workers that get no placements now.
+    // present workers that get no placements now.
     struct service_capacity
     {
         resource_amounts total;
@@ -188,7 +188,7 @@
                              const placement_request& request,
                              time_point now) const;
     bool has_live_run(const std::string& job) const;
-    bool fits_twice(const placement_request& request) const;
+    bool fits_twice(const placement_request& request, time_point now) const;
     bool preferences_expired(const pending_step& item,
                              const placement_request& request,
                              time_point now) const;
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -15,9 +15,6 @@
 // Time between two scans of all workers for timeouts that have expired.
 constexpr milliseconds scan_interval{40};
 
-// A worker stays usable when its report is late by at most this much.
-constexpr milliseconds report_tolerance{900};
-
 } // namespace
 
 resource_amounts operator+(const resource_amounts& a, const resource_amounts& b)
@@ -389,40 +386,6 @@
     return keys;
 }
 
-void worker_fleet::avoid(const std::string& worker, time_point until)
-{
-    if (const auto found = workers_.find(worker); found != workers_.end())
-    {
-        found->second.avoid_until = std::max(found->second.avoid_until, until);
-    }
-}
-
-bool worker_fleet::is_silent(const worker_session& worker, time_point now) const
-{
-    const auto silence = now - std::max(worker.last_report, worker.last_answer);
-    return silence > 2 * options_.report_interval + report_tolerance;
-}
-
-worker_availability worker_fleet::availability(const worker_session& worker,
-                                               time_point now) const
-{
-    if (worker.record.draining())
-    {
-        return worker_availability::draining;
-    }
-    if (!worker.clock.has_reading() || worker.hold_failures > 0 ||
-        is_silent(worker, now))
-    {
-        return worker_availability::unreachable;
-    }
-    if (now < worker.refuses_until)
-    {
-        return worker_availability::refusing;
-    }
-    return now < worker.avoid_until ? worker_availability::avoided
-                                    : worker_availability::usable;
-}
-
 void worker_fleet::end_expired(worker_session& worker, time_point now)
 {
     if (worker.runs.empty())
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -195,6 +195,10 @@
     worker_availability availability(const worker_session& worker,
                                      time_point now) const;
 
+    /// Returns true when the worker answers and is not about to leave, whether
+    /// it gets placements now or not.
+    bool is_present(const worker_session& worker, time_point now) const;
+
     const std::map<std::string, worker_session>& workers() const
     {
         return workers_;
