Start a gang on the capacity that was reclaimed for it in several racks

Callers saw an urgent gang inside its account's guarantee begin after the reclaim limit. After 0.35 of the limit a gang that prefers one rack may take capacity in several racks. Runs in several racks were then stopped for it, but while a reservation was held, the step was bound to its preferred rack, so it did not start there until the reservation expired: 1.5 s later, at 2.5 s of 2.9 s at the earliest. Any further delay broke the limit.

A reservation now records that it uses other racks, and the step may start there while it holds.

--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -306,10 +306,12 @@
                             time_point now)
 {
     auto request = request_for(item, now);
-    const bool reserved = reservations_.count(key) > 0;
-    // Runs are being stopped to free capacity in the preferred rack, so the
+    const auto found = reservations_.find(key);
+    const bool reserved = found != reservations_.end();
+    // While runs are being stopped to free capacity in the preferred rack, the
     // step waits for it instead of starting on another rack.
-    request.other_racks_allowed = request.other_racks_allowed && !reserved;
+    request.other_racks_allowed =
+        request.other_racks_allowed && (!reserved || found->second.other_racks);
     const auto shape = absl::StrCat(
         request.service, "/", request.required_label, "/",
         request.preferred_rack, "/", request.need.cpu_milli, "/",
@@ -423,7 +425,8 @@
     item.last_plan = preemption_plan::made;
     ++item.plans;
     counters_.add("runs_preempted_total", plan->keys.size());
-    reserve(key, {plan->reserved_by_worker, now + reservation_time});
+    reserve(key, {plan->reserved_by_worker, now + reservation_time,
+                  plan->other_racks});
     for (const auto& victim : plan->keys)
     {
         workers_.stop(victim, "preempted", now);
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -136,6 +136,9 @@
         std::map<std::string, resource_amounts>
             reserved_by_worker; // By worker id.
         time_point until;
+        // Reserves capacity outside the preferred rack, or in several racks for
+        // a gang that prefers one.
+        bool other_racks = false;
     };
 
     // Total and free capacity of the usable workers of a service, and the parts
--- a/src/coordination/fleet/victim_choice.cpp
+++ b/src/coordination/fleet/victim_choice.cpp
@@ -144,7 +144,11 @@
     }
     if (!best && request.other_racks_allowed)
     {
-        consider(cheapest_plan(std::move(all), candidates, request));
+        best = cheapest_plan(std::move(all), candidates, request);
+        if (best)
+        {
+            best->other_racks = true;
+        }
     }
     return best;
 }
--- a/src/coordination/fleet/victim_choice.hpp
+++ b/src/coordination/fleet/victim_choice.hpp
@@ -26,6 +26,7 @@
     std::vector<std::string> keys; // Keys of the runs to stop.
     std::map<std::string, resource_amounts> reserved_by_worker;
     double cost = 0;
+    bool other_racks = false; // Uses racks that the request only tolerates.
 };
 
 /// Chooses the cheapest runs whose end frees enough capacity for all subtasks
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -247,6 +247,36 @@
     EXPECT_EQ(fixture.port.starts[8].order.worker, "local");
 }
 
+// Guards against a gang that waits until its reservation expires although the
+// runs on the reserved workers, which are in several racks, have ended.
+TEST(fleet_scheduler, gang_starts_on_workers_reclaimed_in_several_racks)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    add_ready_worker(fixture, "w2", "r2");
+    fixture.submit("low", make_step(16, 1), "low");
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.starts.size(), 16U);
+    accept_starts(fixture);
+    auto gang = make_step(2, 8, true);
+    gang.set_same_rack(true);
+    fixture.submit("urgent", gang, "urgent");
+    fixture.schedule();
+    EXPECT_TRUE(fixture.port.stops.empty());
+    fixture.advance(milliseconds(1300));
+    fixture.report("w1");
+    fixture.report("w2");
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.stops.size(), 16U);
+    for (std::uint32_t i = 0; i < 16; ++i)
+    {
+        end_run(fixture, make_run("low", i, 1), run_stopped);
+    }
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.starts.size(), 18U);
+    EXPECT_EQ(fixture.port.starts.back().order.run.job(), "urgent");
+}
+
 // Guards against placing more runs on a worker than its capacity allows.
 TEST(fleet_scheduler, capacity_is_never_exceeded)
 {
