Send stops again when the connections to their worker are closed

Cause: found in review. When a worker is removed or restarts, its connections are closed and answers to orders under way get lost. A stop that waited for its answer then stayed marked as sent, so it was never repeated and its run counted as present until the next leader: the subtask or its whole gang never started again.

Change: closing the connections of a worker marks its unanswered stops as not sent.

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -324,7 +324,7 @@
             {
                 end_incarnation({found->first, found->second.record.born_ms()},
                                 "worker_left", now);
-                port_.close_connections(found->second.record);
+                close_connections(found->second.record, now);
                 workers_.erase(found);
             }
         }
@@ -348,12 +348,29 @@
         found->second.capacity = to_amounts(record.capacity());
         return;
     }
-    port_.close_connections(found->second.record);
+    close_connections(found->second.record, now);
     end_incarnation({record.id(), found->second.record.born_ms()},
                     "worker_born_again", now);
     add_session(record, now);
 }
 
+// Closes the connections to the worker. Answers to orders that are under way
+// get lost, so its unacknowledged stops are sent again.
+void worker_fleet::close_connections(const worker_record& record,
+                                     time_point now)
+{
+    port_.close_connections(record);
+    for (const auto& key : stopping_)
+    {
+        auto& run = runs_.at(key);
+        if (run.incarnation.worker == record.id() && run.stop_sent)
+        {
+            run.stop_sent = false;
+            run.changed_at = now;
+        }
+    }
+}
+
 void worker_fleet::end_incarnation(const worker_incarnation& incarnation,
                                    const char* reason, time_point now)
 {
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -263,6 +263,7 @@
     void remove_silent(worker_session& worker, time_point now);
     bool needs_hold(const worker_session& worker, time_point now) const;
     bool is_silent(const worker_session& worker, time_point now) const;
+    void close_connections(const worker_record& record, time_point now);
     void end_incarnation(const worker_incarnation& incarnation,
                          const char* reason, time_point now);
     void end_expired(worker_session& worker, time_point now);
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -361,5 +361,59 @@
     EXPECT_EQ(fixture.port.starts.size(), 2U);
 }
 
+// Lets time pass, with reports and answers of the worker.
+void pass_with_worker(fleet_fixture& fixture, const std::string& id, int steps)
+{
+    for (int i = 0; i < steps; ++i)
+    {
+        fixture.advance(milliseconds(100));
+        fixture.report(id);
+        if (!fixture.port.holds.empty())
+        {
+            answer_hold(fixture, lists_at(fixture.worker_clock()));
+        }
+        fixture.schedule();
+    }
+}
+
+// Sends the stop of an unanswered start to the second incarnation of the
+// worker.
+void send_stop_to_second_incarnation(fleet_fixture& fixture)
+{
+    start_one(fixture);
+    fixture.port.starts.clear();
+    fixture.add_worker("w1", "r1", 2);
+    fixture.port.holds.clear();
+    fixture.advance(milliseconds(200));
+    ASSERT_EQ(fixture.port.stops.size(), 1U);
+    fixture.port.stops.clear();
+}
+
+// Guards against a subtask that counts as at work for good because the answer
+// to its stop was lost with the connections of a removed worker.
+TEST(worker_fleet, run_ends_when_the_worker_is_removed_during_its_stop)
+{
+    fleet_fixture fixture;
+    send_stop_to_second_incarnation(fixture);
+    fleet_command command;
+    command.mutable_remove_worker()->set_id("w1");
+    command.mutable_remove_worker()->set_born_ms(2);
+    fixture.apply(command);
+    add_ready_worker(fixture, "w2", "r1");
+    pass_with_worker(fixture, "w2", 100);
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
+    EXPECT_FALSE(fixture.port.starts.empty());
+}
+
+// Guards against the same when the worker restarts once more.
+TEST(worker_fleet, stop_is_sent_again_when_the_worker_restarts_during_it)
+{
+    fleet_fixture fixture;
+    send_stop_to_second_incarnation(fixture);
+    fixture.add_worker("w1", "r1", 3);
+    pass_with_worker(fixture, "w1", 10);
+    EXPECT_FALSE(fixture.port.stops.empty());
+}
+
 } // namespace
 } // namespace limpetstack::fleet
