Ask a failing worker without runs less and less often

Cause: found in review. A worker that reports and answers holds with errors was asked 63 times in 10 s with nothing on it.

Change: without runs the delay after a failed hold grows to 1 s; the new test counts at most 15 holds in 10 s and failed before.

--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -13,8 +13,10 @@
 namespace
 {
 
-// Time before a failed hold is repeated.
+// Time before a failed hold is repeated, and the longest such time for a worker
+// without runs.
 constexpr milliseconds order_retry_delay{150};
+constexpr milliseconds max_hold_retry_delay{1000};
 
 // The leader accepts this many hold answers per second from workers on which no
 // run ended. Each answer renews a lease, so in a small fleet, where holds are
@@ -26,6 +28,18 @@
 // because a lost answer is detected only when the wait is over.
 constexpr milliseconds short_holds_time{8000};
 
+// Returns the time before a failed hold is repeated. Nothing expires on a
+// worker without runs, so its delay grows with the failures.
+milliseconds hold_retry_delay(const worker_session& worker)
+{
+    if (!worker.runs.empty())
+    {
+        return order_retry_delay;
+    }
+    return std::min(order_retry_delay * worker.hold_failures,
+                    max_hold_retry_delay);
+}
+
 } // namespace
 
 hold_order worker_fleet::make_hold_order(const worker_session& worker) const
@@ -119,7 +133,7 @@
         {
             ++worker->hold_failures;
             worker->short_holds_until = now + short_holds_time;
-            worker->retry_at = now + order_retry_delay;
+            worker->retry_at = now + hold_retry_delay(*worker);
         }
         return;
     }
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -415,5 +415,33 @@
     EXPECT_FALSE(fixture.port.stops.empty());
 }
 
+// Guards against a flood of calls to workers that report and answer with errors
+// while nothing runs on them.
+TEST(worker_fleet, holds_of_a_failing_worker_without_runs_become_rare)
+{
+    fleet_fixture fixture;
+    start_one(fixture);
+    fixture.port.starts.front().done(
+        order_at(order_result::accepted, fixture.worker_clock()));
+    std::size_t holds = 0;
+    for (int i = 0; i < 2000; ++i)
+    {
+        fixture.advance(milliseconds(10));
+        if (i % 150 == 0)
+        {
+            fixture.report("w1");
+        }
+        if (fixture.port.holds.empty())
+        {
+            continue;
+        }
+        holds += i >= 1000 ? 1 : 0;
+        answer_hold(fixture, hold_answer());
+    }
+    EXPECT_TRUE(fixture.workers->runs().empty());
+    EXPECT_GE(holds, 5U);
+    EXPECT_LE(holds, 15U);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
