Ask workers again that report after failed holds

A worker that was cut off from the leader got no placements for as long as that leader lasted: after its runs had ended as lapsed it was not sent a hold any more, and without an answer its failed holds kept it "unreachable", although it reported every 1.5 s. Its room was hidden from all work.

A worker with failed holds is now held again while it reports. A silent one is still left alone until it is removed.

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -15,9 +15,6 @@
 // Time between two scans of all workers for timeouts that have expired.
 constexpr milliseconds scan_interval{40};
 
-// A worker stays usable when its report is late by at most this much.
-constexpr milliseconds report_tolerance{900};
-
 } // namespace
 
 resource_amounts operator+(const resource_amounts& a, const resource_amounts& b)
@@ -397,27 +394,6 @@
     }
 }
 
-worker_availability worker_fleet::availability(const worker_session& worker,
-                                               time_point now) const
-{
-    const auto silence = now - std::max(worker.last_report, worker.last_answer);
-    if (worker.record.draining())
-    {
-        return worker_availability::draining;
-    }
-    if (!worker.clock.has_reading() || worker.hold_failures > 0 ||
-        silence > 2 * options_.report_interval + report_tolerance)
-    {
-        return worker_availability::unreachable;
-    }
-    if (now < worker.refuses_until)
-    {
-        return worker_availability::refusing;
-    }
-    return now < worker.avoid_until ? worker_availability::avoided
-                                    : worker_availability::usable;
-}
-
 void worker_fleet::end_expired(worker_session& worker, time_point now)
 {
     if (worker.runs.empty())
@@ -467,7 +443,7 @@
 {
     end_expired(worker, now);
     remove_silent(worker, now);
-    if (now >= worker.retry_at && needs_hold(worker))
+    if (now >= worker.retry_at && needs_hold(worker, now))
     {
         hold(worker, now);
     }
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -253,7 +253,8 @@
     void retry_stops(time_point now);
     void advance_worker(worker_session& worker, time_point now);
     void remove_silent(worker_session& worker, time_point now);
-    bool needs_hold(const worker_session& worker) const;
+    bool needs_hold(const worker_session& worker, time_point now) const;
+    bool is_silent(const worker_session& worker, time_point now) const;
     void end_incarnation(const worker_incarnation& incarnation,
                          const char* reason, time_point now);
     void end_expired(worker_session& worker, time_point now);
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -26,6 +26,9 @@
 // because a lost answer is detected only when the wait is over.
 constexpr milliseconds short_holds_time{8000};
 
+// A worker stays usable when its report is late by at most this much.
+constexpr milliseconds report_tolerance{900};
+
 } // namespace
 
 hold_order worker_fleet::make_hold_order(const worker_session& worker) const
@@ -253,10 +256,42 @@
     }
 }
 
-bool worker_fleet::needs_hold(const worker_session& worker) const
+// Returns true when the worker has neither reported nor answered lately.
+bool worker_fleet::is_silent(const worker_session& worker, time_point now) const
+{
+    return now - std::max(worker.last_report, worker.last_answer) >
+           2 * options_.report_interval + report_tolerance;
+}
+
+worker_availability worker_fleet::availability(const worker_session& worker,
+                                               time_point now) const
+{
+    if (worker.record.draining())
+    {
+        return worker_availability::draining;
+    }
+    if (!worker.clock.has_reading() || worker.hold_failures > 0 ||
+        is_silent(worker, now))
+    {
+        return worker_availability::unreachable;
+    }
+    if (now < worker.refuses_until)
+    {
+        return worker_availability::refusing;
+    }
+    return now < worker.avoid_until ? worker_availability::avoided
+                                    : worker_availability::usable;
+}
+
+// Returns true when the worker must be sent a hold. A worker that reports again
+// after failed holds is held until it answers, because it gets no placements
+// before.
+bool worker_fleet::needs_hold(const worker_session& worker,
+                              time_point now) const
 {
     return !worker.holding && worker.pending_ends.empty() &&
            (!worker.confirmed ||
+            (worker.hold_failures > 0 && !is_silent(worker, now)) ||
             worker.acknowledged_end < worker.committed_end ||
             std::any_of(worker.runs.begin(), worker.runs.end(),
                         [this](const std::string& key)
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -318,5 +318,35 @@
     EXPECT_EQ(fixture.port.starts.size(), 2U);
 }
 
+// Guards against a worker that gets no placements for good after it was cut
+// off: without runs it was not asked again, although it reported.
+TEST(worker_fleet, worker_without_runs_is_held_again_after_failed_holds)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.submit("job", make_step(1, 1));
+    fixture.schedule();
+    accept_starts(fixture);
+    // Holds fail until the lease of the run has ended.
+    for (milliseconds passed{0}; passed < milliseconds(15000);
+         passed += milliseconds(100))
+    {
+        fixture.advance(milliseconds(100));
+        while (!fixture.port.holds.empty())
+        {
+            const auto hold = fixture.port.holds.front();
+            fixture.port.holds.pop_front();
+            hold.done({});
+        }
+    }
+    ASSERT_TRUE(fixture.workers->workers().at("w1").runs.empty());
+    fixture.report("w1");
+    fixture.advance(milliseconds(1000));
+    confirm_workers(fixture);
+    EXPECT_EQ(fixture.workers->availability(fixture.workers->workers().at("w1"),
+                                            fixture.now),
+              worker_availability::usable);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
