End preferences on a half-empty service also where a step fits only once

A gang that the avoided workers could hold once, but not twice, still waited for the end of their pauses on a service that was almost empty.

That a step fits twice over is now required only where the two measures of use, accelerators alone and together with the processor, disagree about less than half being in use, and for lasting steps.

fleet_progress-test: the new test fails before the change (not started within 3 s) and passes after it. The test of the longer wait for one rack stays as it was and passes.

--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -37,17 +37,16 @@
 constexpr std::int64_t milli_cores_per_accelerator = 8000;
 
 // Returns true when less than half of the capacity is in use, by processor and
-// accelerators together or by accelerators alone.
-bool under_half_in_use(const resource_amounts& used,
-                       const resource_amounts& capacity)
+// accelerators together.
+bool under_half_by_cores(const resource_amounts& used,
+                         const resource_amounts& capacity)
 {
     const auto cores = [](const resource_amounts& amounts)
     {
         return amounts.cpu_milli +
                milli_cores_per_accelerator * amounts.accelerators;
     };
-    return 2 * cores(used) < cores(capacity) ||
-           2 * used.accelerators < capacity.accelerators;
+    return 2 * cores(used) < cores(capacity);
 }
 
 bool earlier_steps_done(const step_spec& spec, const occurrence_state* state)
@@ -362,11 +361,21 @@
         return false;
     }
     const auto service = services_.find(request.service);
-    return service != services_.end() &&
-           (item.spec->lasting() ||
-            under_half_in_use(service->second.used,
-                              service->second.installed)) &&
-           fits_twice(request);
+    if (service == services_.end())
+    {
+        return false;
+    }
+    const auto& [used, installed] =
+        std::tie(service->second.used, service->second.installed);
+    const bool by_cores = under_half_by_cores(used, installed);
+    const bool by_accelerators =
+        installed.accelerators > 0
+            ? 2 * used.accelerators < installed.accelerators
+            : by_cores;
+    // Where the two measures differ, it has to fit twice over.
+    return (by_cores && by_accelerators) ||
+           ((by_cores || by_accelerators || item.spec->lasting()) &&
+            fits_twice(request));
 }
 
 placement_request fleet_scheduler::request_for(const pending_step& item,
--- a/test/fleet_progress-test.cpp
+++ b/test/fleet_progress-test.cpp
@@ -175,6 +175,22 @@
     EXPECT_EQ(chosen.count("r1w6"), 1U);
 }
 
+// Guards against a gang that waits on an almost empty service because the room
+// on avoided workers holds it once only.
+TEST_F(fleet_progress, gang_that_fits_once_starts_on_avoided_workers)
+{
+    add_rack("r1", 4);
+    occupy("r1", 1);
+    ASSERT_EQ(used(), 1);
+    for (const auto* const id : {"r1w2", "r1w3", "r1w4"})
+    {
+        avoid(id);
+    }
+    fixture.submit("gang", make_step(3, 8, true));
+    pass(longest_wait);
+    EXPECT_EQ(workers_of("gang").size(), 3U);
+}
+
 // Guards against a subtask that fails twice on the same worker while another
 // one has room, when both are avoided.
 TEST_F(fleet_progress, failed_subtask_prefers_an_avoided_worker_without_failure)
