--- a/test/fleet_progress_model-test.cpp
+++ b/test/fleet_progress_model-test.cpp
@@ -169,7 +169,9 @@
         auto step = make_step(1 + random_() % 4, needs[random_() % 5],
                               random_() % 2 == 0);
         step.mutable_need()->set_memory_mb(
-            random_() % 4 == 0 ? 60000 : 1000 * (1 + random_() % 8));
+            random_() % 4 == 0
+                ? 60000
+                : 1000 * (1 + static_cast<std::int64_t>(random_() % 8)));
         step.set_estimate_ms(1000 +
                              static_cast<std::int64_t>(random_() % 4000));
         step.set_same_rack(random_() % 2 == 0);
