Stop smaller guaranteed subtasks for a guaranteed gang that fits nowhere else

Callers saw an urgent gang of whole workers inside its account's guarantee begin after the reclaim limit. Guaranteed subtasks of 1, 2 or 4 accelerators of other accounts held part of most workers. No plan may stop them, so there was none until enough of them had ended, although less urgent work held the rest of these workers.

A guaranteed step without another plan may now stop guaranteed runs that need fewer accelerators than its subtasks, once it may use other racks. These have started already, and find room in the smaller fragments, or displace still smaller ones; subtasks of equal need never displace each other, so there are no cycles. The guarantees together are less than the service, so such a plan exists unless other resources or runs that are never stopped prevent it.

--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -3,7 +3,6 @@
 #include "coordination/fleet/fleet_scheduler.hpp"
 
 #include "base/log.hpp"
-#include "coordination/fleet/victim_choice.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -358,15 +357,51 @@
     return item.indices.empty();
 }
 
-void fleet_scheduler::reclaim(const pending_step_key& key, pending_step& item,
-                              time_point now)
+// Returns whether the run may be stopped for a step, and the factor of its
+// cost: runs that should be stopped only when no others suffice cost more.
+std::optional<double>
+fleet_scheduler::stop_cost_factor(const live_run& run, const pending_step& item,
+                                  bool displace_guaranteed) const
 {
-    if (reservations_.count(key) > 0)
+    constexpr double urgent_factor = 1e6;
+    constexpr double guaranteed_factor = 1e12;
+    const auto* const job = state_.find_job(run.ref.job());
+    if (run.stop_requested || run.lasting || job == nullptr)
     {
-        return;
+        return std::nullopt;
     }
-    item.last_plan = preemption_plan::none_found;
-    const bool guaranteed = urgency(item) == 0;
+    const auto priority = priority_of(*job);
+    if (priority > item.queue.priority)
+    {
+        return 1;
+    }
+    if (urgency(item) != 0 || priority != 0)
+    {
+        return std::nullopt;
+    }
+    const auto& account = job->job.account();
+    if (account != item.account && !within_guarantee(account) &&
+        urgent_accelerators_.count(account) > 0)
+    {
+        return urgent_factor;
+    }
+    if (displace_guaranteed && run.phase == run_phase::present &&
+        run.need.accelerators < item.spec->need().accelerators())
+    {
+        return guaranteed_factor;
+    }
+    return std::nullopt;
+}
+
+// Returns the cheapest runs whose end frees enough capacity for the step. With
+// `displace_guaranteed` these may be guaranteed runs that need fewer
+// accelerators than the step's subtasks.
+std::optional<victim_plan>
+fleet_scheduler::find_victims(const pending_step_key& key,
+                              const pending_step& item,
+                              const placement_request& request,
+                              bool displace_guaranteed, time_point now) const
+{
     std::map<std::string, std::vector<victim>> victims;
     std::map<std::string, double> gang_costs;
     const auto cost_of = [&](const live_run& run)
@@ -376,48 +411,49 @@
         // not lost. Every stop is counted as at least 200 ms of work.
         return weight(run.need) * (run.checkpointable ? 200 : 200 + ran);
     };
+    const auto gang_of = [](const live_run& run)
+    {
+        return absl::StrCat(run.ref.job(), ".", run.ref.occurrence(), ".",
+                            run.ref.step());
+    };
     for (const auto& [id, run] : workers_.runs())
     {
         if (run.gang)
         {
-            const auto gang = absl::StrCat(
-                run.ref.job(), ".", run.ref.occurrence(), ".", run.ref.step());
-            gang_costs[gang] += cost_of(run);
+            gang_costs[gang_of(run)] += cost_of(run);
         }
     }
     for (const auto& [id, run] : workers_.runs())
     {
-        const auto* const job = state_.find_job(run.ref.job());
-        if (run.stop_requested || run.lasting || job == nullptr)
-        {
-            continue;
-        }
-        const auto priority = priority_of(*job);
-        bool stoppable = priority > item.queue.priority;
-        if (!stoppable && guaranteed && priority == 0 &&
-            job->job.account() != item.account)
-        {
-            const auto limit = guarantees_.find(job->job.account());
-            const auto used = urgent_accelerators_.find(job->job.account());
-            stoppable =
-                used != urgent_accelerators_.end() &&
-                (limit == guarantees_.end() || used->second > limit->second);
-        }
-        if (stoppable)
+        if (const auto factor =
+                stop_cost_factor(run, item, displace_guaranteed))
         {
-            const auto gang = absl::StrCat(
-                run.ref.job(), ".", run.ref.occurrence(), ".", run.ref.step());
-            // Runs of priority 0 are stopped only when no others suffice.
-            const double scale = priority == 0 ? 1e6 : 1;
             victims[run.incarnation.worker].push_back(
                 {id, run.need,
-                 scale * (run.gang ? gang_costs[gang] : cost_of(run))});
+                 *factor *
+                     (run.gang ? gang_costs[gang_of(run)] : cost_of(run))});
         }
     }
+    return choose_victims(candidates_for(key, item), victims, request);
+}
+
+void fleet_scheduler::reclaim(const pending_step_key& key, pending_step& item,
+                              time_point now)
+{
+    if (reservations_.count(key) > 0)
+    {
+        return;
+    }
+    item.last_plan = preemption_plan::none_found;
     auto request = request_for(item, now);
     request.all_or_nothing = true;
-    const auto plan =
-        choose_victims(candidates_for(key, item), victims, request);
+    auto plan = find_victims(key, item, request, false, now);
+    // Guaranteed subtasks that need fewer accelerators restart in the capacity
+    // that is too fragmented for this step.
+    if (!plan && urgency(item) == 0 && request.other_racks_allowed)
+    {
+        plan = find_victims(key, item, request, true, now);
+    }
     if (!plan)
     {
         return;
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -4,6 +4,7 @@
 #include "coordination/fleet/placement_choice.hpp"
 #include "coordination/fleet/policy_tickets.hpp"
 #include "coordination/fleet/urgent_headroom.hpp"
+#include "coordination/fleet/victim_choice.hpp"
 #include "coordination/fleet/worker_fleet.hpp"
 #include "protocol/external_protocol.hpp"
 #include "state/fleet_state.hpp"
@@ -183,6 +184,14 @@
                 const std::vector<std::size_t>& chosen, time_point now);
     std::int64_t priority_of(const job_state& job) const;
     bool fits_in_one_rack(const placement_request& request) const;
+    std::optional<double> stop_cost_factor(const live_run& run,
+                                           const pending_step& item,
+                                           bool displace_guaranteed) const;
+    std::optional<victim_plan> find_victims(const pending_step_key& key,
+                                            const pending_step& item,
+                                            const placement_request& request,
+                                            bool displace_guaranteed,
+                                            time_point now) const;
     void reclaim(const pending_step_key& key, pending_step& item,
                  time_point now);
     void stop_stalled_runs(time_point now);
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -277,6 +277,38 @@
     EXPECT_EQ(fixture.port.starts.back().order.run.job(), "urgent");
 }
 
+// Guards against a gang of whole workers that never starts inside its guarantee
+// because small guaranteed subtasks of another account are on every worker.
+TEST(fleet_scheduler, guaranteed_gang_displaces_smaller_guaranteed_subtasks)
+{
+    fleet_fixture fixture;
+    account_config small;
+    small.name = "small";
+    small.guaranteed_accelerators = 8;
+    fixture.document.accounts.push_back(small);
+    fixture.scheduler->use_document(fixture.document);
+    add_ready_worker(fixture, "w1", "r1");
+    add_ready_worker(fixture, "w2", "r1");
+    auto spread = make_step(2, 4);
+    spread.set_max_per_worker(1);
+    fixture.submit("small", spread, "urgent", "small");
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.starts.size(), 2U);
+    accept_starts(fixture);
+    fixture.submit("gang", make_step(1, 8, true), "urgent");
+    fixture.schedule();
+    EXPECT_TRUE(fixture.port.stops.empty());
+    fixture.advance(milliseconds(1300));
+    fixture.report("w1");
+    fixture.report("w2");
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.stops.size(), 1U);
+    end_run(fixture, run_ref(fixture.port.stops[0].run), run_stopped);
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.starts.size(), 3U);
+    EXPECT_EQ(fixture.port.starts[2].order.run.job(), "gang");
+}
+
 // Guards against placing more runs on a worker than its capacity allows.
 TEST(fleet_scheduler, capacity_is_never_exceeded)
 {
--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 
-constexpr milliseconds stop_time{300};
 constexpr std::int64_t max_lease_ms = 6000;
 constexpr milliseconds answer_timeout{300};
 
@@ -66,6 +65,7 @@
         return order_result::old_run;
     }
     ++starts;
+    started.insert(subtask);
     for (const auto& [other, state] : workers_)
     {
         for (const auto& [running, item] : state.runs)
@@ -94,6 +94,13 @@
     run.need = counted_need(step);
     run.gang = step.gang();
     run.remaining = milliseconds(step.estimate_ms() / 2 + random_() % 3000);
+    if (faults.failed > 0 && chance(faults.failed))
+    {
+        run.end = run_failed;
+        run.remaining = milliseconds(static_cast<std::int64_t>(random_()) %
+                                     run.remaining.count());
+    }
+    run.duration = run.remaining;
     resource_amounts used = run.need;
     for (const auto& [running, item] : worker.runs)
     {
@@ -167,7 +174,12 @@
         // A run that is stopping is not listed as running.
         if (!run.stopping)
         {
-            answer.lists.running.push_back({run.run, "", 10});
+            const auto percent =
+                reports_progress && run.duration > milliseconds(0)
+                    ? 100 - 100 * run.remaining / run.duration
+                    : 10;
+            answer.lists.running.push_back(
+                {run.run, "", static_cast<int>(percent)});
         }
     }
     answer.lists.ended = worker.ended;
@@ -348,7 +360,7 @@
             }
             else if (run.remaining <= milliseconds(0))
             {
-                ends.emplace_back(key, run_done);
+                ends.emplace_back(key, run.end);
             }
         }
         for (const auto& [key, end] : ends)
--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -21,6 +21,7 @@
     unsigned lost_answer = 0; // It is carried out at once, without an answer.
     unsigned late = 0; // It is carried out 2 to 12 s later, without an answer.
     unsigned refused = 0; // A start is answered as unhealthy, without effect.
+    unsigned failed = 0;  // A run fails at a random time.
 };
 
 /// Simulates workers that carry out the orders of a fixture's port, with
@@ -43,16 +44,21 @@
     order_faults faults;
     std::vector<std::string> violations;
     std::size_t starts = 0;
+    std::set<std::string> started; // Subtasks, as JOB.STEP.INDEX.
+    bool reports_progress = false; // Otherwise runs are listed at 10%.
+    milliseconds stop_time{300};   // Time that a worker takes to stop a run.
 
 private:
     struct model_run
     {
         run_ref run;
         resource_amounts need;
-        milliseconds remaining{0}; // Run time until the run is done.
+        milliseconds duration{0};  // Run time until the run ends.
+        milliseconds remaining{0}; // Part of the duration that is left.
         time_point stopping_until;
         bool stopping = false;
         bool gang = false;
+        run_end end = run_done; // How the run ends if it is not stopped.
     };
     struct model_worker
     {
