Plan again for an urgent step when a reserved worker is not usable any more

An urgent step whose reserved worker drains, or gets no placements because runs failed there, waited until its reservation expired (1.5 s) before other runs were stopped for it. After 0.35 of the reclaim limit in which it waited for its rack, that is too late.

Found by reading the code.

The reservation is now dropped as soon as one of its workers is not usable, and another plan is made in the same round.

--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -440,9 +440,21 @@
 void fleet_scheduler::reclaim(const pending_step_key& key, pending_step& item,
                               time_point now)
 {
-    if (reservations_.count(key) > 0)
-    {
-        return;
+    if (const auto found = reservations_.find(key);
+        found != reservations_.end())
+    {
+        const auto& reserved = found->second.reserved_by_worker;
+        if (std::all_of(reserved.begin(), reserved.end(),
+                        [this](const auto& item)
+                        {
+                            return find_candidate(candidates_, item.first) !=
+                                   nullptr;
+                        }))
+        {
+            return;
+        }
+        // A reserved worker is not usable any more.
+        unreserve(key);
     }
     item.last_plan = preemption_plan::none_found;
     auto request = request_for(item, now);
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -309,6 +309,29 @@
     EXPECT_EQ(fixture.port.starts[2].order.run.job(), "gang");
 }
 
+// Guards against an urgent step that waits until its reservation expires
+// although the reserved worker gets no placements any more.
+TEST(fleet_scheduler, urgent_step_gets_another_plan_when_its_worker_drains)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    add_ready_worker(fixture, "w2", "r1");
+    fixture.submit("low", make_step(16, 1), "low");
+    fixture.schedule();
+    accept_starts(fixture);
+    fixture.submit("urgent", make_step(1, 8, true), "urgent");
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.stops.size(), 8U);
+    fleet_command command;
+    *command.mutable_worker() =
+        fixture.state.workers().at(fixture.port.stops[0].worker);
+    command.mutable_worker()->set_draining(true);
+    fixture.apply(command);
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.stops.size(), 16U);
+    EXPECT_NE(fixture.port.stops[8].worker, fixture.port.stops[0].worker);
+}
+
 // Guards against placing more runs on a worker than its capacity allows.
 TEST(fleet_scheduler, capacity_is_never_exceeded)
 {
