--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -182,6 +182,20 @@
     reservations_.erase(found);
 }
 
+// Returns true when all reserved workers may get placements.
+bool fleet_scheduler::is_usable(const reservation& item)
+{
+    const auto& reserved = item.reserved_by_worker;
+    return std::all_of(reserved.begin(), reserved.end(),
+                       [&](const auto& entry)
+                       {
+                           const auto* const found =
+                               find_candidate(candidates_, entry.first);
+                           return found != nullptr &&
+                                  (item.last_resort || !found->last_resort);
+                       });
+}
+
 // Takes the need of each started subtask out of the step's reservation, from
 // the worker that it starts on if capacity is reserved there. The rest stays
 // reserved for the other subtasks.
@@ -366,8 +380,8 @@
     request.other_racks_allowed =
         request.other_racks_allowed &&
         (!reserved || found->second.other_racks || request.preferences_expired);
-    const bool last_resort =
-        !reserved && may_use_last_resort(item, request, now);
+    const bool last_resort = reserved ? found->second.last_resort
+                                      : may_use_last_resort(item, request, now);
     const auto shape = absl::StrCat(
         request.service, "/", request.required_label, "/",
         request.preferred_rack, "/", request.need.cpu_milli, "/",
--- a/src/coordination/fleet/fleet_preemption.cpp
+++ b/src/coordination/fleet/fleet_preemption.cpp
@@ -104,9 +104,14 @@
 void fleet_scheduler::reclaim(const pending_step_key& key, pending_step& item,
                               time_point now)
 {
-    if (reservations_.count(key) > 0)
+    if (const auto found = reservations_.find(key);
+        found != reservations_.end())
     {
-        return;
+        if (is_usable(found->second))
+        {
+            return;
+        }
+        unreserve(key);
     }
     item.last_plan = preemption_plan::none_found;
     auto request = request_for(item, now);
@@ -131,7 +136,7 @@
     ++item.plans;
     counters_.add("runs_preempted_total", plan->keys.size());
     reserve(key, {plan->reserved_by_worker, now + reservation_time,
-                  plan->other_racks});
+                  plan->other_racks, request.last_resort_allowed});
     for (const auto& victim : plan->keys)
     {
         workers_.stop(victim, "preempted", now);
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -141,6 +141,7 @@
         // Reserves capacity outside the preferred rack, or in several racks for
         // a gang that prefers one.
         bool other_racks = false;
+        bool last_resort = false; // Reserves capacity on avoided workers.
     };
 
     // Total and free capacity of the usable workers of a service, and the parts
@@ -178,6 +179,7 @@
     void update_reserved(const reservation& item, int sign);
     void reserve(const pending_step_key& key, reservation item);
     void unreserve(const pending_step_key& key);
+    bool is_usable(const reservation& item);
     void use_reservation(const pending_step_key& key,
                          const std::vector<std::string>& workers,
                          const resource_amounts& need);
--- a/test/fleet_progress-test.cpp
+++ b/test/fleet_progress-test.cpp
@@ -376,5 +376,32 @@
     EXPECT_EQ(workers_of("wide").size(), 1U);
 }
 
+// Guards against a plan for avoided workers that is not used once the runs on
+// them have ended.
+TEST_F(fleet_progress,
+       guaranteed_work_starts_where_it_preempted_on_avoided_ones)
+{
+    add_rack("r1", 2);
+    auto lasting = make_step(1, 8);
+    lasting.set_lasting(true);
+    fixture.submit("lasting", lasting);
+    fixture.submit("low", make_step(8, 1), "low");
+    fixture.schedule();
+    ASSERT_EQ(used(), 16);
+    accept_starts(fixture);
+    fixture.port.starts.clear();
+    avoid("r1w1");
+    avoid("r1w2");
+    fixture.submit("urgent", make_step(1, 8), "urgent");
+    pass(milliseconds(1200));
+    ASSERT_EQ(fixture.port.stops.size(), 8U);
+    for (std::uint32_t i = 0; i < 8; ++i)
+    {
+        end_run(fixture, make_run("low", i, 1), run_stopped);
+    }
+    pass(milliseconds(200));
+    EXPECT_EQ(workers_of("urgent").size(), 1U);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
