Log and count workers that become unreachable

Cause: a worker that stayed without placements left no trace but a missing worker_confirmed line, and no metric counted such workers.

Change: worker_unreachable is logged at the first failed hold, and the gauge workers{state=...} counts the workers by availability. Decisions do not change. The new test of the gauge failed before, since there was none.

--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -51,6 +51,17 @@
             ++logged;
         }
     }
+    std::map<worker_availability, std::uint64_t> workers;
+    for (const auto& [id, worker] : workers_.workers())
+    {
+        ++workers[workers_.availability(worker, now)];
+    }
+    for (const auto availability : all_availabilities)
+    {
+        counters_.set(
+            absl::StrCat("workers{state=\"", name_of(availability), "\"}"),
+            static_cast<double>(workers[availability]));
+    }
     for (const auto& [queue, longest] : longest_waits_)
     {
         counters_.set(absl::StrCat("longest_wait_ms{queue=\"", queue, "\"}"),
--- a/src/coordination/fleet/worker_availability.cpp
+++ b/src/coordination/fleet/worker_availability.cpp
@@ -13,6 +13,24 @@
 
 } // namespace
 
+const char* name_of(worker_availability availability)
+{
+    switch (availability)
+    {
+    case worker_availability::usable:
+        return "usable";
+    case worker_availability::draining:
+        return "draining";
+    case worker_availability::avoided:
+        return "avoided";
+    case worker_availability::refusing:
+        return "refusing";
+    case worker_availability::unreachable:
+        break;
+    }
+    return "unreachable";
+}
+
 void worker_fleet::avoid(const std::string& worker, time_point until)
 {
     if (const auto found = workers_.find(worker); found != workers_.end())
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -6,6 +6,7 @@
 #include "coordination/fleet/worker_port.hpp"
 #include "state/fleet_state.hpp"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -80,6 +81,14 @@
     unreachable // It does not report, or does not answer the leader.
 };
 
+inline constexpr std::array all_availabilities{
+    worker_availability::usable, worker_availability::draining,
+    worker_availability::avoided, worker_availability::refusing,
+    worker_availability::unreachable};
+
+/// Returns the name of the value for logs and metrics.
+const char* name_of(worker_availability availability);
+
 /// A run that is or may be present on a worker, as the leader sees it.
 struct live_run
 {
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -131,7 +131,14 @@
     {
         if (is_hold)
         {
-            ++worker->hold_failures;
+            if (++worker->hold_failures == 1)
+            {
+                log_event(log_level::warning, "worker_unreachable",
+                          {{"worker", incarnation.worker},
+                           {"result", name_of(answer.result)},
+                           {"runs", absl::StrCat(worker->runs.size())},
+                           {"epoch", absl::StrCat(epoch_)}});
+            }
             worker->short_holds_until = now + short_holds_time;
             worker->retry_at = now + hold_retry_delay(*worker);
         }
--- a/test/fleet_waits-test.cpp
+++ b/test/fleet_waits-test.cpp
@@ -44,6 +44,28 @@
     EXPECT_EQ(gauge_line(fixture, wait_gauge), std::string(wait_gauge) + " 0");
 }
 
+// Guards against workers that get no placements for long without a trace in the
+// metrics.
+TEST(fleet_waits, workers_are_counted_by_availability)
+{
+    fleet_fixture fixture;
+    for (const auto* const id : {"w1", "w2", "w3"})
+    {
+        add_ready_worker(fixture, id, "r1");
+    }
+    fixture.workers->avoid("w1", fixture.now + milliseconds(30000));
+    fixture.advance(milliseconds(10000));
+    fixture.report("w1");
+    fixture.report("w2");
+    fixture.schedule();
+    EXPECT_EQ(gauge_line(fixture, "workers{state=\"avoided\"}"),
+              "workers{state=\"avoided\"} 1");
+    EXPECT_EQ(gauge_line(fixture, "workers{state=\"usable\"}"),
+              "workers{state=\"usable\"} 1");
+    EXPECT_EQ(gauge_line(fixture, "workers{state=\"unreachable\"}"),
+              "workers{state=\"unreachable\"} 1");
+}
+
 // Accepts the starts that were sent since the last call, and forgets them.
 void accept_new_starts(fleet_fixture& fixture)
 {
