--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -44,6 +44,18 @@
             std::max<std::int64_t>(free.accelerators, 0)};
 }
 
+// Returns a key that is equal for requests that fit on the same candidates.
+std::string shape_of(const placement_request& request, bool last_resort)
+{
+    return absl::StrCat(
+        request.service, "/", request.required_label, "/",
+        request.preferred_rack, "/", request.need.cpu_milli, "/",
+        request.need.memory_mb, "/", request.need.accelerators, "/",
+        request.all_or_nothing ? request.count : 0, "/", request.same_rack, "/",
+        request.other_racks_allowed, "/", request.max_per_worker, "/",
+        request.filler, "/", request.serves_users, "/", last_resort);
+}
+
 } // namespace
 
 void fleet_scheduler::refresh_candidates(time_point now)
@@ -368,6 +380,35 @@
     tickets_.ask(key, *item.queue.policy, policy_candidates, now);
 }
 
+// Reduces the request to the subtasks that leave the headroom free. Returns
+// false when the step can not start beside the headroom.
+bool fleet_scheduler::limit_to_headroom(const pending_step& item,
+                                        placement_request& request)
+{
+    // Lasting steps may use the headroom: they start wherever there is free
+    // capacity, however full the service is.
+    if (item.queue.priority == 0 || item.spec->lasting())
+    {
+        return true;
+    }
+    const auto& service = capacity_of(request.service);
+    auto allowed = service.headroom.count_allowed(service.free, request.need,
+                                                  request.count);
+    // On a half-empty service the headroom may be all that is free of a
+    // resource. It does not keep a job there from having anything at work.
+    if (request.preferences_expired && !has_live_run(item.job))
+    {
+        allowed =
+            std::max(allowed, request.all_or_nothing ? request.count : 1U);
+    }
+    if (allowed == 0 || (request.all_or_nothing && allowed < request.count))
+    {
+        return false;
+    }
+    request.count = allowed;
+    return true;
+}
+
 // Places as many subtasks of the step as fit. Returns true when none remains.
 bool fleet_scheduler::place(const pending_step_key& key, pending_step& item,
                             time_point now)
@@ -382,39 +423,17 @@
         (!reserved || found->second.other_racks || request.preferences_expired);
     const bool last_resort = reserved ? found->second.last_resort
                                       : may_use_last_resort(item, request, now);
-    const auto shape = absl::StrCat(
-        request.service, "/", request.required_label, "/",
-        request.preferred_rack, "/", request.need.cpu_milli, "/",
-        request.need.memory_mb, "/", request.need.accelerators, "/",
-        request.all_or_nothing ? request.count : 0, "/", request.same_rack, "/",
-        request.other_racks_allowed, "/", request.max_per_worker, "/",
-        request.filler, "/", request.serves_users, "/", last_resort);
+    const auto shape = shape_of(request, last_resort);
     item.obstacle = request.allowed ? placement_obstacle::policy
                                     : placement_obstacle::capacity;
     if (!reserved && !request.allowed && unplaceable_shapes_.count(shape) > 0)
     {
         return false;
     }
-    // Lasting steps may use the headroom: they start wherever there is free
-    // capacity, however full the service is.
-    if (item.queue.priority > 0 && !item.spec->lasting())
+    if (!limit_to_headroom(item, request))
     {
-        const auto& service = capacity_of(request.service);
-        auto allowed = service.headroom.count_allowed(
-            service.free, request.need, request.count);
-        // On a half-empty service the headroom may be all that is free of a
-        // resource. It does not keep a job there from having anything at work.
-        if (request.preferences_expired && !has_live_run(item.job))
-        {
-            allowed =
-                std::max(allowed, request.all_or_nothing ? request.count : 1U);
-        }
-        if (allowed == 0 || (request.all_or_nothing && allowed < request.count))
-        {
-            item.obstacle = placement_obstacle::headroom;
-            return false;
-        }
-        request.count = allowed;
+        item.obstacle = placement_obstacle::headroom;
+        return false;
     }
     const auto candidates = candidates_for(key, item);
     auto chosen = choose_workers(candidates, request);
--- a/src/coordination/fleet/fleet_preferences.cpp
+++ b/src/coordination/fleet/fleet_preferences.cpp
@@ -79,8 +79,8 @@
 
 // Returns true when the step may start on avoided workers if no others fit it:
 // its job would have nothing at work on a service with free capacity, or it is
-// inside its account's guarantee, which holds however full the service is. An
-// urgent step is preempted for on other workers first.
+// inside its account's guarantee, which holds however full the service is. For
+// an urgent step, runs on other workers are preempted first.
 bool fleet_scheduler::may_use_last_resort(const pending_step& item,
                                           const placement_request& request,
                                           time_point now) const
@@ -177,7 +177,8 @@
         const auto found = failed_workers_.find(subtask_key(ref));
         if (found != failed_workers_.end())
         {
-            request.avoided.insert(found->second.begin(), found->second.end());
+            request.failed_workers.insert(found->second.begin(),
+                                          found->second.end());
         }
     }
     return request;
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -188,6 +188,8 @@
     void ask_policy(const pending_step_key& key, const pending_step& item,
                     placement_request request, time_point now);
     bool try_step(pending_step_map::iterator at, time_point now);
+    bool limit_to_headroom(const pending_step& item,
+                           placement_request& request);
     bool place(const pending_step_key& key, pending_step& item, time_point now);
     void commit(pending_step& item, const placement_request& request,
                 const std::vector<placement_candidate>& candidates,
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -12,9 +12,9 @@
 
 using candidate_indices = std::vector<std::size_t>;
 
-// Returns the candidates that fit at least one subtask: those of last resort at
-// the end, avoided workers at the end of the other ones and of these, and
-// within each group those with the least free capacity first.
+// Returns the candidates that fit at least one subtask. Candidates of last
+// resort follow all others; within both groups, workers on which the step has
+// failed come last, and those with the least free capacity first.
 candidate_indices
 by_fullness(const std::vector<placement_candidate>& candidates,
             const placement_request& request)
@@ -33,7 +33,7 @@
         const auto& candidate = candidates[i];
         return std::make_tuple(
             candidate.last_resort,
-            request.avoided.count(candidate.worker->record.id()),
+            request.failed_workers.count(candidate.worker->record.id()),
             candidate.free.accelerators, candidate.free.memory_mb,
             candidate.free.cpu_milli);
     };
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -19,7 +19,7 @@
     std::uint32_t runs_of_step = 0; // Runs of the same step on this worker.
     bool has_fillers = false;       // Runs filler work.
     bool serves_users = false;      // Has runs with a tail-latency target.
-    bool last_resort = false;       // To be used only when no other fits.
+    bool last_resort = false;       // Used only when no other worker fits.
 };
 
 /// Describes the subtasks of one step that are to be placed.
@@ -33,14 +33,15 @@
     bool serves_users = false;
     bool other_racks_allowed = false; // Racks other than the preferred one are
                                       // allowed, and a gang may span racks.
-    // The step has waited for so long that preferences delay it no more.
+    // Preferences delay the step no longer.
     bool preferences_expired = false;
     bool last_resort_allowed = false; // Candidates of last resort are eligible.
     std::string service;
     std::string required_label;
     std::string preferred_rack;
     std::uint32_t max_per_worker = 0; // 0: no limit.
-    std::set<std::string> avoided;    // Workers to use only when no other fits.
+    // Workers on which a subtask of the step has failed.
+    std::set<std::string> failed_workers;
     // Workers that the queue's policy allows; any worker when not set.
     std::optional<std::set<std::string>> allowed;
 };
@@ -63,7 +64,7 @@
 /// to the workers with the least free capacity that still fit them, so that
 /// empty workers and racks stay free. With `all_or_nothing` the result is empty
 /// unless all subtasks fit; otherwise it may be shorter than `count`.
-/// `candidates` must contain workers only that may get placements.
+/// All candidates must be workers that may get placements.
 std::vector<std::size_t>
 choose_workers(const std::vector<placement_candidate>& candidates,
                const placement_request& request);
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -218,7 +218,7 @@
     }
     const std::map<std::string, live_run>& runs() const { return runs_; }
 
-    /// Gives the worker no placement before `until` that another worker fits.
+    /// Until `until` the worker gets placements only when no other one fits.
     void avoid(const std::string& worker, time_point until);
 
     /// Returns the keys of all live runs of the same step with the same run
