--- a/test/support/fleet_fixture.cpp
+++ b/test/support/fleet_fixture.cpp
@@ -1,5 +1,7 @@
 #include "support/fleet_fixture.hpp"
 
+#include <functional>
+#include <string>
 #include <utility>
 
 namespace limpetstack::fleet
@@ -142,7 +144,12 @@
     commit();
 }
 
-void confirm_workers(fleet_fixture& fixture)
+// Answers all open holds. `fill_lists` adds the runs of the worker with the
+// given id.
+static void answer_holds(
+    fleet_fixture& fixture,
+    const std::function<void(const std::string& worker, worker_lists& lists)>&
+        fill_lists)
 {
     fixture.commit();
     while (!fixture.port.holds.empty())
@@ -152,29 +159,30 @@
         hold_answer answer;
         answer.result = order_result::accepted;
         answer.lists.worker_time_ms = fixture.worker_clock();
+        fill_lists(hold.order.worker, answer.lists);
         hold.done(answer);
     }
 }
 
+void confirm_workers(fleet_fixture& fixture)
+{
+    answer_holds(fixture, [](const std::string&, worker_lists&) {});
+}
+
 void list_runs(fleet_fixture& fixture)
 {
-    fixture.commit();
-    while (!fixture.port.holds.empty())
-    {
-        const auto hold = fixture.port.holds.front();
-        fixture.port.holds.pop_front();
-        hold_answer answer;
-        answer.result = order_result::accepted;
-        answer.lists.worker_time_ms = fixture.worker_clock();
-        const auto percent = static_cast<int>(fixture.worker_clock() / 1000);
-        for (const auto& key :
-             fixture.workers->workers().at(hold.order.worker).runs)
+    answer_holds(
+        fixture,
+        [&fixture](const std::string& worker, worker_lists& lists)
         {
-            answer.lists.running.push_back(
-                {fixture.workers->runs().at(key).ref, "", percent % 100});
-        }
-        hold.done(answer);
-    }
+            const auto percent =
+                static_cast<int>(fixture.worker_clock() / 1000);
+            for (const auto& key : fixture.workers->workers().at(worker).runs)
+            {
+                lists.running.push_back(
+                    {fixture.workers->runs().at(key).ref, "", percent % 100});
+            }
+        });
 }
 
 void add_ready_worker(fleet_fixture& fixture, const std::string& id,
