Expire leases also while the worker's clock is read often

What callers saw: nothing yet; found while testing shorter leases. A lease whose end the worker's clock had passed expired 100 ms after the last reading, so readings at intervals under 100 ms put the expiry off for as long as they came, and the subtask of an unanswered start was not placed again.

Change: the margin passes on the worker's clock like the rest of the lease.

lease_clock.readings_in_quick_succession_do_not_put_off_the_expiry failed before and passes now.

--- a/src/coordination/fleet/lease_clock.hpp
+++ b/src/coordination/fleet/lease_clock.hpp
@@ -63,12 +63,14 @@
         std::optional<time_point> latest;
         if (inherited_)
         {
-            latest = *inherited_ + stretched(max_lease_.count());
+            latest = *inherited_ + stretched(max_lease_.count()) + margin;
         }
         if (granted_end_ > 0 && reading_)
         {
+            // The margin also passes on the worker's clock, so that readings in
+            // quick succession do not put off the expiry.
             const auto remaining_ms = std::max<std::int64_t>(
-                granted_end_ - reading_->worker_time_ms, 0);
+                granted_end_ + margin.count() - reading_->worker_time_ms, 0);
             const auto at = reading_->at + stretched(remaining_ms);
             latest = latest ? std::max(*latest, at) : at;
         }
@@ -86,12 +88,11 @@
     static constexpr milliseconds margin{100};
 
     // Returns the time on this host in which the slowest allowed worker clock
-    // advances by `duration_ms`, plus the margin.
+    // advances by `duration_ms`.
     milliseconds stretched(std::int64_t duration_ms) const
     {
         return milliseconds(static_cast<milliseconds::rep>(
-                   static_cast<double>(duration_ms) / (1 - max_drift_))) +
-               margin;
+            static_cast<double>(duration_ms) / (1 - max_drift_)));
     }
 
     double max_drift_; // A fraction of the elapsed time.
--- a/test/lease_clock-test.cpp
+++ b/test/lease_clock-test.cpp
@@ -31,6 +31,22 @@
     EXPECT_LE(*clock.expiry_time() - start, milliseconds(6300));
 }
 
+// Guards against a lease that never counts as expired because each reading of
+// the worker's clock puts the expiry off by the margin.
+TEST(lease_clock, readings_in_quick_succession_do_not_put_off_the_expiry)
+{
+    lease_clock clock(0.02, milliseconds(6000));
+    clock.sample(1000, start);
+    clock.grant(2000);
+    for (int ms = 50; ms <= 1150; ms += 50)
+    {
+        clock.sample(1000 + ms, start + milliseconds(ms));
+    }
+    ASSERT_TRUE(clock.expiry_time());
+    EXPECT_GE(*clock.expiry_time() - start, milliseconds(1000));
+    EXPECT_LE(*clock.expiry_time() - start, milliseconds(1150));
+}
+
 // Guards against a delayed answer that sets the worker's clock back.
 TEST(lease_clock, older_reading_is_ignored)
 {
