Grant a short first lease to starts on idle workers

What callers saw: an urgent job inside its account's guarantee begins seconds after its time limit (RECLAIM) when one of the workers chosen for its gang does not answer.

Cause: a worker without runs is judged by its reports alone, so one that reports but answers nothing is usable, empty and chosen first. Five attempts to start there took 3.2 s (300 ms, then 700 ms for each new connection), and the run counted as present until the lease granted with the start, 6 s, was over; the gang waited for that. Then the worker was out for 1 s and could be chosen again.

Lapsed urgent starts there were placed again after 8.7 and 9.1 s.

Change: a start on a worker without started runs grants 1 s, and all its attempts share it: afterwards the worker refuses the start as late, so the subtask is free again after 1.1 s. The lease is renewed by a hold as soon as the start is answered. A worker that leaves two orders or a start unanswered is unreachable until it answers a hold.

Two tests relied on starts that are never answered and on a lease of 6 s for them. They now answer the start or send the hold, and check the same.

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -427,6 +427,10 @@
     for (const auto& key : worker.runs)
     {
         auto& run = runs_.at(key);
+        if (run.phase == run_phase::starting && !run.end_proposed)
+        {
+            mark_unreachable(worker, order_result::unknown, now);
+        }
         if (run.phase != run_phase::proposed &&
             run.phase != run_phase::committed)
         {
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -109,6 +109,9 @@
     std::string ticket; // From the queue's policy; empty without one.
     bool worker_restarted = false; // Its worker restarted during the start.
     int start_attempts = 0;
+    // End of the first lease of a start on a worker without other runs, on the
+    // worker's clock; 0: not granted.
+    std::int64_t first_lease_end_ms = 0;
     // The last change of the phase or of the progress of the stop order.
     time_point changed_at;
     // When the worker's lists were last requested to see the end of the
@@ -158,6 +161,8 @@
     bool holding = false; // A hold call has been sent and not answered.
     bool removal_proposed = false; // Its removal from the state is proposed.
     int hold_failures = 0; // Failed holds since the last accepted answer.
+    // Starts and stops without an answer since the last answer of any kind.
+    int unanswered_orders = 0;
     // Holds wait only for the shortest time until then, after a failed hold.
     time_point short_holds_until;
     time_point retry_at; // No hold is sent before this time.
@@ -270,6 +275,7 @@
     void retry_stops(time_point now);
     void advance_worker(worker_session& worker, time_point now);
     void remove_silent(worker_session& worker, time_point now);
+    static bool needs_lists(const live_run& run, time_point now);
     bool needs_hold(const worker_session& worker, time_point now) const;
     bool is_silent(const worker_session& worker, time_point now) const;
     void close_connections(const worker_record& record, time_point now);
@@ -278,6 +284,13 @@
     void end_expired(worker_session& worker, time_point now);
     void refresh_record(const worker_record& record, time_point now);
     std::int64_t grant_lease(worker_session& worker, time_point now);
+    std::int64_t grant_first_lease(live_run& run, worker_session& worker,
+                                   time_point now);
+    bool has_started_run(const worker_session& worker) const;
+    void record_order_answer(worker_session& worker, const order_answer& answer,
+                             time_point now);
+    void mark_unreachable(worker_session& worker, order_result result,
+                          time_point now);
     void abort_gang(const live_run& run, const char* reason, time_point now);
 
     const worker_fleet_options options_;
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -24,6 +24,10 @@
 constexpr std::int64_t idle_holds_per_second = 100;
 constexpr milliseconds shortest_hold_wait{500};
 
+// A worker whose start has not been answered for this time is asked for its
+// lists.
+constexpr milliseconds late_start_answer{300};
+
 // After a failed hold, holds to the worker use the shortest wait for this time,
 // because a lost answer is detected only when the wait is over.
 constexpr milliseconds short_holds_time{8000};
@@ -87,12 +91,12 @@
     auto order = make_hold_order(worker);
     // A worker that does not answer gets no new lease: this leader ends its
     // runs when the last granted lease has expired.
-    if (!worker.runs.empty() && worker.clock.has_reading() &&
-        worker.hold_failures == 0)
+    const bool renews = has_started_run(worker) && worker.hold_failures == 0;
+    if (renews && worker.clock.has_reading())
     {
         order.lease_end_ms = grant_lease(worker, now);
     }
-    if (!worker.runs.empty() && worker.confirmed && worker.hold_failures == 0)
+    if (renews && worker.confirmed)
     {
         order.wait_limit_ms = hold_wait(worker, now).count();
     }
@@ -131,15 +135,7 @@
     {
         if (is_hold)
         {
-            if (++worker->hold_failures == 1)
-            {
-                log_event(log_level::warning, "worker_unreachable",
-                          {{"worker", incarnation.worker},
-                           {"result", name_of(answer.result)},
-                           {"runs", absl::StrCat(worker->runs.size())},
-                           {"epoch", absl::StrCat(epoch_)}});
-            }
-            worker->short_holds_until = now + short_holds_time;
+            mark_unreachable(*worker, answer.result, now);
             worker->retry_at = now + hold_retry_delay(*worker);
         }
         return;
@@ -154,6 +150,7 @@
     }
     worker->confirmed = true;
     worker->hold_failures = 0;
+    worker->unanswered_orders = 0;
     worker->last_answer = now;
     worker->acknowledged_end = std::max(worker->acknowledged_end, sent_end);
     worker->clock.sample(answer.lists.worker_time_ms, now);
@@ -171,6 +168,42 @@
     {
         worker->committed_end = worker->listed_end;
     }
+    if (is_hold && !has_started_run(*worker))
+    {
+        // The next hold would be answered at once as well.
+        worker->retry_at = now + order_retry_delay;
+    }
+}
+
+// Counts a failed hold, or orders without an answer as one. The worker gets no
+// placements and no new lease until it answers a hold.
+void worker_fleet::mark_unreachable(worker_session& worker, order_result result,
+                                    time_point now)
+{
+    if (++worker.hold_failures == 1)
+    {
+        log_event(
+            log_level::warning, "worker_unreachable",
+            {{"worker", worker.record.id()},
+             {"result", name_of(result)},
+             {"unanswered_orders", absl::StrCat(worker.unanswered_orders)},
+             {"runs", absl::StrCat(worker.runs.size())},
+             {"epoch", absl::StrCat(epoch_)}});
+    }
+    worker.short_holds_until = now + short_holds_time;
+}
+
+// Returns true when a start on the worker was answered, or a run of an earlier
+// leader may be there: its lease must be renewed.
+bool worker_fleet::has_started_run(const worker_session& worker) const
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(),
+                       [this](const std::string& key)
+                       {
+                           const auto phase = runs_.at(key).phase;
+                           return phase == run_phase::present ||
+                                  phase == run_phase::adopted;
+                       });
 }
 
 void worker_fleet::process_ended(worker_session& worker,
@@ -274,6 +307,25 @@
     }
 }
 
+// Returns true when the worker's lists are needed to follow the run. A start is
+// usually answered by itself.
+bool worker_fleet::needs_lists(const live_run& run, time_point now)
+{
+    switch (run.phase)
+    {
+    case run_phase::proposed:
+    case run_phase::committed:
+        return false;
+    case run_phase::starting:
+        return run.start_attempts > 1 || run.stop_requested ||
+               now - run.changed_at >= late_start_answer;
+    case run_phase::present:
+    case run_phase::adopted:
+        break;
+    }
+    return true;
+}
+
 bool worker_fleet::needs_hold(const worker_session& worker,
                               time_point now) const
 {
@@ -285,11 +337,9 @@
            (!worker.confirmed || may_answer_again ||
             worker.acknowledged_end < worker.committed_end ||
             std::any_of(worker.runs.begin(), worker.runs.end(),
-                        [this](const std::string& key)
+                        [this, now](const std::string& key)
                         {
-                            const auto phase = runs_.at(key).phase;
-                            return phase != run_phase::proposed &&
-                                   phase != run_phase::committed;
+                            return needs_lists(runs_.at(key), now);
                         }));
 }
 
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -25,6 +25,15 @@
 // listed as ended.
 constexpr milliseconds list_request_interval{500};
 
+// Lease of a start on a worker that has no other runs. A worker that does not
+// answer delays the subtask by this time only: afterwards it can not carry out
+// the start any more.
+constexpr milliseconds first_lease{1000};
+
+// A worker that left this many orders in a row unanswered gets no placements
+// until it answers a hold.
+constexpr int max_unanswered_orders = 2;
+
 // A worker that refused a start gets no placement for this time.
 constexpr milliseconds refusal_pause{1000};
 
@@ -81,6 +90,40 @@
     return until;
 }
 
+// Grants the lease of a start on a worker without other runs. All attempts of
+// the start share it, so that the subtask is free again when it is over.
+std::int64_t worker_fleet::grant_first_lease(live_run& run,
+                                             worker_session& worker,
+                                             time_point now)
+{
+    if (run.first_lease_end_ms == 0)
+    {
+        run.first_lease_end_ms =
+            worker.clock.worker_time(now) + first_lease.count();
+    }
+    worker.clock.grant(run.first_lease_end_ms);
+    return run.first_lease_end_ms;
+}
+
+// Counts orders without an answer. A worker that reports and answers none is
+// unreachable, also when no hold is due.
+void worker_fleet::record_order_answer(worker_session& worker,
+                                       const order_answer& answer,
+                                       time_point now)
+{
+    if (answer.result != order_result::unknown)
+    {
+        worker.unanswered_orders = 0;
+        worker.clock.sample(answer.worker_time_ms, now);
+        return;
+    }
+    ++worker.unanswered_orders;
+    if (worker.unanswered_orders == max_unanswered_orders)
+    {
+        mark_unreachable(worker, answer.result, now);
+    }
+}
+
 // Marks members of gangs for a stop unless the whole gang can start: all
 // placements must be committed, and no member may have a requested stop.
 void worker_fleet::check_gang_placements()
@@ -149,7 +192,9 @@
     order.run = run.ref;
     order.worker = worker.record.id();
     order.payload = job->job.spec().payload();
-    order.lease_end_ms = grant_lease(worker, now);
+    order.lease_end_ms = has_started_run(worker)
+                             ? grant_lease(worker, now)
+                             : grant_first_lease(run, worker, now);
     order.epoch = epoch_;
     order.checkpoint = run.gang ? step->checkpoint : subtask->checkpoint;
     order.ticket = run.ticket;
@@ -199,7 +244,7 @@
         "order_ms", static_cast<double>((now - run.changed_at).count()));
     if (worker != nullptr)
     {
-        worker->clock.sample(answer.worker_time_ms, now);
+        record_order_answer(*worker, answer, now);
     }
     const auto refuse = [&](const char* reason, milliseconds pause)
     {
@@ -231,6 +276,12 @@
         run.phase = run_phase::present;
         run.changed_at = now;
         run.started_at = now;
+        if (worker != nullptr && worker->hold_failures == 0)
+        {
+            // The next hold renews the first lease.
+            worker->retry_at = now;
+            due_workers_.insert(run.incarnation.worker);
+        }
         break;
     case order_result::unknown:
         if (run.stop_requested || worker == nullptr)
@@ -318,7 +369,7 @@
     auto* const worker = session_of(run.incarnation);
     if (worker != nullptr)
     {
-        worker->clock.sample(answer.worker_time_ms, now);
+        record_order_answer(*worker, answer, now);
     }
     if (answer.result == order_result::newer_epoch)
     {
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -89,6 +89,8 @@
     fixture.report("w1");
     fixture.schedule();
     EXPECT_EQ(fixture.port.starts.size(), 1U);
+    accept_starts(fixture);
+    fixture.commit();
     fixture.advance(milliseconds(3000));
     fixture.report("w1");
     fixture.schedule();
--- a/test/worker_fleet-test.cpp
+++ b/test/worker_fleet-test.cpp
@@ -179,6 +179,8 @@
     start_one(fixture);
     fixture.port.starts.front().done(
         order_at(order_result::accepted, fixture.worker_clock()));
+    // Sends the hold that renews the short first lease.
+    fixture.commit();
     fixture.advance(milliseconds(6100));
     EXPECT_TRUE(fixture.workers->runs().count(first_run));
     fixture.advance(milliseconds(300));
