Continue the wait of a step after a failed start

Cause: the step became pending anew, and its wait began at 0.

Change: a step whose placement ended because a start failed keeps the time at which it became ready.

--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -36,6 +36,23 @@
         ++last;
     }
     pending_.erase(first, last);
+    placed_.erase(placed_.lower_bound({job, 0, 0}),
+                  placed_.lower_bound({job + '\0', 0, 0}));
+}
+
+// Returns when the step became ready: now, or earlier if its last placement
+// ended because a start failed.
+time_point fleet_scheduler::ready_since(const pending_step_key& key,
+                                        time_point now)
+{
+    const auto placed = placed_.find(key);
+    if (placed == placed_.end())
+    {
+        return now;
+    }
+    const auto since = placed->second.start_failed ? placed->second.since : now;
+    placed_.erase(placed);
+    return since;
 }
 
 bool fleet_scheduler::has_exhausted_attempts(const job_state& job,
@@ -245,7 +262,7 @@
         item.job = job.job.id();
         item.occurrence = occurrence;
         item.step = step;
-        item.since = now;
+        item.since = ready_since(key, now);
         item.next_wait_log = now + wait_before_log(queue);
         item.account = job.job.account();
         item.order = job.order;
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -143,6 +143,16 @@
         break;
     case fleet_command::kEnd:
         jobs_to_refresh_.insert(command.end().run().job());
+        if (workers_.ended_before_start())
+        {
+            const auto& run = command.end().run();
+            const auto placed =
+                placed_.find({run.job(), run.occurrence(), run.step()});
+            if (placed != placed_.end())
+            {
+                placed->second.start_failed = true;
+            }
+        }
         if (result == apply_result::changed)
         {
             record_end(command.end(), now);
@@ -344,6 +354,7 @@
     if (place(key, item, now))
     {
         unreserve(key);
+        placed_[key] = {item.since};
         pending_.erase(at);
         return true;
     }
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -131,6 +131,14 @@
 
     using pending_step_map = std::map<pending_step_key, pending_step>;
 
+    // The wait of a step that was placed completely. It goes on when a start
+    // fails, so that the step does not wait for its preferences again.
+    struct placed_step
+    {
+        time_point since; // When the step became ready.
+        bool start_failed = false;
+    };
+
     // Capacity that is reserved for a pending step while runs are being stopped
     // for it.
     struct reservation
@@ -164,6 +172,7 @@
                       const queue_config& queue, time_point now);
     bool has_exhausted_attempts(const job_state& job,
                                 const queue_config& queue) const;
+    time_point ready_since(const pending_step_key& key, time_point now);
     void drop_pending(const std::string& job);
     void stop_job(const std::string& job, const char* reason, time_point now);
     void close_job(const job_state& job, std::int64_t wall_ms);
@@ -235,6 +244,7 @@
     // Guaranteed accelerators by account.
     std::map<std::string, std::int64_t> guarantees_;
     pending_step_map pending_;
+    std::map<pending_step_key, placed_step> placed_;
     // Jobs whose pending steps must be recomputed.
     std::set<std::string> jobs_to_refresh_;
     // Jobs of priority 0 that are not done yet.
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -289,12 +289,15 @@
     {
         const auto key = key_of(command.end().run());
         const auto found = runs_.find(key);
+        ended_before_start_ = false;
         if (found == runs_.end())
         {
             return;
         }
         const auto run = found->second;
         remove_run(key);
+        ended_before_start_ = run.phase == run_phase::committed ||
+                              run.phase == run_phase::starting;
         if (auto* const worker = session_of(run.incarnation))
         {
             due_workers_.insert(run.incarnation.worker);
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -230,6 +230,10 @@
     /// number: the members of a gang.
     std::vector<std::string> gang_members(const run_ref& ref) const;
 
+    /// Returns true when the run of the last applied end had not started, as
+    /// far as the leader knows.
+    bool ended_before_start() const { return ended_before_start_; }
+
     /// Returns true when a worker has seen the higher epoch of a newer leader.
     bool deposed() const { return deposed_; }
 
@@ -308,6 +312,7 @@
     std::set<std::string> stopping_; // Keys of runs with a requested stop.
     time_point scanned_at_;          // Last scan of all workers.
     bool deposed_ = false;
+    bool ended_before_start_ = false;
     // Callbacks hold a weak pointer to it, and do nothing when this object has
     // been destroyed.
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/test/unanswered_start-test.cpp
+++ b/test/unanswered_start-test.cpp
@@ -84,6 +84,28 @@
     EXPECT_TRUE(workers.violations.empty());
 }
 
+// Guards against a gang that waits for its preferred rack again after a failed
+// start: the wait begins when the job is accepted.
+TEST_F(unanswered_start, wait_for_a_rack_goes_on_after_a_failed_start)
+{
+    for (const char* const rack : {"r0", "r1"})
+    {
+        // Leaves three empty workers in each rack.
+        auto occupied = make_step(3, 1);
+        occupied.set_preferred_rack(rack);
+        occupied.set_max_per_worker(1);
+        occupied.set_estimate_ms(1000000);
+        fixture.submit(std::string("occupied-") + rack, occupied, "urgent");
+    }
+    pass(milliseconds(200));
+    workers.set_disconnected(worker_id(3), true);
+    auto step = make_step(4, 8, true);
+    step.set_same_rack(true);
+    fixture.submit("job", step, "urgent");
+    pass(reclaim_limit);
+    EXPECT_TRUE(gang_at_work("job", 4));
+}
+
 // Guards against a worker that answers nothing and is chosen again after each
 // failed start, since it is idle and reports.
 TEST_F(unanswered_start, dark_worker_is_not_chosen_again_while_it_reports)
