Give up subtasks that crash the workers that start them

Cause: a run that is lost with its worker ends as lapsed, and only ends that say failed are counted. The crash itself was not seen: the worker is back after 3 s at the same address under another id. Runs that were lost together were placed together again, so a plain count would blame neighbours too.

Change: - A worker crashed when its next incarnation reports, under its id or at its address.

Ruled out: counting every lost run (neighbours), and ending on the first crash (a worker may crash by itself).

--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -24,6 +24,37 @@
                        });
 }
 
+// A subtask is given up after this many crashes that have no other
+// explanation, or after this many crashes at all.
+constexpr std::uint32_t max_conclusive_crashes = 2;
+constexpr std::uint32_t max_crashes = 3;
+
+bool crashes_workers(const subtask_state& subtask)
+{
+    return !subtask.done &&
+           (subtask.conclusive_crashes >= max_conclusive_crashes ||
+            subtask.crashes >= max_crashes);
+}
+
+bool has_exhausted_attempts(const step_spec& spec, const step_state& step,
+                            const queue_config& queue)
+{
+    if (spec.lasting())
+    {
+        return false;
+    }
+    if (spec.gang())
+    {
+        return !is_done(step) && step.failures >= queue.attempts;
+    }
+    return std::any_of(step.subtasks.begin(), step.subtasks.end(),
+                       [&queue](const subtask_state& subtask)
+                       {
+                           return !subtask.done &&
+                                  subtask.failures >= queue.attempts;
+                       });
+}
+
 } // namespace
 
 void fleet_scheduler::drop_pending(const std::string& job)
@@ -55,8 +86,9 @@
     return since;
 }
 
-bool fleet_scheduler::has_exhausted_attempts(const job_state& job,
-                                             const queue_config& queue) const
+// Returns why the job can not be done, or nothing.
+std::optional<fleet_scheduler::job_failure>
+fleet_scheduler::failure_of(const job_state& job, const queue_config& queue)
 {
     for (const auto& [number, occurrence] : job.occurrences)
     {
@@ -64,28 +96,20 @@
         {
             const auto& spec = job.job.spec().steps(static_cast<int>(s));
             const auto& step = occurrence.steps[s];
-            if (spec.lasting())
-            {
-                continue;
-            }
-            if (spec.gang() && !is_done(step) &&
-                step.failures >= queue.attempts)
+            const auto step_number = static_cast<std::uint32_t>(s);
+            if (std::any_of(step.subtasks.begin(), step.subtasks.end(),
+                            crashes_workers))
             {
-                return true;
+                return job_failure{"a subtask crashes its workers", number,
+                                   step_number};
             }
-            if (!spec.gang() &&
-                std::any_of(step.subtasks.begin(), step.subtasks.end(),
-                            [&](const subtask_state& subtask)
-                            {
-                                return !subtask.done &&
-                                       subtask.failures >= queue.attempts;
-                            }))
+            if (has_exhausted_attempts(spec, step, queue))
             {
-                return true;
+                return job_failure{"attempts used up", number, step_number};
             }
         }
     }
-    return false;
+    return std::nullopt;
 }
 
 // Proposes to finish a job that is cancelled or has completed all
@@ -163,7 +187,7 @@
         return;
     }
     const auto queue = queue_of(job);
-    if (has_exhausted_attempts(job, queue))
+    if (const auto failure = failure_of(job, queue))
     {
         drop_pending(id);
         if (closing_.insert(id).second)
@@ -172,10 +196,14 @@
             command.mutable_fail()->set_job(id);
             command.mutable_fail()->set_at_ms(wall_ms);
             propose_(std::move(command));
+            counters_.add(absl::StrCat("jobs_failed_total{reason=\"",
+                                       failure->reason, "\"}"));
             log_event(
                 log_level::info, "job_failed",
                 {{"job", id},
-                 {"reason", "attempts used up"},
+                 {"reason", failure->reason},
+                 {"occurrence", absl::StrCat(failure->occurrence)},
+                 {"step", absl::StrCat(failure->step)},
                  {"attempts", absl::StrCat(queue.attempts)},
                  {"document", absl::StrCat(state_.document().version())}});
         }
@@ -270,6 +298,14 @@
     item.spec = &spec;
     item.queue = queue;
     item.indices = std::move(pending_indices);
+    item.suspects.clear();
+    for (const auto index : item.indices)
+    {
+        if (state != nullptr && state->subtasks[index].crashes > 0)
+        {
+            item.suspects.insert(index);
+        }
+    }
 }
 
 double allowed_delay_ms(const queue_config& queue, const step_spec& step)
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -53,7 +53,8 @@
         request.need.memory_mb, "/", request.need.accelerators, "/",
         request.all_or_nothing ? request.count : 0, "/", request.same_rack, "/",
         request.other_racks_allowed, "/", request.max_per_worker, "/",
-        request.filler, "/", request.serves_users, "/", last_resort);
+        request.filler, "/", request.serves_users, "/", request.isolated, "/",
+        last_resort);
 }
 
 } // namespace
@@ -68,10 +69,13 @@
         if (availability == worker_availability::usable ||
             availability == worker_availability::avoided)
         {
-            candidates_.push_back(
-                {&worker, worker.capacity - worker.used, 0,
-                 worker.filler_runs > 0, worker.serving_runs > 0,
-                 availability == worker_availability::avoided});
+            candidates_.push_back({&worker, worker.capacity - worker.used, 0,
+                                   worker.filler_runs > 0,
+                                   worker.serving_runs > 0,
+                                   availability == worker_availability::avoided,
+                                   workers_.is_quiet(worker, now),
+                                   worker_fleet::is_steady(worker, now),
+                                   now < worker.trial_until});
         }
     }
     for (auto at = reservations_.begin(); at != reservations_.end();)
@@ -410,10 +414,71 @@
 }
 
 // Places as many subtasks of the step as fit. Returns true when none remains.
+// A subtask under which a worker crashed starts alone on its worker, so that
+// another crash can be put down to it, and one such subtask at a time.
 bool fleet_scheduler::place(const pending_step_key& key, pending_step& item,
                             time_point now)
 {
     auto request = request_for(item, now);
+    if (item.suspects.empty() || request.preferences_expired)
+    {
+        place_subtasks(key, item, std::move(request), now);
+    }
+    else if (item.all_or_nothing())
+    {
+        request.isolated = true;
+        place_subtasks(key, item, std::move(request), now);
+    }
+    else
+    {
+        move_suspects(item, true);
+        auto trial = request;
+        trial.isolated = true;
+        trial.count = 1;
+        place_subtasks(key, item, std::move(trial), now);
+        request.count = move_suspects(item, false);
+        if (request.count > 0)
+        {
+            place_subtasks(key, item, std::move(request), now);
+        }
+    }
+    return item.indices.empty();
+}
+
+// Moves the suspects among the indices of the step to the front or to the end.
+// Returns the number of the other indices.
+std::uint32_t fleet_scheduler::move_suspects(pending_step& item, bool to_front)
+{
+    const auto others = std::stable_partition(
+        item.indices.begin(), item.indices.end(),
+        [&item, to_front](std::uint32_t index)
+        {
+            return (item.suspects.count(index) > 0) == to_front;
+        });
+    return static_cast<std::uint32_t>(to_front ? item.indices.end() - others
+                                               : others - item.indices.begin());
+}
+
+// Keeps other starts away from workers that run a suspect.
+void fleet_scheduler::begin_trials(const std::vector<std::string>& workers,
+                                   time_point now)
+{
+    for (const auto& id : workers)
+    {
+        workers_.begin_trial(id, now);
+        if (auto* const candidate = find_candidate(candidates_, id))
+        {
+            candidate->in_trial = true;
+        }
+    }
+}
+
+// Places as many subtasks of the request as fit, in the order of the step's
+// indices.
+void fleet_scheduler::place_subtasks(const pending_step_key& key,
+                                     pending_step& item,
+                                     placement_request request, time_point now)
+{
     const auto found = reservations_.find(key);
     const bool reserved = found != reservations_.end();
     // While runs are being stopped to free capacity in the preferred rack, the
@@ -428,12 +493,12 @@
                                     : placement_obstacle::capacity;
     if (!reserved && !request.allowed && unplaceable_shapes_.count(shape) > 0)
     {
-        return false;
+        return;
     }
     if (!limit_to_headroom(item, request))
     {
         item.obstacle = placement_obstacle::headroom;
-        return false;
+        return;
     }
     const auto candidates = candidates_for(key, item);
     auto chosen = choose_workers(candidates, request);
@@ -452,7 +517,7 @@
         {
             unplaceable_shapes_.insert(shape);
         }
-        return false;
+        return;
     }
     std::vector<std::string> used;
     used.reserve(chosen.size());
@@ -462,7 +527,10 @@
     }
     commit(item, request, candidates, chosen, now);
     use_reservation(key, used, request.need);
-    return item.indices.empty();
+    if (request.isolated)
+    {
+        begin_trials(used, now);
+    }
 }
 
 } // namespace limpetstack::fleet
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -176,6 +176,12 @@
         tickets_.forget(command.forget().job());
         forget_failures(command.forget().job());
         break;
+    case fleet_command::kCrash:
+        for (const auto& run : command.crash().suspects())
+        {
+            jobs_to_refresh_.insert(run.job());
+        }
+        break;
     case fleet_command::kRemoveWorker:
         if (result == apply_result::changed)
         {
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -115,6 +115,8 @@
         std::uint32_t step = 0;
         const step_spec* spec = nullptr;
         std::vector<std::uint32_t> indices;
+        // Those of the indices under which a worker has crashed.
+        std::set<std::uint32_t> suspects;
         std::string account;
         queue_config queue;
         std::uint64_t order = 0; // Order of acceptance of the job.
@@ -164,14 +166,22 @@
         urgent_headroom headroom;
     };
 
+    // Why a job can not be done.
+    struct job_failure
+    {
+        const char* reason = "";
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+    };
+
     void refresh_jobs(time_point now, std::int64_t wall_ms);
     void refresh_job(const job_state& job, time_point now,
                      std::int64_t wall_ms);
     void refresh_step(const job_state& job, std::uint32_t occurrence,
                       std::uint32_t step, const step_state* state,
                       const queue_config& queue, time_point now);
-    bool has_exhausted_attempts(const job_state& job,
-                                const queue_config& queue) const;
+    static std::optional<job_failure> failure_of(const job_state& job,
+                                                 const queue_config& queue);
     time_point ready_since(const pending_step_key& key, time_point now);
     void drop_pending(const std::string& job);
     void stop_job(const std::string& job, const char* reason, time_point now);
@@ -200,6 +210,10 @@
     bool limit_to_headroom(const pending_step& item,
                            placement_request& request);
     bool place(const pending_step_key& key, pending_step& item, time_point now);
+    void place_subtasks(const pending_step_key& key, pending_step& item,
+                        placement_request request, time_point now);
+    static std::uint32_t move_suspects(pending_step& item, bool to_front);
+    void begin_trials(const std::vector<std::string>& workers, time_point now);
     void commit(pending_step& item, const placement_request& request,
                 const std::vector<placement_candidate>& candidates,
                 const std::vector<std::size_t>& chosen, time_point now);
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -14,7 +14,8 @@
 
 // Returns the candidates that fit at least one subtask. Candidates of last
 // resort follow all others; within both groups, workers on which the step has
-// failed come last, and those with the least free capacity first.
+// failed come last, and those with the least free capacity first. Isolated
+// subtasks go to the workers with the least work.
 candidate_indices
 by_fullness(const std::vector<placement_candidate>& candidates,
             const placement_request& request)
@@ -34,6 +35,8 @@
         return std::make_tuple(
             candidate.last_resort,
             request.failed_workers.count(candidate.worker->record.id()),
+            request.isolated && !candidate.steady,
+            request.isolated ? weight_in_cores(candidate.worker->used) : 0.0,
             candidate.free.accelerators, candidate.free.memory_mb,
             candidate.free.cpu_milli);
     };
@@ -133,6 +136,7 @@
     const bool allowed =
         !request.allowed || request.allowed->count(record.id()) > 0;
     return (!candidate.last_resort || request.last_resort_allowed) &&
+           !candidate.in_trial && (candidate.quiet || !request.isolated) &&
            !disturbs && allowed && record.service() == request.service &&
            (request.required_label.empty() ||
             std::find(labels.begin(), labels.end(), request.required_label) !=
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -20,6 +20,9 @@
     bool has_fillers = false;       // Runs filler work.
     bool serves_users = false;      // Has runs with a tail-latency target.
     bool last_resort = false;       // Used only when no other worker fits.
+    bool quiet = true;              // No run is starting or has just started.
+    bool steady = true;             // Has not just started.
+    bool in_trial = false; // Runs a subtask that may crash it; takes no others.
 };
 
 /// Describes the subtasks of one step that are to be placed.
@@ -36,6 +39,9 @@
     // Preferences delay the step no longer.
     bool preferences_expired = false;
     bool last_resort_allowed = false; // Candidates of last resort are eligible.
+    // The subtasks may crash their workers: they start only on quiet workers,
+    // first on steady ones with the least work to lose.
+    bool isolated = false;
     std::string service;
     std::string required_label;
     std::string preferred_rack;
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -140,6 +140,8 @@
     worker.record = record;
     worker.capacity = to_amounts(record.capacity());
     worker.last_report = now;
+    worker.last_contact = now;
+    worker.added_at = now;
     due_workers_.insert(record.id());
     return worker;
 }
@@ -342,6 +344,7 @@
     const auto found = workers_.find(record.id());
     if (found == workers_.end())
     {
+        record_crash_behind(record, now);
         add_session(record, now);
         return;
     }
@@ -351,6 +354,7 @@
         found->second.capacity = to_amounts(record.capacity());
         return;
     }
+    record_crash(found->second);
     close_connections(found->second.record, now);
     end_incarnation({record.id(), found->second.record.born_ms()},
                     "worker_born_again", now);
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -127,6 +127,13 @@
     time_point progressed_at;
 };
 
+/// A start that was sent to a worker a short time before another one.
+struct recent_start
+{
+    run_ref run;
+    time_point at;
+};
+
 /// The leader's view of one incarnation of a worker.
 struct worker_session
 {
@@ -171,6 +178,16 @@
     // Before this time the worker gets placements only when no other fits.
     time_point avoid_until;
     time_point refuses_until; // The worker gets no placement before this time.
+    time_point added_at;      // When this leader first knew the incarnation.
+    // The last start, and those sent shortly before it.
+    std::vector<recent_start> recent_starts;
+    time_point last_contact; // The last answer of any kind.
+    // When the worker closed its connection, if it has not answered since.
+    std::optional<time_point> closed_at;
+    bool crash_recorded = false;
+    // A run that may crash the worker is on trial until then; no other start is
+    // sent to the worker.
+    time_point trial_until;
 };
 
 /// Tracks workers and their runs on the leader: it grants leases, sends orders,
@@ -226,6 +243,19 @@
     /// Until `until` the worker gets placements only when no other one fits.
     void avoid(const std::string& worker, time_point until);
 
+    /// Returns true when no start was sent to the worker a short time ago and
+    /// none is due: a run that starts now is the only one that a crash can be
+    /// put down to.
+    bool is_quiet(const worker_session& worker, time_point now) const;
+
+    /// Returns true when the worker has been known for some time: a crash is
+    /// then not the repetition of an earlier one.
+    static bool is_steady(const worker_session& worker, time_point now);
+
+    /// Sends no other start to the worker until the run that was just placed
+    /// there has been at work for some time.
+    void begin_trial(const std::string& worker, time_point now);
+
     /// Returns the keys of all live runs of the same step with the same run
     /// number: the members of a gang.
     std::vector<std::string> gang_members(const run_ref& ref) const;
@@ -287,6 +317,11 @@
                          const char* reason, time_point now);
     void end_expired(worker_session& worker, time_point now);
     void refresh_record(const worker_record& record, time_point now);
+    static void record_start(const live_run& run, worker_session& worker,
+                             time_point now);
+    static std::vector<run_ref> crash_suspects(const worker_session& worker);
+    void record_crash(worker_session& worker);
+    void record_crash_behind(const worker_record& successor, time_point now);
     std::int64_t grant_lease(worker_session& worker, time_point now);
     std::int64_t grant_first_lease(live_run& run, worker_session& worker,
                                    time_point now);
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -135,6 +135,10 @@
     {
         if (is_hold)
         {
+            if (answer.connection_closed && !worker->closed_at)
+            {
+                worker->closed_at = now;
+            }
             mark_unreachable(*worker, answer.result, now);
             worker->retry_at = now + hold_retry_delay(*worker);
         }
@@ -152,6 +156,8 @@
     worker->hold_failures = 0;
     worker->unanswered_orders = 0;
     worker->last_answer = now;
+    worker->last_contact = now;
+    worker->closed_at.reset();
     worker->acknowledged_end = std::max(worker->acknowledged_end, sent_end);
     worker->clock.sample(answer.lists.worker_time_ms, now);
     std::set<std::string> seen;
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -114,6 +114,7 @@
     if (answer.result != order_result::unknown)
     {
         worker.unanswered_orders = 0;
+        worker.last_contact = now;
         worker.clock.sample(answer.worker_time_ms, now);
         return;
     }
@@ -201,6 +202,7 @@
     const auto key = key_of(run.ref);
     if (run.start_attempts == 1)
     {
+        record_start(run, worker, now);
         log_event(log_level::info, "run_starting",
                   {{"job", run.ref.job()},
                    {"run", key},
--- a/src/coordination/fleet/worker_port.hpp
+++ b/src/coordination/fleet/worker_port.hpp
@@ -13,6 +13,7 @@
 {
     order_result result = order_result::unknown;
     worker_lists lists;
+    bool connection_closed = false; // The worker closed the connection.
 };
 
 /// Sends orders to workers. Callbacks run later, on the same thread; they may
--- a/src/state/fleet_state.cpp
+++ b/src/state/fleet_state.cpp
@@ -37,6 +37,8 @@
         return fail(command.fail());
     case fleet_command::kFinish:
         return finish(command.finish());
+    case fleet_command::kCrash:
+        return record_crash(command.crash());
     case fleet_command::kForget:
         return jobs_.erase(command.forget().job()) > 0
                    ? apply_result::changed
@@ -277,6 +279,38 @@
     return apply_result::changed;
 }
 
+// Counts a crash once for each run under which a worker crashed.
+apply_result fleet_state::record_crash(const worker_crash& crash)
+{
+    auto result = apply_result::unchanged;
+    for (const auto& run : crash.suspects())
+    {
+        const auto found = jobs_.find(run.job());
+        if (found == jobs_.end())
+        {
+            continue;
+        }
+        const auto at = found->second.occurrences.find(run.occurrence());
+        if (at == found->second.occurrences.end() ||
+            run.step() >= at->second.steps.size() ||
+            run.index() >= at->second.steps[run.step()].subtasks.size())
+        {
+            continue;
+        }
+        auto& subtask = at->second.steps[run.step()].subtasks[run.index()];
+        if (subtask.done || run.run() > subtask.last_run ||
+            run.run() <= subtask.last_crashed_run)
+        {
+            continue;
+        }
+        subtask.last_crashed_run = run.run();
+        ++subtask.crashes;
+        subtask.conclusive_crashes += crash.conclusive() ? 1 : 0;
+        result = apply_result::changed;
+    }
+    return result;
+}
+
 const job_state* fleet_state::find_job(const std::string& id) const
 {
     const auto found = jobs_.find(id);
@@ -359,6 +393,9 @@
                     item.set_done(subtask.done);
                     item.set_last_run(subtask.last_run);
                     item.set_failures(subtask.failures);
+                    item.set_crashes(subtask.crashes);
+                    item.set_conclusive_crashes(subtask.conclusive_crashes);
+                    item.set_last_crashed_run(subtask.last_crashed_run);
                     item.set_checkpoint(subtask.checkpoint);
                     for (const auto& active : subtask.active)
                     {
@@ -414,6 +451,9 @@
                     subtask.done = item.done();
                     subtask.last_run = item.last_run();
                     subtask.failures = item.failures();
+                    subtask.crashes = item.crashes();
+                    subtask.conclusive_crashes = item.conclusive_crashes();
+                    subtask.last_crashed_run = item.last_crashed_run();
                     subtask.checkpoint = item.checkpoint();
                     step.done_count += subtask.done ? 1 : 0;
                     for (const auto& run : item.active())
--- a/src/state/fleet_state.hpp
+++ b/src/state/fleet_state.hpp
@@ -40,6 +40,11 @@
     bool done = false;
     std::uint32_t last_run = 0;
     std::uint32_t failures = 0;
+    // Workers that crashed soon after they had started the subtask, and how
+    // many of these crashes have no other explanation.
+    std::uint32_t crashes = 0;
+    std::uint32_t conclusive_crashes = 0;
+    std::uint32_t last_crashed_run = 0;
     std::string checkpoint;
     std::vector<active_run> active;
 };
@@ -126,6 +131,7 @@
     apply_result remove_worker(const worker_ref& worker);
     apply_result fail(const finished_job& job);
     apply_result finish(const finished_job& job);
+    apply_result record_crash(const worker_crash& crash);
     occurrence_state& occurrence(job_state& job, std::uint32_t number);
     static void record_done(job_state& job, occurrence_state& occurrence,
                             step_state& step, const step_spec& spec,
--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -88,7 +88,7 @@
             boost::asio::post(io_,
                               [self = shared_from_this()]
                               {
-                                  self->finish({0, "", false});
+                                  self->finish({0, "", false, false});
                               });
             return;
         }
@@ -135,26 +135,27 @@
     {
         parser_.emplace();
         parser_->body_limit(max_answer_bytes);
-        http::async_read(*stream_, buffer_, *parser_,
-                         [self = shared_from_this(), stream = stream_](
-                             beast::error_code error, std::size_t)
-                         {
-                             if (self->call_ended(stream, error, true))
-                             {
-                                 return;
-                             }
-                             auto& answer = self->parser_->get();
-                             if (answer.keep_alive())
-                             {
-                                 stream->expires_never();
-                             }
-                             else
-                             {
-                                 self->stream_.reset();
-                             }
-                             self->finish({answer.result_int(),
-                                           std::move(answer.body()), true});
-                         });
+        http::async_read(
+            *stream_, buffer_, *parser_,
+            [self = shared_from_this(),
+             stream = stream_](beast::error_code error, std::size_t)
+            {
+                if (self->call_ended(stream, error, true))
+                {
+                    return;
+                }
+                auto& answer = self->parser_->get();
+                if (answer.keep_alive())
+                {
+                    stream->expires_never();
+                }
+                else
+                {
+                    self->stream_.reset();
+                }
+                self->finish({answer.result_int(), std::move(answer.body()),
+                              true, false});
+            });
     }
 
     // Returns true when the callback of an operation on `stream` must do
@@ -171,7 +172,7 @@
         if (error)
         {
             stream_.reset();
-            finish({0, "", sent});
+            finish({0, "", sent, error != beast::error::timeout});
             return true;
         }
         return false;
--- a/src/transport/http_channel.hpp
+++ b/src/transport/http_channel.hpp
@@ -20,6 +20,9 @@
     unsigned status = 0;
     std::string body;
     bool sent = true; // False when no byte of the call was sent.
+    // The receiver closed or refused the connection; otherwise, without an
+    // answer, it was silent until the timeout.
+    bool closed = false;
 };
 
 /// Sends HTTP/1.1 calls to one address, one after the other, over a persistent
--- a/src/transport/http_worker_port.cpp
+++ b/src/transport/http_worker_port.cpp
@@ -125,6 +125,7 @@
          done = std::move(done)](const http_channel_answer& answer)
         {
             hold_answer out;
+            out.connection_closed = answer.closed;
             if (answer.status == status_ok)
             {
                 auto lists = protocol_.decode_lists(answer.body);
--- a/test/fleet_state-test.cpp
+++ b/test/fleet_state-test.cpp
@@ -146,5 +146,43 @@
     EXPECT_FALSE(restored.restore("no snapshot"));
 }
 
+fleet_command crash_command(const run_ref& run, bool conclusive)
+{
+    fleet_command command;
+    command.mutable_crash()->set_worker("w1");
+    command.mutable_crash()->set_born_ms(1);
+    command.mutable_crash()->set_conclusive(conclusive);
+    *command.mutable_crash()->add_suspects() = run;
+    return command;
+}
+
+// Guards against a crash that is counted twice when two leaders record it, and
+// against counts that a snapshot loses.
+TEST(fleet_state, crash_counts_once_for_a_run_and_survives_a_snapshot)
+{
+    fleet_fixture fixture;
+    fixture.add_worker("w1", "r1");
+    fixture.submit("job", make_step(1, 1));
+    const auto first = make_run("job", 0, 1);
+    ASSERT_EQ(fixture.state.apply(place_command(first)), apply_result::changed);
+    EXPECT_EQ(fixture.state.apply(crash_command(first, true)),
+              apply_result::changed);
+    EXPECT_EQ(fixture.state.apply(crash_command(first, true)),
+              apply_result::unchanged);
+    // Neither a run that was never placed nor an unknown job counts.
+    EXPECT_EQ(fixture.state.apply(crash_command(make_run("job", 0, 2), true)),
+              apply_result::unchanged);
+    EXPECT_EQ(fixture.state.apply(crash_command(make_run("none", 0, 1), true)),
+              apply_result::unchanged);
+    fleet_state restored;
+    ASSERT_TRUE(restored.restore(fixture.state.snapshot()));
+    const auto* const subtask = restored.find_subtask(first);
+    ASSERT_NE(subtask, nullptr);
+    EXPECT_EQ(subtask->crashes, 1U);
+    EXPECT_EQ(subtask->conclusive_crashes, 1U);
+    EXPECT_EQ(restored.apply(crash_command(first, true)),
+              apply_result::unchanged);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
--- a/test/support/fleet_fixture.cpp
+++ b/test/support/fleet_fixture.cpp
@@ -102,7 +102,7 @@
     worker.set_id(id);
     worker.set_born_ms(born_ms);
     worker.set_service(service);
-    worker.set_address("10.0.0.1:80");
+    worker.set_address(id + ":80");
     worker.set_rack(rack);
     worker.mutable_capacity()->set_cpu_milli(32000);
     worker.mutable_capacity()->set_memory_mb(131072);
@@ -115,6 +115,18 @@
     report(id);
 }
 
+void fleet_fixture::replace_worker(const std::string& id,
+                                   const std::string& successor)
+{
+    fleet_command command;
+    auto& worker = *command.mutable_worker();
+    worker = state.workers().at(id);
+    worker.set_id(successor);
+    worker.set_born_ms(worker.born_ms() + 1);
+    apply(command);
+    report(successor);
+}
+
 void fleet_fixture::report(const std::string& id)
 {
     worker_report report;
--- a/test/support/fleet_fixture.hpp
+++ b/test/support/fleet_fixture.hpp
@@ -38,6 +38,10 @@
                     const std::string& service = "service",
                     const std::string& label = "");
 
+    /// Adds a worker that a crashed one comes back as: at the same address,
+    /// under another id.
+    void replace_worker(const std::string& id, const std::string& successor);
+
     /// Delivers a report of the worker to the leader.
     void report(const std::string& id);
 
--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::int64_t max_lease_ms = 6000;
 constexpr milliseconds answer_timeout{300};
+constexpr milliseconds crash_after_start{10};
+constexpr milliseconds restart_time{3000};
 
 } // namespace
 
@@ -39,6 +41,54 @@
     workers_[id].failing = failing;
 }
 
+void model_workers::crash(const std::string& id)
+{
+    auto& worker = workers_[id];
+    if (worker.crashed)
+    {
+        return;
+    }
+    ++crashes;
+    const auto lost = std::exchange(worker.runs, {});
+    worker.crashed = true;
+    for (const auto& [key, run] : lost)
+    {
+        if (run.gang)
+        {
+            end_gang(run.run, run_broken, key);
+        }
+    }
+    delayed_.push_back({fixture_.now + restart_time, [this, id]
+                        {
+                            workers_[id + "+"];
+                            fixture_.replace_worker(id, id + "+");
+                        }});
+}
+
+void model_workers::report_all()
+{
+    for (const auto& [id, worker] : workers_)
+    {
+        if (!worker.crashed)
+        {
+            fixture_.report(id);
+        }
+    }
+}
+
+std::string model_workers::random_worker()
+{
+    std::vector<std::string> up;
+    for (const auto& [id, worker] : workers_)
+    {
+        if (!worker.crashed)
+        {
+            up.push_back(id);
+        }
+    }
+    return up.at(random_() % up.size());
+}
+
 resource_amounts model_workers::used(const std::string& id) const
 {
     resource_amounts used;
@@ -96,7 +146,15 @@
         return order_result::old_run;
     }
     ++starts;
+    ++starts_of[subtask];
     started.insert(subtask);
+    if (deadly.count(subtask) > 0)
+    {
+        delayed_.push_back({fixture_.now + crash_after_start, [this, id]
+                            {
+                                crash(id);
+                            }});
+    }
     for (const auto& [other, state] : workers_)
     {
         for (const auto& [running, item] : state.runs)
@@ -199,7 +257,11 @@
                        worker.ended.end());
     answer.result = order_result::accepted;
     answer.lists.worker_time_ms = clock;
-    answer.lists.born_ms = 1;
+    const auto record = fixture_.state.workers().find(id);
+    if (record != fixture_.state.workers().end())
+    {
+        answer.lists.born_ms = record->second.born_ms();
+    }
     for (const auto& [key, run] : worker.runs)
     {
         // A run that is stopping is not listed as running.
@@ -233,7 +295,7 @@
                             const std::function<void()>& carry_out,
                             const std::function<void()>& answer)
 {
-    if (workers_[id].disconnected)
+    if (workers_[id].disconnected || workers_[id].crashed)
     {
         return;
     }
@@ -327,6 +389,16 @@
             {
                 *answered = true;
             });
+        if (workers_[item.order.worker].crashed)
+        {
+            hold_answer closed;
+            closed.connection_closed = true;
+            delayed_.push_back({fixture_.now, [done = item.done, closed]
+                                {
+                                    done(closed);
+                                }});
+            continue;
+        }
         const auto wait = milliseconds(
             *answered ? std::min<std::int64_t>(item.order.wait_limit_ms, 100)
                       : item.order.wait_limit_ms + 600);
--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -42,6 +42,16 @@
     /// its answers, are lost.
     void set_disconnected(const std::string& id, bool disconnected);
 
+    /// Crashes the worker. It is back after some seconds, under another id and
+    /// with nothing on it.
+    void crash(const std::string& id);
+
+    /// Delivers the reports of all workers that are up.
+    void report_all();
+
+    /// Returns a worker that is up.
+    std::string random_worker();
+
     /// Makes all runs that end on the worker fail, or lets them succeed again.
     void set_failing(const std::string& id, bool failing);
 
@@ -54,7 +64,10 @@
     order_faults faults;
     std::vector<std::string> violations;
     std::size_t starts = 0;
-    std::set<std::string> started; // Subtasks, as JOB.STEP.INDEX.
+    std::set<std::string> started;        // Subtasks, as JOB.STEP.INDEX.
+    std::set<std::string> deadly;         // Subtasks that crash their workers.
+    std::map<std::string, int> starts_of; // By subtask.
+    std::size_t crashes = 0;
     bool reports_progress = false; // Otherwise runs are listed at 10%.
     milliseconds stop_time{300};   // Time that a worker takes to stop a run.
 
@@ -84,6 +97,7 @@
         std::uint64_t epoch = 0;
         std::int64_t lease_until = 0; // In ms, on the worker's clock.
         bool disconnected = false;
+        bool crashed = false;
         bool failing = false;
     };
     struct delayed_action
