--- a/test/platform_protocol-test.cpp
+++ b/test/platform_protocol-test.cpp
@@ -211,6 +211,31 @@
     EXPECT_EQ(result(500, ""), fleet::order_result::unknown);
 }
 
+// Guards against a host that ends when it reads a deeply nested message of
+// another writer or of a caller.
+TEST(platform_protocol, deeply_nested_messages_are_refused)
+{
+    const platform_protocol protocol;
+    constexpr std::size_t levels = 100000;
+    const std::string opened(levels, '[');
+    const std::string closed(levels, ']');
+    for (const auto& value :
+         {opened + closed, opened, "\"\\\"" + opened + "\"," + closed})
+    {
+        const auto body = replaced(report_text, R"("v1")", value);
+        EXPECT_FALSE(protocol.decode_report("i", body).ok());
+        EXPECT_FALSE(protocol.decode_lists(body).ok());
+        EXPECT_FALSE(protocol.decode_document(body).ok());
+        EXPECT_FALSE(protocol.decode_job(body).ok());
+        EXPECT_FALSE(protocol.decode_tickets(body).ok());
+    }
+    // Brackets in a text are not nested values.
+    EXPECT_TRUE(protocol
+                    .decode_report("i", replaced(report_text, R"("v1")",
+                                                 "\"" + opened + "\""))
+                    .ok());
+}
+
 // Guards against input that crashes the process or is accepted in part. Bytes
 // of valid messages are changed, removed and repeated at random.
 TEST(platform_protocol, decoders_do_not_crash_on_corrupted_input)
