--- a/test/platform_protocol-test.cpp
+++ b/test/platform_protocol-test.cpp
@@ -236,6 +236,69 @@
                     .ok());
 }
 
+// Guards against a report of another writer that is taken for a worker: it
+// would attract gangs, and sums over all workers would overflow.
+TEST(platform_protocol, odd_reports_are_refused)
+{
+    const platform_protocol protocol;
+    const std::vector<std::pair<std::string, std::string>> changes{
+        {"10.128.0.9:8080", "10.128.0.9:99999"},
+        {"10.128.0.9:8080", "10.128.0.9:0"},
+        {"10.128.0.9:8080", "10.128.0.9:"},
+        {"10.128.0.9:8080", ":8080"},
+        {"10.128.0.9:8080", "worker:8080"},
+        {"10.128.0.9:8080", "10.128.0.9:-1"},
+        {R"("gpu":4)", R"("gpu":4611686018427387904)"},
+        {R"("gpu":4)", R"("gpu":18446744073709551615)"},
+        {R"("gpu":4)", R"("gpu":1e400)"},
+        {R"("gpu":4)", R"("gpu":-1)"},
+        {R"("cpu":16000)", R"("cpu":9223372036854775807)"},
+        {R"("mem_mb":32768)", R"("mem_mb":9223372036854775807)"},
+        {R"("seq":4)", R"("seq":9223372036854775807)"},
+        {R"("clock_ms":482113)", R"("clock_ms":9223372036854775807)"},
+        {R"("born":1700000000000)", R"("born":9223372036854775807)"}};
+    for (const auto& [from, to] : changes)
+    {
+        EXPECT_FALSE(
+            protocol.decode_report("i", replaced(report_text, from, to)).ok())
+            << to;
+    }
+    EXPECT_TRUE(protocol.decode_report("i-7f3a91c2", report_text).ok());
+}
+
+// Guards against an id that is not valid UTF-8: no host could parse the entry
+// of the replicated log that holds it, nor the other commands in that entry.
+TEST(platform_protocol, odd_worker_ids_are_refused)
+{
+    const platform_protocol protocol;
+    for (const std::string id : {"", "\xff", "i-\xc3", "i 1", "i\n1", "i\t"})
+    {
+        EXPECT_FALSE(protocol.decode_report(id, report_text).ok()) << id;
+    }
+    EXPECT_FALSE(
+        protocol.decode_report(std::string(100000, 'i'), report_text).ok());
+}
+
+// Guards against a job whose needs overflow when they are added up.
+TEST(platform_protocol, odd_numbers_in_jobs_are_refused)
+{
+    const platform_protocol protocol;
+    for (const auto* const field :
+         {R"("gpu":4611686018427387904)", R"("cpu":4611686018427387904)",
+          R"("estimate_ms":9223372036854775807)"})
+    {
+        EXPECT_FALSE(protocol
+                         .decode_job(std::string(R"({"steps":[{"count":2,)") +
+                                     field + "}]}")
+                         .ok())
+            << field;
+    }
+    EXPECT_FALSE(protocol
+                     .decode_job(R"({"steps":[{"count":1}],"repeat_count":9,)"
+                                 R"("interval_ms":9223372036854775807})")
+                     .ok());
+}
+
 // Guards against input that crashes the process or is accepted in part. Bytes
 // of valid messages are changed, removed and repeated at random.
 TEST(platform_protocol, decoders_do_not_crash_on_corrupted_input)
