--- a/test/platform_protocol-test.cpp
+++ b/test/platform_protocol-test.cpp
@@ -299,6 +299,25 @@
                      .ok());
 }
 
+// Guards against a run number that is cut to that of another run, and against a
+// progress beyond the range of its type.
+TEST(platform_protocol, odd_numbers_in_lists_are_not_truncated)
+{
+    const platform_protocol protocol;
+    const auto with =
+        [&protocol](const std::string& from, const std::string& to)
+    {
+        return protocol.decode_lists(replaced(lists_text, from, to));
+    };
+    EXPECT_FALSE(with(R"(1.17",2,)", R"(1.17",4294967298,)").ok());
+    EXPECT_FALSE(with(R"(1.9",1,)", R"(1.9",4294967297,)").ok());
+    EXPECT_FALSE(with("482113", "9223372036854775807").ok());
+    const auto lists = with("41]", "1e300]");
+    ASSERT_TRUE(lists.ok());
+    EXPECT_EQ(lists->running[0].percent, 100);
+    EXPECT_EQ(with("41]", "-1e300]")->running[0].percent, 0);
+}
+
 // Guards against input that crashes the process or is accepted in part. Bytes
 // of valid messages are changed, removed and repeated at random.
 TEST(platform_protocol, decoders_do_not_crash_on_corrupted_input)
