--- a/test/platform_protocol-test.cpp
+++ b/test/platform_protocol-test.cpp
@@ -318,6 +318,21 @@
     EXPECT_EQ(with("41]", "-1e300]")->running[0].percent, 0);
 }
 
+// Guards against a call whose bytes are not valid UTF-8: the receiving host
+// could not parse the frame and closed the connection that all calls share.
+TEST(platform_protocol, forwarded_calls_hold_any_bytes)
+{
+    fleet::peer_frame frame;
+    auto& call = *frame.mutable_call();
+    call.set_method("PUT");
+    call.set_host("\xff.example");
+    call.set_target("/-/instances/\xff");
+    call.set_authorization("Bearer \xfe");
+    fleet::peer_frame parsed;
+    ASSERT_TRUE(parsed.ParseFromString(frame.SerializeAsString()));
+    EXPECT_EQ(parsed.call().target(), "/-/instances/\xff");
+}
+
 // Guards against input that crashes the process or is accepted in part. Bytes
 // of valid messages are changed, removed and repeated at random.
 TEST(platform_protocol, decoders_do_not_crash_on_corrupted_input)
