--- a/test/platform_protocol-test.cpp
+++ b/test/platform_protocol-test.cpp
@@ -279,24 +279,19 @@
         protocol.decode_report(std::string(100000, 'i'), report_text).ok());
 }
 
-// Guards against a job whose needs overflow when they are added up.
-TEST(platform_protocol, odd_numbers_in_jobs_are_refused)
+// Guards against a call whose bytes are not valid UTF-8: the receiving host
+// could not parse the frame and closed the connection that all calls share.
+TEST(platform_protocol, forwarded_calls_hold_any_bytes)
 {
-    const platform_protocol protocol;
-    for (const auto* const field :
-         {R"("gpu":4611686018427387904)", R"("cpu":4611686018427387904)",
-          R"("estimate_ms":9223372036854775807)"})
-    {
-        EXPECT_FALSE(protocol
-                         .decode_job(std::string(R"({"steps":[{"count":2,)") +
-                                     field + "}]}")
-                         .ok())
-            << field;
-    }
-    EXPECT_FALSE(protocol
-                     .decode_job(R"({"steps":[{"count":1}],"repeat_count":9,)"
-                                 R"("interval_ms":9223372036854775807})")
-                     .ok());
+    fleet::peer_frame frame;
+    auto& call = *frame.mutable_call();
+    call.set_method("PUT");
+    call.set_host("\xff.example");
+    call.set_target("/-/instances/\xff");
+    call.set_authorization("Bearer \xfe");
+    fleet::peer_frame parsed;
+    ASSERT_TRUE(parsed.ParseFromString(frame.SerializeAsString()));
+    EXPECT_EQ(parsed.call().target(), "/-/instances/\xff");
 }
 
 // Guards against a run number that is cut to that of another run, and against a
@@ -318,19 +313,24 @@
     EXPECT_EQ(with("41]", "-1e300]")->running[0].percent, 0);
 }
 
-// Guards against a call whose bytes are not valid UTF-8: the receiving host
-// could not parse the frame and closed the connection that all calls share.
-TEST(platform_protocol, forwarded_calls_hold_any_bytes)
+// Guards against a job whose needs overflow when they are added up.
+TEST(platform_protocol, odd_numbers_in_jobs_are_refused)
 {
-    fleet::peer_frame frame;
-    auto& call = *frame.mutable_call();
-    call.set_method("PUT");
-    call.set_host("\xff.example");
-    call.set_target("/-/instances/\xff");
-    call.set_authorization("Bearer \xfe");
-    fleet::peer_frame parsed;
-    ASSERT_TRUE(parsed.ParseFromString(frame.SerializeAsString()));
-    EXPECT_EQ(parsed.call().target(), "/-/instances/\xff");
+    const platform_protocol protocol;
+    for (const auto* const field :
+         {R"("gpu":4611686018427387904)", R"("cpu":4611686018427387904)",
+          R"("estimate_ms":9223372036854775807)"})
+    {
+        EXPECT_FALSE(protocol
+                         .decode_job(std::string(R"({"steps":[{"count":2,)") +
+                                     field + "}]}")
+                         .ok())
+            << field;
+    }
+    EXPECT_FALSE(protocol
+                     .decode_job(R"({"steps":[{"count":1}],"repeat_count":9,)"
+                                 R"("interval_ms":9223372036854775807})")
+                     .ok());
 }
 
 // Guards against input that crashes the process or is accepted in part. Bytes
@@ -348,8 +348,14 @@
         for (auto edits = random() % 6 + 1; edits > 0 && !text.empty(); --edits)
         {
             const auto at = random() % text.size();
-            switch (random() % 4)
+            switch (random() % 6)
             {
+            case 4:
+                text.insert(at, "9223372036854775807");
+                break;
+            case 5:
+                text.insert(at, std::string(random() % 200, '['));
+                break;
             case 0:
                 text[at] = static_cast<char>(random());
                 break;
