--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -17,23 +17,6 @@
 // work.
 constexpr milliseconds headroom_window{4000};
 
-// Returns the candidate with the given worker id, or null. `candidates` must be
-// sorted by worker id.
-placement_candidate*
-find_candidate(std::vector<placement_candidate>& candidates,
-               const std::string& id)
-{
-    const auto found = std::lower_bound(
-        candidates.begin(), candidates.end(), id,
-        [](const placement_candidate& candidate, const std::string& wanted)
-        {
-            return candidate.worker->record.id() < wanted;
-        });
-    return found != candidates.end() && found->worker->record.id() == id
-               ? &*found
-               : nullptr;
-}
-
 // Returns `free` with negative amounts replaced by zero. The free capacity of a
 // worker is negative when more is reserved than the stopped runs have released
 // so far.
@@ -157,98 +140,6 @@
     free = free + non_negative(candidate.free);
 }
 
-// Adds a reservation to the sums by worker (sign 1) or subtracts it (sign -1).
-void fleet_scheduler::update_reserved(const reservation& item, int sign)
-{
-    for (const auto& [id, amount] : item.reserved_by_worker)
-    {
-        auto& sum = reserved_[id];
-        sum = sign > 0 ? sum + amount : sum - amount;
-    }
-}
-
-void fleet_scheduler::reserve(const pending_step_key& key, reservation item)
-{
-    update_reserved(item, 1);
-    for (const auto& [id, amount] : item.reserved_by_worker)
-    {
-        if (auto* const candidate = find_candidate(candidates_, id))
-        {
-            change_free(*candidate, resource_amounts{} - amount);
-        }
-    }
-    reservations_[key] = std::move(item);
-}
-
-void fleet_scheduler::unreserve(const pending_step_key& key)
-{
-    const auto found = reservations_.find(key);
-    if (found == reservations_.end())
-    {
-        return;
-    }
-    update_reserved(found->second, -1);
-    for (const auto& [id, amount] : found->second.reserved_by_worker)
-    {
-        if (auto* const candidate = find_candidate(candidates_, id))
-        {
-            change_free(*candidate, amount);
-        }
-    }
-    reservations_.erase(found);
-}
-
-// Returns true when all reserved workers may get placements.
-bool fleet_scheduler::is_usable(const reservation& item)
-{
-    const auto& reserved = item.reserved_by_worker;
-    return std::all_of(reserved.begin(), reserved.end(),
-                       [&](const auto& entry)
-                       {
-                           const auto* const found =
-                               find_candidate(candidates_, entry.first);
-                           return found != nullptr &&
-                                  (item.last_resort || !found->last_resort);
-                       });
-}
-
-// Takes the need of each started subtask out of the step's reservation, from
-// the worker that it starts on if capacity is reserved there. The rest stays
-// reserved for the other subtasks.
-void fleet_scheduler::use_reservation(const pending_step_key& key,
-                                      const std::vector<std::string>& workers,
-                                      const resource_amounts& need)
-{
-    const auto found = reservations_.find(key);
-    if (found == reservations_.end())
-    {
-        return;
-    }
-    auto rest = found->second;
-    unreserve(key);
-    for (const auto& id : workers)
-    {
-        auto at = rest.reserved_by_worker.find(id);
-        if (at == rest.reserved_by_worker.end())
-        {
-            at = rest.reserved_by_worker.begin();
-        }
-        if (at == rest.reserved_by_worker.end())
-        {
-            return;
-        }
-        at->second = at->second - need;
-        if (!fits(need, at->second))
-        {
-            rest.reserved_by_worker.erase(at);
-        }
-    }
-    if (!rest.reserved_by_worker.empty())
-    {
-        reserve(key, std::move(rest));
-    }
-}
-
 // Returns the candidates for one pending step: capacity that is reserved for
 // this step counts as free.
 std::vector<placement_candidate>
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -124,6 +124,21 @@
 
 } // namespace
 
+placement_candidate*
+find_candidate(std::vector<placement_candidate>& candidates,
+               const std::string& id)
+{
+    const auto found = std::lower_bound(
+        candidates.begin(), candidates.end(), id,
+        [](const placement_candidate& candidate, const std::string& wanted)
+        {
+            return candidate.worker->record.id() < wanted;
+        });
+    return found != candidates.end() && found->worker->record.id() == id
+               ? &*found
+               : nullptr;
+}
+
 bool is_eligible(const placement_candidate& candidate,
                  const placement_request& request)
 {
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -25,6 +25,12 @@
     bool in_trial = false; // Runs a subtask that may crash it; takes no others.
 };
 
+/// Returns the candidate with the given worker id, or null. `candidates` must
+/// be sorted by worker id.
+placement_candidate*
+find_candidate(std::vector<placement_candidate>& candidates,
+               const std::string& id);
+
 /// Describes the subtasks of one step that are to be placed.
 struct placement_request
 {
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -341,5 +341,35 @@
     EXPECT_FALSE(fixture.state.find_job("job")->ended());
 }
 
+// Guards against starts beyond the capacity of a worker that has shrunk while
+// it runs, and against capacity that stays unused after it has grown again.
+TEST(fleet_scheduler, capacity_that_shrinks_and_grows_limits_starts)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.submit("first", make_step(2, 1));
+    fixture.schedule();
+    accept_starts(fixture);
+    const auto resize = [&fixture](std::int64_t accelerators)
+    {
+        fleet_command command;
+        *command.mutable_worker() = fixture.state.workers().at("w1");
+        command.mutable_worker()->mutable_capacity()->set_accelerators(
+            accelerators);
+        fixture.apply(command);
+        fixture.schedule();
+    };
+    resize(1);
+    fixture.submit("second", make_step(4, 1));
+    fixture.schedule();
+    EXPECT_EQ(used_accelerators(fixture), 2);
+    resize(0);
+    EXPECT_EQ(used_accelerators(fixture), 2);
+    resize(4);
+    EXPECT_EQ(used_accelerators(fixture), 4);
+    resize(8);
+    EXPECT_EQ(used_accelerators(fixture), 6);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
