--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -13,7 +13,6 @@
 constexpr std::int64_t max_lease_ms = 6000;
 constexpr milliseconds answer_timeout{300};
 constexpr milliseconds crash_after_start{10};
-constexpr milliseconds restart_time{3000};
 
 } // namespace
 
@@ -41,54 +40,6 @@
     workers_[id].failing = failing;
 }
 
-void model_workers::crash(const std::string& id)
-{
-    auto& worker = workers_[id];
-    if (worker.crashed)
-    {
-        return;
-    }
-    ++crashes;
-    const auto lost = std::exchange(worker.runs, {});
-    worker.crashed = true;
-    for (const auto& [key, run] : lost)
-    {
-        if (run.gang)
-        {
-            end_gang(run.run, run_broken, key);
-        }
-    }
-    delayed_.push_back({fixture_.now + restart_time, [this, id]
-                        {
-                            workers_[id + "+"];
-                            fixture_.replace_worker(id, id + "+");
-                        }});
-}
-
-void model_workers::report_all()
-{
-    for (const auto& [id, worker] : workers_)
-    {
-        if (!worker.crashed)
-        {
-            fixture_.report(id);
-        }
-    }
-}
-
-std::string model_workers::random_worker()
-{
-    std::vector<std::string> up;
-    for (const auto& [id, worker] : workers_)
-    {
-        if (!worker.crashed)
-        {
-            up.push_back(id);
-        }
-    }
-    return up.at(random_() % up.size());
-}
-
 resource_amounts model_workers::used(const std::string& id) const
 {
     resource_amounts used;
