--- a/test/platform_protocol-test.cpp
+++ b/test/platform_protocol-test.cpp
@@ -1,5 +1,6 @@
 #include "platform_protocol.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 #include <random>
@@ -219,8 +220,8 @@
     constexpr std::size_t levels = 100000;
     const std::string opened(levels, '[');
     const std::string closed(levels, ']');
-    for (const auto& value :
-         {opened + closed, opened, "\"\\\"" + opened + "\"," + closed})
+    for (const auto& value : {opened + closed, opened,
+                              absl::StrCat("\"\\\"", opened, "\",", closed)})
     {
         const auto body = replaced(report_text, R"("v1")", value);
         EXPECT_FALSE(protocol.decode_report("i", body).ok());
@@ -230,10 +231,11 @@
         EXPECT_FALSE(protocol.decode_tickets(body).ok());
     }
     // Brackets in a text are not nested values.
-    EXPECT_TRUE(protocol
-                    .decode_report("i", replaced(report_text, R"("v1")",
-                                                 "\"" + opened + "\""))
-                    .ok());
+    EXPECT_TRUE(
+        protocol
+            .decode_report("i", replaced(report_text, R"("v1")",
+                                         absl::StrCat("\"", opened, "\"")))
+            .ok());
 }
 
 // Guards against a report of another writer that is taken for a worker: it
@@ -322,8 +324,8 @@
           R"("estimate_ms":9223372036854775807)"})
     {
         EXPECT_FALSE(protocol
-                         .decode_job(std::string(R"({"steps":[{"count":2,)") +
-                                     field + "}]}")
+                         .decode_job(absl::StrCat(R"({"steps":[{"count":2,)",
+                                                  field, "}]}"))
                          .ok())
             << field;
     }
