Refuse deeply nested messages in the product's own interface too

What callers saw: nothing yet. The same cause as in the platform's messages: a field of a message is copied, and copies recurse once a level, so that a message of 100,000 levels ends limpetstackd.

json_reader.deeply_nested_messages_are_refused ended with a segmentation fault before and passes now.

--- a/src/protocol/json_reader.cpp
+++ b/src/protocol/json_reader.cpp
@@ -1,5 +1,7 @@
 #include "protocol/json_reader.hpp"
 
+#include "protocol/json_depth.hpp"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
@@ -25,7 +27,9 @@
 } // namespace
 
 json_reader::json_reader(const std::string& body)
-    : object_(nlohmann::json::parse(body, nullptr, false))
+    : object_(is_nested_too_deeply(body)
+                  ? nlohmann::json()
+                  : nlohmann::json::parse(body, nullptr, false))
 {
     if (!object_.is_object())
     {
