--- a/test/deadly_subtask-test.cpp
+++ b/test/crashing_subtask-test.cpp
@@ -20,10 +20,10 @@
 // The rule allows five starts; a subtask must be given up well before.
 constexpr int max_starts = 3;
 
-class deadly_subtask : public ::testing::TestWithParam<unsigned>
+class crashing_subtask : public ::testing::TestWithParam<unsigned>
 {
 protected:
-    deadly_subtask()
+    crashing_subtask()
     {
         for (int i = 0; i < worker_count; ++i)
         {
@@ -64,9 +64,9 @@
 };
 
 // Guards against a subtask that crashes worker after worker without end.
-TEST_P(deadly_subtask, is_given_up_after_few_crashes)
+TEST_P(crashing_subtask, is_given_up_after_few_crashes)
 {
-    workers.deadly.insert("job.0.0");
+    workers.crashing.insert("job.0.0");
     fixture.submit("job", make_step(1, 1));
     pass(milliseconds(40000));
     EXPECT_TRUE(failed("job"));
@@ -75,21 +75,21 @@
 
 // Guards against jobs that are given up because their subtasks were on the
 // workers that another one crashed.
-TEST_P(deadly_subtask, work_beside_it_is_done)
+TEST_P(crashing_subtask, work_beside_it_is_done)
 {
-    workers.deadly.insert("deadly.0.0");
+    workers.crashing.insert("crashing.0.0");
     for (int i = 0; i < 10; ++i)
     {
         fixture.submit("before" + std::to_string(i), make_step(3, 1));
     }
-    fixture.submit("deadly", make_step(1, 1));
+    fixture.submit("crashing", make_step(1, 1));
     for (int i = 0; i < 10; ++i)
     {
         fixture.submit("after" + std::to_string(i), make_step(3, 1));
     }
     pass(milliseconds(60000));
-    EXPECT_TRUE(failed("deadly"));
-    EXPECT_LE(workers.starts_of["deadly.0.0"], max_starts);
+    EXPECT_TRUE(failed("crashing"));
+    EXPECT_LE(workers.starts_of["crashing.0.0"], max_starts);
     for (int i = 0; i < 10; ++i)
     {
         EXPECT_TRUE(done("before" + std::to_string(i))) << i;
@@ -100,9 +100,9 @@
 
 // Guards against a wide step that crashes many workers because its other
 // subtasks are started beside the one that crashes them.
-TEST_P(deadly_subtask, of_a_wide_step_crashes_few_workers)
+TEST_P(crashing_subtask, of_a_wide_step_crashes_few_workers)
 {
-    workers.deadly.insert("job.0.5");
+    workers.crashing.insert("job.0.5");
     fixture.submit("job", make_step(24, 1));
     pass(milliseconds(60000));
     EXPECT_TRUE(failed("job"));
@@ -111,9 +111,9 @@
 }
 
 // Guards against a gang whose member crashes a worker each time it starts.
-TEST_P(deadly_subtask, of_a_gang_is_given_up)
+TEST_P(crashing_subtask, of_a_gang_is_given_up)
 {
-    workers.deadly.insert("job.0.2");
+    workers.crashing.insert("job.0.2");
     fixture.submit("job", make_step(4, 8, true));
     pass(milliseconds(60000));
     EXPECT_TRUE(failed("job"));
@@ -122,11 +122,11 @@
 
 // Guards against lasting work that crashes workers for good, since it has no
 // limit of attempts.
-TEST_P(deadly_subtask, of_a_lasting_step_is_given_up)
+TEST_P(crashing_subtask, of_a_lasting_step_is_given_up)
 {
     auto step = make_step(1, 1);
     step.set_lasting(true);
-    workers.deadly.insert("job.0.0");
+    workers.crashing.insert("job.0.0");
     fixture.submit("job", step);
     pass(milliseconds(40000));
     EXPECT_TRUE(failed("job"));
@@ -135,9 +135,9 @@
 
 // Guards against crashes that a new leader does not know of. A leader that ends
 // between a crash and the return of the worker does not record it.
-TEST_P(deadly_subtask, is_given_up_although_leaders_change)
+TEST_P(crashing_subtask, is_given_up_although_leaders_change)
 {
-    workers.deadly.insert("job.0.0");
+    workers.crashing.insert("job.0.0");
     fixture.submit("job", make_step(1, 1));
     // The first leader ends before the crashed worker is back, the second one
     // after another crash.
@@ -152,7 +152,7 @@
 
 // Guards against jobs that are given up on a day on which workers crash by
 // themselves, here one of twenty every two seconds.
-TEST_P(deadly_subtask, crashes_by_themselves_fail_no_job)
+TEST_P(crashing_subtask, crashes_by_themselves_fail_no_job)
 {
     for (int i = 0; i < 60; ++i)
     {
@@ -173,7 +173,7 @@
 
 // Guards against a crash that is put down to work on a worker that was cut off
 // and restarted under its id behind the cut.
-TEST_P(deadly_subtask, restart_behind_a_cut_is_not_conclusive)
+TEST_P(crashing_subtask, restart_behind_a_cut_is_not_conclusive)
 {
     fixture.submit("job", make_step(1, 1));
     pass(milliseconds(200));
@@ -187,7 +187,7 @@
         0U);
 }
 
-INSTANTIATE_TEST_SUITE_P(seeds, deadly_subtask, ::testing::Range(1U, 13U));
+INSTANTIATE_TEST_SUITE_P(seeds, crashing_subtask, ::testing::Range(1U, 13U));
 
 } // namespace
 } // namespace limpetstack::fleet
--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -99,7 +99,7 @@
     ++starts;
     ++starts_of[subtask];
     started.insert(subtask);
-    if (deadly.count(subtask) > 0)
+    if (crashing.count(subtask) > 0)
     {
         delayed_.push_back({fixture_.now + crash_after_start, [this, id]
                             {
--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -65,7 +65,7 @@
     std::vector<std::string> violations;
     std::size_t starts = 0;
     std::set<std::string> started;        // Subtasks, as JOB.STEP.INDEX.
-    std::set<std::string> deadly;         // Subtasks that crash their workers.
+    std::set<std::string> crashing;       // Subtasks that crash their workers.
     std::map<std::string, int> starts_of; // By subtask.
     std::size_t crashes = 0;
     bool reports_progress = false; // Otherwise runs are listed at 10%.
--- a/test/unanswered_start-test.cpp
+++ b/test/unanswered_start-test.cpp
@@ -75,7 +75,8 @@
 // Guards against an urgent gang that begins after its time limit because one of
 // its idle workers does not answer: the attempts to start there and the lease
 // granted with them each took longer than the limit.
-TEST_F(unanswered_start, urgent_gang_begins_in_time_beside_a_dark_idle_worker)
+TEST_F(unanswered_start,
+       urgent_gang_begins_in_time_beside_an_unresponsive_idle_worker)
 {
     workers.set_disconnected(worker_id(2), true);
     fixture.submit("job", make_step(4, 8, true), "urgent");
@@ -108,7 +109,8 @@
 
 // Guards against a worker that answers nothing and is chosen again after each
 // failed start, since it is idle and reports.
-TEST_F(unanswered_start, dark_worker_is_not_chosen_again_while_it_reports)
+TEST_F(unanswered_start,
+       unresponsive_worker_is_not_chosen_again_while_it_reports)
 {
     workers.set_disconnected(worker_id(0), true);
     fixture.submit("job", make_step(1, 8), "urgent");
