Reserve the ports of test processes and wait for a worker's history

Seen: gang_atomic_worker_freezes failed twice, once with an empty answer parsed as JSON, once without any started member although both jobs were running, six copies at once. Cause, of the test: (1) two test processes could be given the same port, since a port was only bound for a moment when it was chosen. The servers set SO_REUSEPORT, so both listen and each answers calls of the other. Two processes that choose 400 ports each shared 7 before. (2) The history was read with one call of at most 2 s; without an answer its body is empty. Change: a port is locked in a file for the life of the process; the history, which only grows, is asked for until it is answered with status 200. Ruled out: a fault of the product. Both jobs were shown as running, which is written only after every member answered its commit.

--- a/experiment/process.cpp
+++ b/experiment/process.cpp
@@ -5,12 +5,15 @@
 #include <netinet/in.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/file.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <cstdlib>
+#include <filesystem>
 #include <random>
 #include <set>
 #include <stdexcept>
@@ -110,6 +113,29 @@
     return bound;
 }
 
+// Reserves the port for this process until it ends. Other processes that choose
+// ports see the reservation before the port is bound. Servers here share a
+// bound port, so that a port given twice would not show as an error.
+bool reserve(int port)
+{
+    const auto folder = std::filesystem::temp_directory_path() /
+                        ("limpetstack-ports-" + std::to_string(::getuid()));
+    std::filesystem::create_directories(folder);
+    const auto file = folder / std::to_string(port);
+    const int lock =
+        ::open(file.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, S_IRUSR | S_IWUSR);
+    if (lock < 0)
+    {
+        throw std::runtime_error("can not open " + file.string());
+    }
+    if (::flock(lock, LOCK_EX | LOCK_NB) != 0)
+    {
+        ::close(lock);
+        return false;
+    }
+    return true; // The descriptor stays open and holds the lock.
+}
+
 } // namespace
 
 int free_port()
@@ -123,7 +149,7 @@
     for (;;)
     {
         const int port = any(random);
-        if (can_bind(port) && given.insert(port).second)
+        if (given.insert(port).second && can_bind(port) && reserve(port))
         {
             return port;
         }
--- a/test/process/job-test.cpp
+++ b/test/process/job-test.cpp
@@ -123,6 +123,23 @@
             std::chrono::seconds(60));
     }
 
+    // Returns a worker's history. A call may get no answer in time on a busy
+    // machine; the history only grows, so a later answer holds as much.
+    json history_of(const std::string& worker) const
+    {
+        json history;
+        const bool answered = wait_until(
+            [&]
+            {
+                const auto answer =
+                    get(system.stand_in_address(worker), "/history");
+                history = json::parse(answer.body, nullptr, false);
+                return answer.status == 200 && history.contains("events");
+            });
+        EXPECT_TRUE(answered) << worker << " does not answer";
+        return answered ? history : json{{"events", json::array()}};
+    }
+
     // Collects what every worker ran. `killed` gives the time at which a
     // worker that no longer answers was killed; it ran nothing afterwards.
     std::vector<member_interval> intervals() const
@@ -132,9 +149,7 @@
             found;
         for (const auto& worker : workers)
         {
-            const auto answer =
-                get(system.stand_in_address(worker), "/history");
-            const auto history = json::parse(answer.body);
+            const auto history = history_of(worker);
             for (const auto& event : history["events"])
             {
                 const auto key =
