Ignore delayed readings of a worker's clock when a lease expires

Cause: a report of the crashed worker that the cut had delayed arrived at 25.6 s. Its clock reading was higher than the last one and was taken for the worker's time at its arrival, so the expiry moved by the delay. The end at 36.9 s fits the granted end (30.6 s) and that delay; no order granted a lease after 24.4 s. Change: the expiry follows from the reading that proves the highest time of the clock at the slowest allowed rate; a later reading that proves less is ignored. Grants go on using the latest reading, so slow clocks are followed.

--- a/src/coordination/fleet/lease_clock.hpp
+++ b/src/coordination/fleet/lease_clock.hpp
@@ -22,27 +22,36 @@
     {
     }
 
-    /// Records a reading of the worker's clock that arrived at `now`. A reading
-    /// lower than the last one is ignored: it was delayed on its way.
+    /// Records a reading of the worker's clock that arrived at `now`. It may
+    /// have been delayed on its way, so it tells only which time the clock has
+    /// at least. A reading that tells less than an earlier one is ignored.
     void sample(std::int64_t worker_time_ms, time_point now)
     {
-        if (worker_time_ms > 0 &&
-            (!reading_ || worker_time_ms >= reading_->worker_time_ms))
+        if (worker_time_ms <= 0)
         {
-            reading_ = reading{worker_time_ms, now};
+            return;
+        }
+        if (!latest_ || worker_time_ms >= latest_->worker_time_ms)
+        {
+            latest_ = reading{worker_time_ms, now};
+        }
+        if (!bound_ || worker_time_ms >= earliest_time(now))
+        {
+            bound_ = reading{worker_time_ms, now};
         }
     }
 
     /// Returns true when the worker's clock has been read.
-    bool has_reading() const { return reading_.has_value(); }
+    bool has_reading() const { return latest_.has_value(); }
 
     /// Returns the lowest possible time of the worker's clock if both clocks
     /// run at the same rate; 0 without a reading.
     std::int64_t worker_time(time_point now) const
     {
-        return reading_
-                   ? reading_->worker_time_ms + (now - reading_->at).count()
-                   : 0;
+        return latest_ ? std::max(latest_->worker_time_ms +
+                                      (now - latest_->at).count(),
+                                  earliest_time(now))
+                       : 0;
     }
 
     /// Records a lease up to `lease_end_ms` on the worker's clock. It counts
@@ -65,13 +74,13 @@
         {
             latest = *inherited_ + stretched(max_lease_.count()) + margin;
         }
-        if (granted_end_ > 0 && reading_)
+        if (granted_end_ > 0 && bound_)
         {
             // The margin also passes on the worker's clock, so that readings in
             // quick succession do not put off the expiry.
             const auto remaining_ms = std::max<std::int64_t>(
-                granted_end_ + margin.count() - reading_->worker_time_ms, 0);
-            const auto at = reading_->at + stretched(remaining_ms);
+                granted_end_ + margin.count() - bound_->worker_time_ms, 0);
+            const auto at = bound_->at + stretched(remaining_ms);
             latest = latest ? std::max(*latest, at) : at;
         }
         return latest;
@@ -95,9 +104,21 @@
             static_cast<double>(duration_ms) / (1 - max_drift_)));
     }
 
+    // Returns the lowest possible time of the worker's clock if it runs as slow
+    // as allowed.
+    std::int64_t earliest_time(time_point now) const
+    {
+        return bound_->worker_time_ms +
+               static_cast<std::int64_t>(
+                   static_cast<double>((now - bound_->at).count()) *
+                   (1 - max_drift_));
+    }
+
     double max_drift_; // A fraction of the elapsed time.
     milliseconds max_lease_;
-    std::optional<reading> reading_;
+    std::optional<reading> latest_; // The highest reading.
+    // The reading from which the highest lower bound of the clock follows.
+    std::optional<reading> bound_;
     std::int64_t granted_end_ = 0;
     std::optional<time_point> inherited_;
 };
--- a/test/lease_clock-test.cpp
+++ b/test/lease_clock-test.cpp
@@ -56,6 +56,34 @@
     EXPECT_EQ(clock.worker_time(start + milliseconds(500)), 5500);
 }
 
+// Guards against a report that a partition delayed and that puts the expiry off
+// by its delay, so that the runs of a crashed worker end late.
+TEST(lease_clock, delayed_reading_does_not_put_off_the_expiry)
+{
+    lease_clock clock(0.02, milliseconds(6000));
+    clock.sample(1000, start);
+    clock.grant(7000);
+    clock.sample(1500, start + milliseconds(5800));
+    ASSERT_TRUE(clock.expiry_time());
+    EXPECT_LE(*clock.expiry_time() - start, milliseconds(6300));
+    EXPECT_GE(*clock.expiry_time() - start, milliseconds(6122));
+}
+
+// Guards against leases that grow because the readings of a slow clock are
+// taken for delayed ones.
+TEST(lease_clock, slow_clock_is_followed)
+{
+    lease_clock clock(0.02, milliseconds(6000));
+    for (int ms = 0; ms <= 600000; ms += 500)
+    {
+        clock.sample(1000 + ms * 98 / 100, start + milliseconds(ms));
+    }
+    const auto now = start + milliseconds(600000);
+    EXPECT_LE(clock.worker_time(now), 1000 + 588000 + 10);
+    clock.grant(clock.worker_time(now) + 6000);
+    EXPECT_LE(*clock.expiry_time() - now, milliseconds(6300));
+}
+
 // Guards against a new leader that ends runs while a lease that the earlier
 // leader granted may still be valid.
 TEST(lease_clock, inherited_lease_counts_from_the_takeover)
