Tell lost answers from silent workers

Cause: one missing answer to a hold, or two to orders, counted as silence, whatever share of answers was lost. Such a worker got no placement and no lease until it answered a hold; a start on an idle worker had 1 s of lease for all its attempts. Urgent work then stopped other runs for want of usable workers. Ruled out: repeated takeovers (runs lapsed from 11 s on, the first takeover is at 21 s), silence (all workers reported). Change: the leader estimates the share of lost answers: those missing from a worker that answers later. A worker is unreachable when its missing answers are at most 2% likely at that share; without losses that is one hold or two orders, as before. Any answer ends it. While more than 14% are lost, starts grant a whole lease, orders are repeated after 100 ms (each third after 300 ms), and lists are requested without a wait after a missing answer. All attempts of a start share one lease.

--- a/src/coordination/fleet/worker_availability.cpp
+++ b/src/coordination/fleet/worker_availability.cpp
@@ -1,6 +1,10 @@
 // Decides from reports and answers which workers may get placements.
 #include "coordination/fleet/worker_fleet.hpp"
 
+#include "base/log.hpp"
+
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace limpetstack::fleet
@@ -11,6 +15,10 @@
 // A worker stays usable when its report is late by at most this much.
 constexpr milliseconds report_tolerance{900};
 
+// After a missing answer, holds to the worker use the shortest wait for this
+// time, because a lost answer is detected only when the wait is over.
+constexpr milliseconds short_holds_time{8000};
+
 } // namespace
 
 const char* name_of(worker_availability availability)
@@ -39,6 +47,59 @@
     }
 }
 
+// Records an answer of any kind: the worker is up, and what it left unanswered
+// before was lost.
+void worker_fleet::record_answer(worker_session& worker, time_point now)
+{
+    answers_ = with_answer(answers_, worker.missed_answers, now);
+    counters_.set("lost_answers_share", lost_share(answers_, now));
+    worker.missed_answers = 0;
+    worker.missed_probability = 1;
+    worker.last_contact = now;
+    worker.closed_at.reset();
+    if (worker.unreachable)
+    {
+        worker.unreachable = false;
+        worker.retry_at = now; // A hold renews the leases.
+        due_workers_.insert(worker.record.id());
+        log_event(log_level::info, "worker_reachable",
+                  {{"worker", worker.record.id()},
+                   {"runs", absl::StrCat(worker.runs.size())},
+                   {"epoch", absl::StrCat(epoch_)}});
+    }
+}
+
+// Records an order or a hold without an answer. Where many answers are lost, a
+// worker is unreachable only after more of them are missing in a row.
+void worker_fleet::record_missing_answer(worker_session& worker,
+                                         worker_question question,
+                                         time_point now)
+{
+    ++worker.missed_answers;
+    worker.missed_probability = after_missed_answer(
+        worker.missed_probability, question, lost_share(answers_, now));
+    worker.short_holds_until = now + short_holds_time;
+    if (suggests_silence(worker.missed_probability))
+    {
+        mark_unreachable(worker);
+    }
+}
+
+void worker_fleet::mark_unreachable(worker_session& worker)
+{
+    if (worker.unreachable)
+    {
+        return;
+    }
+    worker.unreachable = true;
+    log_event(log_level::warning, "worker_unreachable",
+              {{"worker", worker.record.id()},
+               {"missed_answers", absl::StrCat(worker.missed_answers)},
+               {"probability", absl::StrCat(worker.missed_probability)},
+               {"runs", absl::StrCat(worker.runs.size())},
+               {"epoch", absl::StrCat(epoch_)}});
+}
+
 bool worker_fleet::is_silent(const worker_session& worker, time_point now) const
 {
     const auto silence = now - std::max(worker.last_report, worker.last_answer);
@@ -52,7 +113,7 @@
     {
         return worker_availability::draining;
     }
-    if (!worker.clock.has_reading() || worker.hold_failures > 0 ||
+    if (!worker.clock.has_reading() || worker.unreachable ||
         is_silent(worker, now))
     {
         return worker_availability::unreachable;
--- a/src/coordination/fleet/worker_crashes.cpp
+++ b/src/coordination/fleet/worker_crashes.cpp
@@ -140,7 +140,7 @@
         if (id != successor.id() &&
             worker.record.address() == successor.address() &&
             worker.record.born_ms() < successor.born_ms() &&
-            (worker.hold_failures > 0 || is_silent(worker, now)))
+            (worker.unreachable || is_silent(worker, now)))
         {
             record_crash(worker);
         }
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -286,7 +286,6 @@
         found->second.changed_at = now;
         newly_committed_.push_back(key);
         return;
-    }
     case fleet_command::kEnd:
     {
         const auto key = key_of(command.end().run());
@@ -372,7 +371,7 @@
         auto& run = runs_.at(key);
         if (run.phase == run_phase::starting && !run.end_proposed)
         {
-            mark_unreachable(worker, order_result::unknown, now);
+            mark_unreachable(worker);
         }
         if (run.phase != run_phase::proposed &&
             run.phase != run_phase::committed)
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "base/metrics.hpp"
+#include "coordination/fleet/answer_loss.hpp"
 #include "coordination/fleet/lease_clock.hpp"
 #include "coordination/fleet/worker_port.hpp"
 #include "state/fleet_state.hpp"
@@ -109,9 +110,11 @@
     std::string ticket; // From the queue's policy; empty without one.
     bool worker_restarted = false; // Its worker restarted during the start.
     int start_attempts = 0;
-    // End of the first lease of a start on a worker without other runs, on the
-    // worker's clock; 0: not granted.
-    std::int64_t first_lease_end_ms = 0;
+    int stop_attempts = 0;
+    time_point first_sent_at; // The first attempt to start it.
+    // End of the lease that the attempts to start it grant, on the worker's
+    // clock; 0: no attempt yet.
+    std::int64_t start_lease_end_ms = 0;
     // The last change of the phase or of the progress of the stop order.
     time_point changed_at;
     // When the worker's lists were last requested to see the end of the
@@ -323,13 +326,15 @@
     void record_crash(worker_session& worker);
     void record_crash_behind(const worker_record& successor, time_point now);
     std::int64_t grant_lease(worker_session& worker, time_point now);
-    std::int64_t grant_first_lease(live_run& run, worker_session& worker,
+    std::int64_t grant_start_lease(live_run& run, worker_session& worker,
                                    time_point now);
     bool has_started_run(const worker_session& worker) const;
     void record_order_answer(worker_session& worker, const order_answer& answer,
                              time_point now);
-    void mark_unreachable(worker_session& worker, order_result result,
-                          time_point now);
+    void record_answer(worker_session& worker, time_point now);
+    void record_missing_answer(worker_session& worker, worker_question question,
+                               time_point now);
+    void mark_unreachable(worker_session& worker);
     void abort_gang(const live_run& run, const char* reason, time_point now);
 
     const worker_fleet_options options_;
@@ -342,6 +347,9 @@
     std::map<std::string, worker_session> workers_; // By worker id.
     std::map<std::string, live_run> runs_;          // By key.
     std::vector<std::string> newly_committed_;      // Keys of runs to start.
+    milliseconds timeout_of_attempt(int attempt, time_point now) const;
+    static bool may_repeat_start(const live_run& run,
+                                 const worker_session& worker, time_point now);
     // Ids of workers that `advance` updates without waiting for the next scan.
     std::set<std::string> due_workers_;
     std::set<std::string> stopping_; // Keys of runs with a requested stop.
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -28,10 +28,6 @@
 // lists.
 constexpr milliseconds late_start_answer{300};
 
-// After a failed hold, holds to the worker use the shortest wait for this time,
-// because a lost answer is detected only when the wait is over.
-constexpr milliseconds short_holds_time{8000};
-
 // Returns the time before a failed hold is repeated. Nothing expires on a
 // worker without runs, so its delay grows with the failures.
 milliseconds hold_retry_delay(const worker_session& worker)
@@ -40,7 +36,7 @@
     {
         return order_retry_delay;
     }
-    return std::min(order_retry_delay * worker.hold_failures,
+    return std::min(order_retry_delay * worker.missed_answers,
                     max_hold_retry_delay);
 }
 
@@ -89,14 +85,16 @@
 {
     worker.holding = true;
     auto order = make_hold_order(worker);
-    // A worker that does not answer gets no new lease: this leader ends its
-    // runs when the last granted lease has expired.
-    const bool renews = has_started_run(worker) && worker.hold_failures == 0;
+    // An unreachable worker gets no new lease: this leader ends its runs when
+    // the last granted lease has expired.
+    const bool renews = has_started_run(worker) && !worker.unreachable;
     if (renews && worker.clock.has_reading())
     {
         order.lease_end_ms = grant_lease(worker, now);
     }
-    if (renews && worker.confirmed)
+    // After a missing answer the lists are requested without a wait, because a
+    // further missing answer shows sooner then.
+    if (renews && worker.confirmed && worker.missed_answers == 0)
     {
         order.wait_limit_ms = hold_wait(worker, now).count();
     }
@@ -139,12 +137,12 @@
             {
                 worker->closed_at = now;
             }
-            mark_unreachable(*worker, answer.result, now);
+            record_missing_answer(*worker, worker_question::hold, now);
             worker->retry_at = now + hold_retry_delay(*worker);
         }
         return;
     }
-    if (!worker->confirmed || worker->hold_failures > 0)
+    if (!worker->confirmed)
     {
         log_event(log_level::info, "worker_confirmed",
                   {{"worker", incarnation.worker},
@@ -153,11 +151,8 @@
                    {"ended", absl::StrCat(answer.lists.ended.size())}});
     }
     worker->confirmed = true;
-    worker->hold_failures = 0;
-    worker->unanswered_orders = 0;
     worker->last_answer = now;
-    worker->last_contact = now;
-    worker->closed_at.reset();
+    record_answer(*worker, now);
     worker->acknowledged_end = std::max(worker->acknowledged_end, sent_end);
     worker->clock.sample(answer.lists.worker_time_ms, now);
     std::set<std::string> seen;
@@ -181,24 +176,6 @@
     }
 }
 
-// Counts a failed hold, or orders without an answer as one. The worker gets no
-// placements and no new lease until it answers a hold.
-void worker_fleet::mark_unreachable(worker_session& worker, order_result result,
-                                    time_point now)
-{
-    if (++worker.hold_failures == 1)
-    {
-        log_event(
-            log_level::warning, "worker_unreachable",
-            {{"worker", worker.record.id()},
-             {"result", name_of(result)},
-             {"unanswered_orders", absl::StrCat(worker.unanswered_orders)},
-             {"runs", absl::StrCat(worker.runs.size())},
-             {"epoch", absl::StrCat(epoch_)}});
-    }
-    worker.short_holds_until = now + short_holds_time;
-}
-
 // Returns true when a start on the worker was answered, or a run of an earlier
 // leader may be there: its lease must be renewed.
 bool worker_fleet::has_started_run(const worker_session& worker) const
@@ -249,7 +226,7 @@
                       {{"job", item.run.job()},
                        {"run", key},
                        {"worker", worker.record.id()}});
-            port_.stop(worker.record, item.run, epoch_,
+            port_.stop(worker.record, item.run, epoch_, order_timeout,
                        [](const order_answer&) {});
             continue;
         }
@@ -335,10 +312,10 @@
 bool worker_fleet::needs_hold(const worker_session& worker,
                               time_point now) const
 {
-    // Only an answer to a hold makes a worker usable again after a failed one,
-    // so a worker that reports is asked even when no run is left on it.
+    // Only an answer makes a worker usable again, so an unreachable one that
+    // reports is asked even when no run is left on it.
     const bool may_answer_again =
-        worker.hold_failures > 0 && !is_silent(worker, now);
+        worker.missed_answers > 0 && !is_silent(worker, now);
     return !worker.holding && worker.pending_ends.empty() &&
            (!worker.confirmed || may_answer_again ||
             worker.acknowledged_end < worker.committed_end ||
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -13,10 +13,16 @@
 namespace
 {
 
-// An unanswered start is attempted this often before the run is stopped. All
-// attempts together take less than the time that gang members wait for each
-// other.
+// An unanswered start is attempted this often before the run is stopped. While
+// the worker counts as reachable, it is attempted for a time that is shorter
+// than the time for which gang members wait for each other.
 constexpr int max_start_attempts = 5;
+constexpr milliseconds start_time_limit{2400};
+
+// Timeout of orders where many answers are lost. Each third attempt waits for
+// the whole timeout, so that slow workers still answer some.
+constexpr milliseconds short_order_timeout{100};
+constexpr int attempts_with_long_timeout = 3;
 
 // Time before a failed stop is repeated.
 constexpr milliseconds order_retry_delay{150};
@@ -25,15 +31,11 @@
 // listed as ended.
 constexpr milliseconds list_request_interval{500};
 
-// Lease of a start on a worker that has no other runs. A worker that does not
-// answer delays the subtask by this time only: afterwards it can not carry out
-// the start any more.
+// Lease of a start on a worker that has no other runs, where few answers are
+// lost. A worker that does not answer delays the subtask by this time only:
+// afterwards it can not carry out the start any more.
 constexpr milliseconds first_lease{1000};
 
-// A worker that left this many orders in a row unanswered gets no placements
-// until it answers a hold.
-constexpr int max_unanswered_orders = 2;
-
 // A worker that refused a start gets no placement for this time.
 constexpr milliseconds refusal_pause{1000};
 
@@ -90,39 +92,59 @@
     return until;
 }
 
-// Grants the lease of a start on a worker without other runs. All attempts of
-// the start share it, so that the subtask is free again when it is over.
-std::int64_t worker_fleet::grant_first_lease(live_run& run,
+// Grants the lease of a start. All attempts share it, so that a worker that
+// answers none of them delays the subtask by one lease.
+std::int64_t worker_fleet::grant_start_lease(live_run& run,
                                              worker_session& worker,
                                              time_point now)
 {
-    if (run.first_lease_end_ms == 0)
+    if (run.start_lease_end_ms == 0)
     {
-        run.first_lease_end_ms =
-            worker.clock.worker_time(now) + first_lease.count();
+        const bool is_first = !has_started_run(worker) &&
+                              answers_are_reliable(lost_share(answers_, now));
+        run.start_lease_end_ms =
+            worker.clock.worker_time(now) +
+            (is_first ? first_lease : options_.max_lease).count();
     }
-    worker.clock.grant(run.first_lease_end_ms);
-    return run.first_lease_end_ms;
+    worker.clock.grant(run.start_lease_end_ms);
+    return run.start_lease_end_ms;
 }
 
-// Counts orders without an answer. A worker that reports and answers none is
-// unreachable, also when no hold is due.
+// Records the answer to an order or its absence. A worker that reports and
+// answers none is unreachable, also when no hold is due.
 void worker_fleet::record_order_answer(worker_session& worker,
                                        const order_answer& answer,
                                        time_point now)
 {
+    if (answer.result == order_result::other_worker)
+    {
+        return; // Another incarnation answered.
+    }
     if (answer.result != order_result::unknown)
     {
-        worker.unanswered_orders = 0;
-        worker.last_contact = now;
+        record_answer(worker, now);
         worker.clock.sample(answer.worker_time_ms, now);
         return;
     }
-    ++worker.unanswered_orders;
-    if (worker.unanswered_orders == max_unanswered_orders)
-    {
-        mark_unreachable(worker, answer.result, now);
-    }
+    record_missing_answer(worker, worker_question::order, now);
+}
+
+// Returns the timeout of an attempt to send an order. Attempts count from 1.
+milliseconds worker_fleet::timeout_of_attempt(int attempt, time_point now) const
+{
+    return answers_are_reliable(lost_share(answers_, now)) ||
+                   attempt % attempts_with_long_timeout == 0
+               ? order_timeout
+               : short_order_timeout;
+}
+
+// Returns true when a start that was not answered is attempted again.
+bool worker_fleet::may_repeat_start(const live_run& run,
+                                    const worker_session& worker,
+                                    time_point now)
+{
+    return run.start_attempts < max_start_attempts ||
+           (!worker.unreachable && now - run.first_sent_at < start_time_limit);
 }
 
 // Marks members of gangs for a stop unless the whole gang can start: all
@@ -193,15 +215,14 @@
     order.run = run.ref;
     order.worker = worker.record.id();
     order.payload = job->job.spec().payload();
-    order.lease_end_ms = has_started_run(worker)
-                             ? grant_lease(worker, now)
-                             : grant_first_lease(run, worker, now);
+    order.lease_end_ms = grant_start_lease(run, worker, now);
     order.epoch = epoch_;
     order.checkpoint = run.gang ? step->checkpoint : subtask->checkpoint;
     order.ticket = run.ticket;
     const auto key = key_of(run.ref);
     if (run.start_attempts == 1)
     {
+        run.first_sent_at = now;
         record_start(run, worker, now);
         log_event(log_level::info, "run_starting",
                   {{"job", run.ref.job()},
@@ -211,6 +232,7 @@
                    {"epoch", absl::StrCat(epoch_)}});
     }
     port_.start(worker.record, order,
+                timeout_of_attempt(run.start_attempts, now),
                 answer_handler(key, &worker_fleet::on_start_answer));
 }
 
@@ -278,7 +300,7 @@
         run.phase = run_phase::present;
         run.changed_at = now;
         run.started_at = now;
-        if (worker != nullptr && worker->hold_failures == 0)
+        if (worker != nullptr)
         {
             // The next hold renews the first lease.
             worker->retry_at = now;
@@ -290,7 +312,7 @@
         {
             break;
         }
-        if (run.start_attempts < max_start_attempts)
+        if (may_repeat_start(run, *worker, now))
         {
             send_start(run, *worker, now);
         }
@@ -355,7 +377,9 @@
     }
     run.stop_sent = true;
     run.changed_at = now;
+    ++run.stop_attempts;
     port_.stop(found->second.record, run.ref, epoch_,
+               timeout_of_attempt(run.stop_attempts, now),
                answer_handler(key_of(run.ref), &worker_fleet::on_stop_answer));
 }
 
@@ -392,6 +416,11 @@
     }
     run.stop_sent = false; // `advance` sends the stop again.
     run.changed_at = now;
+    if (worker != nullptr && !worker->unreachable &&
+        !answers_are_reliable(lost_share(answers_, now)))
+    {
+        send_stop(run, now);
+    }
 }
 
 // Repeats stops that were not acknowledged, and requests the lists of workers
--- a/src/coordination/fleet/worker_port.hpp
+++ b/src/coordination/fleet/worker_port.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.hpp"
 #include "protocol/external_protocol.hpp"
 
 #include <functional>
@@ -16,6 +17,10 @@
     bool connection_closed = false; // The worker closed the connection.
 };
 
+/// Workers answer within a few milliseconds. An order without an answer after
+/// this time is repeated on a new connection.
+constexpr milliseconds order_timeout{300};
+
 /// Sends orders to workers. Callbacks run later, on the same thread; they may
 /// never run once the port's owner no longer leads.
 class worker_port
@@ -23,10 +28,12 @@
 public:
     virtual ~worker_port() = default;
 
+    /// `timeout` limits the time until the answer.
     virtual void start(const worker_record& worker, const start_order& order,
+                       milliseconds timeout,
                        std::function<void(const order_answer&)> done) = 0;
     virtual void stop(const worker_record& worker, const run_ref& run,
-                      std::uint64_t epoch,
+                      std::uint64_t epoch, milliseconds timeout,
                       std::function<void(const order_answer&)> done) = 0;
 
     /// Requests the lists with a long poll: the worker answers when a run ends
--- a/src/transport/http_worker_port.cpp
+++ b/src/transport/http_worker_port.cpp
@@ -11,16 +11,12 @@
 namespace
 {
 
-// Workers answer within a few milliseconds. An order without an answer after
-// this time is repeated on a new connection.
-constexpr milliseconds order_timeout{300};
-
 // A channel whose current call has waited for this long gets no more orders
 // while fewer than `max_order_channels` are open.
 constexpr milliseconds stalled_after{40};
 constexpr std::size_t max_order_channels = 4;
 
-// Time that a hold may take beyond the wait limit that the worker is given.
+// Time that a hold with a wait limit may take beyond that limit.
 constexpr milliseconds hold_slack{600};
 
 constexpr unsigned status_ok = 200;
@@ -86,10 +82,11 @@
 
 void http_worker_port::send_order(http_channel& channel,
                                   const outgoing_call& call,
+                                  milliseconds timeout,
                                   std::function<void(const order_answer&)> done)
 {
     channel.send(
-        call.method, call.target, call.headers, call.body, order_timeout,
+        call.method, call.target, call.headers, call.body, timeout,
         [this, done = std::move(done)](const http_channel_answer& answer)
         {
             done(answer.status == 0
@@ -99,19 +96,20 @@
 }
 
 void http_worker_port::start(const worker_record& worker,
-                             const start_order& order,
+                             const start_order& order, milliseconds timeout,
                              std::function<void(const order_answer&)> done)
 {
-    send_order(order_channel(worker), protocol_.encode_start(order),
+    send_order(order_channel(worker), protocol_.encode_start(order), timeout,
                std::move(done));
 }
 
 void http_worker_port::stop(const worker_record& worker, const run_ref& run,
-                            std::uint64_t epoch,
+                            std::uint64_t epoch, milliseconds timeout,
                             std::function<void(const order_answer&)> done)
 {
     send_order(order_channel(worker),
-               protocol_.encode_stop(run, worker.id(), epoch), std::move(done));
+               protocol_.encode_stop(run, worker.id(), epoch), timeout,
+               std::move(done));
 }
 
 void http_worker_port::send_hold(http_channel& channel, const hold_order& order,
@@ -120,7 +118,8 @@
     const auto call = protocol_.encode_hold(order);
     channel.send(
         call.method, call.target, call.headers, call.body,
-        milliseconds(order.wait_limit_ms) + hold_slack,
+        order.wait_limit_ms > 0 ? milliseconds(order.wait_limit_ms) + hold_slack
+                                : order_timeout,
         [this, worker = order.worker,
          done = std::move(done)](const http_channel_answer& answer)
         {
--- a/src/transport/http_worker_port.hpp
+++ b/src/transport/http_worker_port.hpp
@@ -23,9 +23,10 @@
                      const external_protocol& protocol);
 
     void start(const worker_record& worker, const start_order& order,
+               milliseconds timeout,
                std::function<void(const order_answer&)> done) override;
     void stop(const worker_record& worker, const run_ref& run,
-              std::uint64_t epoch,
+              std::uint64_t epoch, milliseconds timeout,
               std::function<void(const order_answer&)> done) override;
     void hold(const worker_record& worker, const hold_order& order,
               std::function<void(const hold_answer&)> done) override;
@@ -44,6 +45,7 @@
     channels& channels_of(const worker_record& worker);
     http_channel& order_channel(const worker_record& worker);
     void send_order(http_channel& channel, const outgoing_call& call,
+                    milliseconds timeout,
                     std::function<void(const order_answer&)> done);
     void send_hold(http_channel& channel, const hold_order& order,
                    std::function<void(const hold_answer&)> done);
--- a/test/support/fake_worker_port.hpp
+++ b/test/support/fake_worker_port.hpp
@@ -21,12 +21,14 @@
     {
         start_order order;
         order_callback done;
+        milliseconds timeout{0};
     };
     struct sent_stop
     {
         std::string worker;
         run_ref run;
         order_callback done;
+        milliseconds timeout{0};
     };
     struct sent_hold
     {
@@ -35,14 +37,14 @@
     };
 
     void start(const worker_record&, const start_order& order,
-               order_callback done) override
+               milliseconds timeout, order_callback done) override
     {
-        starts.push_back({order, std::move(done)});
+        starts.push_back({order, std::move(done), timeout});
     }
     void stop(const worker_record& worker, const run_ref& run, std::uint64_t,
-              order_callback done) override
+              milliseconds timeout, order_callback done) override
     {
-        stops.push_back({worker.id(), run, std::move(done)});
+        stops.push_back({worker.id(), run, std::move(done), timeout});
     }
     void hold(const worker_record&, const hold_order& order,
               hold_callback done) override
--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -11,7 +11,6 @@
 {
 
 constexpr std::int64_t max_lease_ms = 6000;
-constexpr milliseconds answer_timeout{300};
 constexpr milliseconds crash_after_start{10};
 
 } // namespace
@@ -267,6 +266,7 @@
 // lost.
 void model_workers::take_order(const std::string& id,
                                const std::function<order_result()>& carry_out,
+                               milliseconds timeout,
                                const fake_worker_port::order_callback& done)
 {
     const auto result = std::make_shared<order_answer>();
@@ -287,7 +287,7 @@
         done(*result);
         return;
     }
-    delayed_.push_back({fixture_.now + answer_timeout, [done]
+    delayed_.push_back({fixture_.now + timeout, [done]
                         {
                             done({});
                         }});
@@ -309,7 +309,7 @@
             {
                 return start(order.worker, order);
             },
-            item.done);
+            item.timeout, item.done);
     }
     for (auto& item : std::exchange(port.stops, {}))
     {
@@ -319,7 +319,7 @@
             {
                 return stop(id, run, epoch);
             },
-            item.done);
+            item.timeout, item.done);
     }
     auto lists = std::exchange(port.holds, {});
     for (auto& item : std::exchange(port.list_requests, {}))
@@ -352,7 +352,8 @@
         }
         const auto wait = milliseconds(
             *answered ? std::min<std::int64_t>(item.order.wait_limit_ms, 100)
-                      : item.order.wait_limit_ms + 600);
+            : item.order.wait_limit_ms > 0 ? item.order.wait_limit_ms + 600
+                                           : order_timeout.count());
         delayed_.push_back({fixture_.now + wait,
                             [done = item.done, result, ok = *answered]
                             {
--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -117,6 +117,7 @@
                  const std::function<void()>& answer);
     void take_order(const std::string& id,
                     const std::function<order_result()>& carry_out,
+                    milliseconds timeout,
                     const fake_worker_port::order_callback& done);
     void take_orders();
     void advance_time();
