Send no orders after a suspension until a majority confirms the leader

Change: orders go through guarded_worker_port, which answers them as unknown when the leadership was not checked for 400 ms, and until a read that begins after the gap is confirmed by a majority.

--- a/src/daemon/fleet/core_leadership.cpp
+++ b/src/daemon/fleet/core_leadership.cpp
@@ -16,13 +16,28 @@
 
 constexpr milliseconds member_check_interval{250};
 
+// A leader that has not checked its leadership for this long may have been
+// suspended. It is shorter than the time after which others elect a leader.
+constexpr milliseconds max_leadership_check_age{400};
+
 } // namespace
 
 core_node::leadership::leadership(core_node& node, std::uint64_t term)
     : port(node.io_, node.protocol_)
+    , guarded_port(
+          port,
+          [&node]
+          {
+              return node.may_act_as_leader();
+          },
+          [&node](std::function<void()> callback)
+          {
+              boost::asio::post(node.io_, std::move(callback));
+          },
+          node.counters_)
     , policy(node.io_, node.protocol_, node.settings_.policy_address)
     , workers(
-          node.settings_.workers, node.state_, port,
+          node.settings_.workers, node.state_, guarded_port,
           [&node](fleet_command command)
           {
               node.runner_->propose(std::move(command), {});
@@ -47,6 +62,7 @@
 // changed. A leadership starts only after a majority has confirmed it.
 void core_node::update_leadership()
 {
+    confirm_after_gap(boot_now());
     const auto& replica = runner_->replica();
     if (leadership_ && (!replica.is_leader() || leadership_->workers.deposed()))
     {
@@ -84,6 +100,43 @@
     }
 }
 
+// Returns false when this host may have been suspended since it last checked
+// whether it still leads. Callbacks that became due meanwhile run first.
+bool core_node::may_act_as_leader() const
+{
+    return !unconfirmed_after_gap_ &&
+           boot_now() - leadership_checked_at_ <= max_leadership_check_age;
+}
+
+// After a suspension, messages that arrived meanwhile make a majority look
+// alive. Only answers to a new round of messages show that this host leads.
+void core_node::confirm_after_gap(time_point now)
+{
+    const auto gap = now - leadership_checked_at_;
+    leadership_checked_at_ = now;
+    if (leadership_ && gap > max_leadership_check_age)
+    {
+        log_event(log_level::warning, "leadership_unconfirmed",
+                  {{"gap_ms", absl::StrCat(gap.count())}});
+        unconfirmed_after_gap_ = true;
+        ++leadership_gaps_;
+    }
+    if (!leadership_ || !unconfirmed_after_gap_ || confirming_after_gap_)
+    {
+        return;
+    }
+    confirming_after_gap_ = true;
+    runner_->read(
+        [this, gaps = leadership_gaps_](bool confirmed)
+        {
+            confirming_after_gap_ = false;
+            if (confirmed && gaps == leadership_gaps_)
+            {
+                unconfirmed_after_gap_ = false;
+            }
+        });
+}
+
 void core_node::begin_leadership()
 {
     const auto term = runner_->replica().term();
@@ -92,6 +145,7 @@
                {"jobs", absl::StrCat(state_.jobs().size())},
                {"workers", absl::StrCat(state_.workers().size())}});
     counters_.add("leaderships_total");
+    unconfirmed_after_gap_ = false;
     leadership_ = std::make_unique<leadership>(*this, term);
     push_status();
 }
--- a/src/daemon/fleet/core_node.hpp
+++ b/src/daemon/fleet/core_node.hpp
@@ -4,6 +4,7 @@
 #include "coordination/fleet/consensus_runner.hpp"
 #include "coordination/fleet/fleet_scheduler.hpp"
 #include "coordination/fleet/fleet_service.hpp"
+#include "coordination/fleet/guarded_worker_port.hpp"
 #include "coordination/fleet/member_policy.hpp"
 #include "coordination/fleet/worker_fleet.hpp"
 #include "daemon/fleet/disk_thread.hpp"
@@ -57,6 +58,7 @@
     {
         leadership(core_node& node, std::uint64_t term);
         http_worker_port port;
+        guarded_worker_port guarded_port;
         http_policy_port policy;
         worker_fleet workers;
         fleet_scheduler scheduler;
@@ -72,6 +74,8 @@
     void send_message(const wire::consensus_message& message);
     void record_observed_host(const hello& from);
     void update_leadership();
+    bool may_act_as_leader() const;
+    void confirm_after_gap(time_point now);
     void begin_leadership();
     void run_due_work();
     void manage_members();
@@ -122,6 +126,13 @@
     std::map<std::uint64_t, forwarded_call_state> forwarded_calls_;
     std::uint64_t next_call_ = 1;
     time_point members_checked_at_;
+    // When this host last checked whether it still leads.
+    time_point leadership_checked_at_;
+    // A majority has to confirm the leadership, because this host may have been
+    // suspended.
+    bool unconfirmed_after_gap_ = false;
+    bool confirming_after_gap_ = false;
+    std::uint64_t leadership_gaps_ = 0; // Number of such suspensions.
     std::string last_leader_;
     fleet_service service_;
     bool stopping_ = false;
