Await a leaving worker's last lists and remember workers that are gone

Reports of other operators: a server that had left was in use again. Cause: (1) a removal ended all runs at once, also while an answer with their ends was under way. (2) A younger worker at the same address only recorded the crash. (3) A removed worker left no trace: a delayed report, also one that arrives after a restart, added it again. Change: runs of a removed worker end when its lists have arrived, or after 300 ms. An unreachable worker whose address a younger one reports is removed at once.

--- a/src/coordination/fleet/fleet_control.cpp
+++ b/src/coordination/fleet/fleet_control.cpp
@@ -80,6 +80,15 @@
         200, protocol_.encode_report_answer(dependencies_.report_address));
     const auto current = state_.workers().find(id);
     auto record = report->worker;
+    if (state_.is_gone({id, record.born_ms()}))
+    {
+        log_event(log_level::info, "report_obsolete",
+                  {{"worker", id},
+                   {"born_ms", absl::StrCat(record.born_ms())},
+                   {"sequence", absl::StrCat(report->sequence)}});
+        done(accepted);
+        return;
+    }
     if (current != state_.workers().end())
     {
         if (record.born_ms() < current->second.born_ms())
@@ -134,6 +143,7 @@
     fleet_command command;
     command.mutable_remove_worker()->set_id(id);
     command.mutable_remove_worker()->set_born_ms(current->second.born_ms());
+    command.mutable_remove_worker()->set_gone(true);
     propose(std::move(command), done,
             [id](apply_result result)
             {
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -142,6 +142,8 @@
     worker.last_report = now;
     worker.last_contact = now;
     worker.added_at = now;
+    auto& youngest = youngest_born_ms_[record.address()];
+    youngest = std::max(youngest, record.born_ms());
     due_workers_.insert(record.id());
     return worker;
 }
@@ -286,6 +288,7 @@
         found->second.changed_at = now;
         newly_committed_.push_back(key);
         return;
+    }
     case fleet_command::kEnd:
     {
         const auto key = key_of(command.end().run());
@@ -313,7 +316,6 @@
             abort_gang(run, "member_ended", now);
         }
         return;
-    }
     case fleet_command::kWorker:
         if (result == apply_result::changed)
         {
@@ -326,10 +328,7 @@
             const auto found = workers_.find(command.remove_worker().id());
             if (found != workers_.end())
             {
-                end_incarnation({found->first, found->second.record.born_ms()},
-                                "worker_left", now);
-                close_connections(found->second.record, now);
-                workers_.erase(found);
+                begin_removal(found->second, now);
             }
         }
         return;
@@ -409,6 +408,7 @@
     {
         return;
     }
+    remove_displaced(worker, now);
     scanned_at_ = now;
     for (auto& [id, worker] : workers_)
     {
@@ -418,3 +418,4 @@
 }
 
 } // namespace limpetstack::fleet
+    finish_removals(now);
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -170,9 +170,16 @@
     bool confirmed = false;
     bool holding = false; // A hold call has been sent and not answered.
     bool removal_proposed = false; // Its removal from the state is proposed.
-    int hold_failures = 0; // Failed holds since the last accepted answer.
-    // Starts and stops without an answer since the last answer of any kind.
-    int unanswered_orders = 0;
+    // When it was removed from the state with runs on it, whose ends may still
+    // be listed by an answer that is under way.
+    std::optional<time_point> removed_at;
+    // Orders and holds without an answer since the last answer of any kind.
+    int missed_answers = 0;
+    // The probability that a worker which is up leaves that many unanswered.
+    double missed_probability = 1;
+    // The missing answers suggest that the worker is down or disconnected. It
+    // gets no placements and no new lease until it answers.
+    bool unreachable = false;
     // Holds wait only for the shortest time until then, after a failed hold.
     time_point short_holds_until;
     time_point retry_at; // No hold is sent before this time.
@@ -315,6 +322,12 @@
     static bool needs_lists(const live_run& run, time_point now);
     bool needs_hold(const worker_session& worker, time_point now) const;
     bool is_silent(const worker_session& worker, time_point now) const;
+    void propose_removal(worker_session& worker, const char* reason, bool gone);
+    bool is_displaced(const worker_session& worker) const;
+    void remove_displaced(worker_session& worker, time_point now);
+    void begin_removal(worker_session& worker, time_point now);
+    bool removal_is_due(const worker_session& worker, time_point now) const;
+    void finish_removals(time_point now);
     void close_connections(const worker_record& record, time_point now);
     void end_incarnation(const worker_incarnation& incarnation,
                          const char* reason, time_point now);
@@ -332,6 +345,9 @@
     void record_order_answer(worker_session& worker, const order_answer& answer,
                              time_point now);
     void record_answer(worker_session& worker, time_point now);
+    milliseconds timeout_of_attempt(int attempt, time_point now) const;
+    static bool may_repeat_start(const live_run& run,
+                                 const worker_session& worker, time_point now);
     void record_missing_answer(worker_session& worker, worker_question question,
                                time_point now);
     void mark_unreachable(worker_session& worker);
@@ -347,13 +363,15 @@
     std::map<std::string, worker_session> workers_; // By worker id.
     std::map<std::string, live_run> runs_;          // By key.
     std::vector<std::string> newly_committed_;      // Keys of runs to start.
-    milliseconds timeout_of_attempt(int attempt, time_point now) const;
-    static bool may_repeat_start(const live_run& run,
-                                 const worker_session& worker, time_point now);
     // Ids of workers that `advance` updates without waiting for the next scan.
     std::set<std::string> due_workers_;
     std::set<std::string> stopping_; // Keys of runs with a requested stop.
-    time_point scanned_at_;          // Last scan of all workers.
+    answer_counts answers_;          // Of all workers.
+    // Ids of removed workers with runs whose ends may still be listed.
+    std::set<std::string> removed_workers_;
+    // Start time of the youngest incarnation that was known, by address.
+    std::map<std::string, std::int64_t> youngest_born_ms_;
+    time_point scanned_at_; // Last scan of all workers.
     bool deposed_ = false;
     bool ended_before_start_ = false;
     // Callbacks hold a weak pointer to it, and do nothing when this object has
--- a/src/coordination/fleet/worker_incarnations.cpp
+++ b/src/coordination/fleet/worker_incarnations.cpp
@@ -10,6 +10,14 @@
 
 namespace limpetstack::fleet
 {
+namespace
+{
+
+// Time for which a removed worker's last lists are awaited: an answer that was
+// sent before the worker left arrives within it.
+constexpr milliseconds last_lists_time{300};
+
+} // namespace
 
 void worker_fleet::refresh_record(const worker_record& record, time_point now)
 {
@@ -81,21 +89,97 @@
 void worker_fleet::remove_silent(worker_session& worker, time_point now)
 {
     const auto silence = now - std::max(worker.last_report, worker.last_answer);
-    if (worker.removal_proposed || !worker.runs.empty() ||
-        silence < options_.remove_silent_after)
+    if (worker.runs.empty() && silence >= options_.remove_silent_after)
+    {
+        propose_removal(worker, "silent", false);
+    }
+}
+
+// Proposes to remove the worker from the state. Reports of an incarnation that
+// is `gone` are obsolete from then on.
+void worker_fleet::propose_removal(worker_session& worker, const char* reason,
+                                   bool gone)
+{
+    if (worker.removal_proposed)
     {
         return;
     }
     worker.removal_proposed = true;
-    log_event(log_level::warning, "silent_worker_removed",
+    log_event(log_level::warning, "worker_removed",
               {{"worker", worker.record.id()},
-               {"silence_ms", absl::StrCat(silence.count())},
+               {"reason", reason},
+               {"runs", absl::StrCat(worker.runs.size())},
                {"epoch", absl::StrCat(epoch_)}});
     fleet_command command;
     auto& removed = *command.mutable_remove_worker();
     removed.set_id(worker.record.id());
     removed.set_born_ms(worker.record.born_ms());
+    removed.set_gone(gone);
     propose_(std::move(command));
 }
 
+// Returns true when a younger incarnation has the worker's address. Both can
+// not be up.
+bool worker_fleet::is_displaced(const worker_session& worker) const
+{
+    const auto found = youngest_born_ms_.find(worker.record.address());
+    return found != youngest_born_ms_.end() &&
+           found->second > worker.record.born_ms();
+}
+
+// Removes an unreachable worker that a younger incarnation at its address
+// proves gone, so that its runs do not wait for the end of their lease.
+void worker_fleet::remove_displaced(worker_session& worker, time_point now)
+{
+    if ((worker.unreachable || is_silent(worker, now)) &&
+        !worker.removal_proposed && is_displaced(worker))
+    {
+        propose_removal(worker, "displaced", true);
+    }
+}
+
+// Ends the runs of a worker that was removed from the state. Runs that may have
+// ended before it left end only when its last lists have arrived or do not
+// come, because they may be done.
+void worker_fleet::begin_removal(worker_session& worker, time_point now)
+{
+    worker.removed_at = now;
+    removed_workers_.insert(worker.record.id());
+    if (!worker.runs.empty() && !worker.unreachable && !worker.holding)
+    {
+        request_lists(worker, now);
+    }
+    finish_removals(now);
+}
+
+bool worker_fleet::removal_is_due(const worker_session& worker,
+                                  time_point now) const
+{
+    return worker.runs.empty() || worker.unreachable ||
+           now - *worker.removed_at >= last_lists_time;
+}
+
+void worker_fleet::finish_removals(time_point now)
+{
+    for (auto at = removed_workers_.begin(); at != removed_workers_.end();)
+    {
+        const auto found = workers_.find(*at);
+        const bool replaced =
+            found == workers_.end() || !found->second.removed_at;
+        if (!replaced && !removal_is_due(found->second, now))
+        {
+            ++at;
+            continue;
+        }
+        if (!replaced)
+        {
+            end_incarnation({found->first, found->second.record.born_ms()},
+                            "worker_left", now);
+            close_connections(found->second.record, now);
+            workers_.erase(found);
+        }
+        at = removed_workers_.erase(at);
+    }
+}
+
 } // namespace limpetstack::fleet
--- a/src/state/fleet_state.cpp
+++ b/src/state/fleet_state.cpp
@@ -4,6 +4,15 @@
 
 namespace limpetstack::fleet
 {
+namespace
+{
+
+// Number of gone worker incarnations that are remembered. A delayed report
+// arrives within minutes of the departure; a fleet of thousands of workers
+// replaces fewer than this in that time.
+constexpr std::size_t max_gone_workers = 8192;
+
+} // namespace
 
 std::uint32_t occurrence_count(const job_spec& spec)
 {
@@ -187,13 +196,13 @@
         {
             return item.run == run.run() && item.incarnation == incarnation;
         });
+    const auto& spec = job.job.spec().steps(static_cast<int>(run.step()));
     if (active == subtask.active.end())
     {
         return apply_result::unchanged;
     }
     subtask.active.erase(active);
     --step.active_count;
-    const auto& spec = job.job.spec().steps(static_cast<int>(run.step()));
     if (!ended.checkpoint().empty())
     {
         subtask.checkpoint = ended.checkpoint();
@@ -222,8 +231,40 @@
     {
         workers_.emplace(worker.id(), worker);
         return apply_result::changed;
+bool fleet_state::is_gone(const worker_incarnation& incarnation) const
+{
+    const auto found = gone_born_ms_.find(incarnation.worker);
+    return found != gone_born_ms_.end() && incarnation.born_ms > 0 &&
+           incarnation.born_ms <= found->second;
+}
+
+void fleet_state::remember_gone(const worker_incarnation& incarnation)
+{
+    if (incarnation.born_ms <= 0)
+    {
+        return;
+    }
+    auto& born_ms = gone_born_ms_[incarnation.worker];
+    born_ms = std::max(born_ms, incarnation.born_ms);
+    gone_workers_.push_back(incarnation);
+    if (gone_workers_.size() > max_gone_workers)
+    {
+        const auto oldest = gone_workers_.front();
+        gone_workers_.pop_front();
+        const auto found = gone_born_ms_.find(oldest.worker);
+        if (found != gone_born_ms_.end() && found->second == oldest.born_ms)
+        {
+            gone_born_ms_.erase(found);
+        }
+    }
+}
+
     }
     // A report of an earlier incarnation may arrive late, after the first
+    if (is_gone({worker.id(), worker.born_ms()}))
+    {
+        return apply_result::refused;
+    }
     // report of the next incarnation.
     if (worker.born_ms() < found->second.born_ms())
     {
@@ -248,6 +289,10 @@
 {
     const auto found = jobs_.find(job.job());
     if (found == jobs_.end() || found->second.ended())
+    if (worker.gone())
+    {
+        remember_gone({worker.id(), worker.born_ms()});
+    }
     {
         return apply_result::unchanged;
     }
@@ -419,6 +464,13 @@
 {
     fleet_snapshot in;
     if (!in.ParseFromString(data))
+    for (const auto& incarnation : gone_workers_)
+    {
+        auto& saved = *out.add_gone_workers();
+        saved.set_id(incarnation.worker);
+        saved.set_born_ms(incarnation.born_ms);
+        saved.set_gone(true);
+    }
     {
         return false;
     }
@@ -474,3 +526,7 @@
 }
 
 } // namespace limpetstack::fleet
+    for (const auto& worker : in.gone_workers())
+    {
+        remember_gone({worker.id(), worker.born_ms()});
+    }
--- a/src/state/fleet_state.hpp
+++ b/src/state/fleet_state.hpp
@@ -3,6 +3,7 @@
 #include "fleet.pb.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <tuple>
@@ -112,6 +113,11 @@
         return workers_;
     }
 
+    /// Returns true when the incarnation, or a later one of the same worker,
+    /// is known to have left or ended: its reports are obsolete. Incarnations
+    /// without a start time are never known to be gone.
+    bool is_gone(const worker_incarnation& incarnation) const;
+
     const job_state* find_job(const std::string& id) const;
     const step_state* find_step(const run_ref& run) const;
     const subtask_state* find_subtask(const run_ref& run) const;
@@ -129,6 +135,7 @@
     apply_result end(const ended_run& ended);
     apply_result put_worker(const worker_record& worker);
     apply_result remove_worker(const worker_ref& worker);
+    void remember_gone(const worker_incarnation& incarnation);
     apply_result fail(const finished_job& job);
     apply_result finish(const finished_job& job);
     apply_result record_crash(const worker_crash& crash);
@@ -140,6 +147,9 @@
     stored_document document_;
     std::map<std::string, job_state> jobs_;
     std::map<std::string, worker_record> workers_;
+    std::deque<worker_incarnation> gone_workers_; // Oldest first.
+    // Start times of the incarnations in `gone_workers_`, by worker.
+    std::map<std::string, std::int64_t> gone_born_ms_;
     std::uint64_t next_order_ = 1;
 };
 
