Count a run as done that its worker lists after the lapse

At 31.7 s the worker lists seven ends. Cause: an end of a run that had ended as lapsed was acknowledged and dropped. Change: a listed end as done counts for a subtask that is not done, and later runs of it are stopped. The end is acknowledged after its commit, as others are. Measured: worker_departure.end_listed_after_the_lapse_counts failed before.

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -290,31 +290,7 @@
         return;
     }
     case fleet_command::kEnd:
-    {
-        const auto key = key_of(command.end().run());
-        const auto found = runs_.find(key);
-        ended_before_start_ = false;
-        if (found == runs_.end())
-        {
-            return;
-        }
-        const auto run = found->second;
-        remove_run(key);
-        ended_before_start_ = run.phase == run_phase::committed ||
-                              run.phase == run_phase::starting;
-        if (auto* const worker = session_of(run.incarnation))
-        {
-            due_workers_.insert(run.incarnation.worker);
-            worker->pending_ends.erase(key);
-            if (worker->pending_ends.empty())
-            {
-                worker->committed_end = worker->listed_end;
-            }
-        }
-        if (run.gang && command.end().end() != run_done)
-        {
-            abort_gang(run, "member_ended", now);
-        }
+        on_end_applied(command.end(), now);
         return;
     case fleet_command::kWorker:
         if (result == apply_result::changed)
@@ -337,6 +313,54 @@
     }
 }
 
+void worker_fleet::on_end_applied(const ended_run& ended, time_point now)
+{
+    ended_before_start_ = false;
+    const auto key = key_of(ended.run());
+    if (auto* const worker = session_of({ended.worker(), ended.born_ms()}))
+    {
+        due_workers_.insert(ended.worker());
+        worker->pending_ends.erase(key);
+        if (worker->pending_ends.empty())
+        {
+            worker->committed_end = worker->listed_end;
+        }
+    }
+    if (ended.end() == run_done)
+    {
+        stop_superseded(ended.run(), now);
+    }
+    const auto found = runs_.find(key);
+    if (found == runs_.end())
+    {
+        return;
+    }
+    const auto run = found->second;
+    remove_run(key);
+    ended_before_start_ =
+        run.phase == run_phase::committed || run.phase == run_phase::starting;
+    if (run.gang && ended.end() != run_done)
+    {
+        abort_gang(run, "member_ended", now);
+    }
+}
+
+// Stops later runs of a subtask that an earlier run has done.
+void worker_fleet::stop_superseded(const run_ref& done, time_point now)
+{
+    const auto* const subtask = state_.find_subtask(done);
+    if (subtask == nullptr || !subtask->done)
+    {
+        return;
+    }
+    auto later = done;
+    for (auto run = done.run() + 1; run <= subtask->last_run; ++run)
+    {
+        later.set_run(run);
+        stop(key_of(later), "already_done", now);
+    }
+}
+
 std::vector<std::string> worker_fleet::gang_members(const run_ref& ref) const
 {
     std::vector<std::string> keys;
@@ -384,6 +408,7 @@
 {
     end_expired(worker, now);
     remove_silent(worker, now);
+    remove_displaced(worker, now);
     if (now >= worker.retry_at && needs_hold(worker, now))
     {
         hold(worker, now);
@@ -408,8 +433,8 @@
     {
         return;
     }
-    remove_displaced(worker, now);
     scanned_at_ = now;
+    finish_removals(now);
     for (auto& [id, worker] : workers_)
     {
         advance_worker(worker, now);
@@ -418,4 +443,3 @@
 }
 
 } // namespace limpetstack::fleet
-    finish_removals(now);
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -312,6 +312,9 @@
                   std::uint64_t sent_end, bool is_hold, time_point now);
     void process_ended(worker_session& worker, const worker_lists& lists,
                        std::set<std::string>& seen);
+    void propose_late_end(worker_session& worker, const listed_end& item);
+    void on_end_applied(const ended_run& ended, time_point now);
+    void stop_superseded(const run_ref& done, time_point now);
     void process_running(worker_session& worker, const worker_lists& lists,
                          std::set<std::string>& seen, time_point now);
     void end_missing(worker_session& worker, const std::set<std::string>& seen,
@@ -319,15 +322,15 @@
     void retry_stops(time_point now);
     void advance_worker(worker_session& worker, time_point now);
     void remove_silent(worker_session& worker, time_point now);
-    static bool needs_lists(const live_run& run, time_point now);
-    bool needs_hold(const worker_session& worker, time_point now) const;
-    bool is_silent(const worker_session& worker, time_point now) const;
     void propose_removal(worker_session& worker, const char* reason, bool gone);
     bool is_displaced(const worker_session& worker) const;
     void remove_displaced(worker_session& worker, time_point now);
     void begin_removal(worker_session& worker, time_point now);
     bool removal_is_due(const worker_session& worker, time_point now) const;
     void finish_removals(time_point now);
+    static bool needs_lists(const live_run& run, time_point now);
+    bool needs_hold(const worker_session& worker, time_point now) const;
+    bool is_silent(const worker_session& worker, time_point now) const;
     void close_connections(const worker_record& record, time_point now);
     void end_incarnation(const worker_incarnation& incarnation,
                          const char* reason, time_point now);
@@ -342,12 +345,12 @@
     std::int64_t grant_start_lease(live_run& run, worker_session& worker,
                                    time_point now);
     bool has_started_run(const worker_session& worker) const;
-    void record_order_answer(worker_session& worker, const order_answer& answer,
-                             time_point now);
-    void record_answer(worker_session& worker, time_point now);
     milliseconds timeout_of_attempt(int attempt, time_point now) const;
     static bool may_repeat_start(const live_run& run,
                                  const worker_session& worker, time_point now);
+    void record_order_answer(worker_session& worker, const order_answer& answer,
+                             time_point now);
+    void record_answer(worker_session& worker, time_point now);
     void record_missing_answer(worker_session& worker, worker_question question,
                                time_point now);
     void mark_unreachable(worker_session& worker);
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -200,7 +200,12 @@
         seen.insert(key);
         const auto found = runs_.find(key);
         if (found == runs_.end() ||
-            session_of(found->second.incarnation) != &worker)
+            (found->second.end_proposed && worker.pending_ends.count(key) == 0))
+        {
+            propose_late_end(worker, item);
+            continue;
+        }
+        if (session_of(found->second.incarnation) != &worker)
         {
             continue;
         }
@@ -210,6 +215,31 @@
     }
 }
 
+// Proposes the end of a run that was ended as lapsed in the meantime, if it is
+// done after all: its work need not be repeated.
+void worker_fleet::propose_late_end(worker_session& worker,
+                                    const listed_end& item)
+{
+    const auto* const subtask = state_.find_subtask(item.run);
+    if (item.end != run_done || subtask == nullptr || subtask->done ||
+        !worker.pending_ends.insert(key_of(item.run)).second)
+    {
+        return;
+    }
+    log_event(log_level::info, "late_end",
+              {{"job", item.run.job()},
+               {"run", key_of(item.run)},
+               {"worker", worker.record.id()},
+               {"epoch", absl::StrCat(epoch_)}});
+    fleet_command command;
+    auto& ended = *command.mutable_end();
+    *ended.mutable_run() = item.run;
+    ended.set_worker(worker.record.id());
+    ended.set_born_ms(worker.record.born_ms());
+    ended.set_end(item.end);
+    propose_(std::move(command));
+}
+
 void worker_fleet::process_running(worker_session& worker,
                                    const worker_lists& lists,
                                    std::set<std::string>& seen, time_point now)
--- a/src/state/fleet_state.cpp
+++ b/src/state/fleet_state.cpp
@@ -199,7 +199,14 @@
     const auto& spec = job.job.spec().steps(static_cast<int>(run.step()));
     if (active == subtask.active.end())
     {
-        return apply_result::unchanged;
+        // The run was ended as lapsed before its worker listed that it is done.
+        if (ended.end() != run_done || spec.lasting() || subtask.done ||
+            run.run() == 0 || run.run() > subtask.last_run)
+        {
+            return apply_result::unchanged;
+        }
+        record_done(job, at->second, step, spec, subtask);
+        return apply_result::changed;
     }
     subtask.active.erase(active);
     --step.active_count;
@@ -224,13 +231,6 @@
     return apply_result::changed;
 }
 
-apply_result fleet_state::put_worker(const worker_record& worker)
-{
-    const auto found = workers_.find(worker.id());
-    if (found == workers_.end())
-    {
-        workers_.emplace(worker.id(), worker);
-        return apply_result::changed;
 bool fleet_state::is_gone(const worker_incarnation& incarnation) const
 {
     const auto found = gone_born_ms_.find(incarnation.worker);
@@ -259,12 +259,19 @@
     }
 }
 
-    }
-    // A report of an earlier incarnation may arrive late, after the first
+apply_result fleet_state::put_worker(const worker_record& worker)
+{
     if (is_gone({worker.id(), worker.born_ms()}))
     {
         return apply_result::refused;
     }
+    const auto found = workers_.find(worker.id());
+    if (found == workers_.end())
+    {
+        workers_.emplace(worker.id(), worker);
+        return apply_result::changed;
+    }
+    // A report of an earlier incarnation may arrive late, after the first
     // report of the next incarnation.
     if (worker.born_ms() < found->second.born_ms())
     {
@@ -282,6 +289,10 @@
         return apply_result::unchanged;
     }
     workers_.erase(found);
+    if (worker.gone())
+    {
+        remember_gone({worker.id(), worker.born_ms()});
+    }
     return apply_result::changed;
 }
 
@@ -289,10 +300,6 @@
 {
     const auto found = jobs_.find(job.job());
     if (found == jobs_.end() || found->second.ended())
-    if (worker.gone())
-    {
-        remember_gone({worker.id(), worker.born_ms()});
-    }
     {
         return apply_result::unchanged;
     }
@@ -457,13 +464,6 @@
     {
         *out.add_workers() = worker;
     }
-    return out.SerializeAsString();
-}
-
-bool fleet_state::restore(const std::string& data)
-{
-    fleet_snapshot in;
-    if (!in.ParseFromString(data))
     for (const auto& incarnation : gone_workers_)
     {
         auto& saved = *out.add_gone_workers();
@@ -471,6 +471,13 @@
         saved.set_born_ms(incarnation.born_ms);
         saved.set_gone(true);
     }
+    return out.SerializeAsString();
+}
+
+bool fleet_state::restore(const std::string& data)
+{
+    fleet_snapshot in;
+    if (!in.ParseFromString(data))
     {
         return false;
     }
@@ -522,11 +529,11 @@
     {
         workers_[worker.id()] = worker;
     }
-    return true;
-}
-
-} // namespace limpetstack::fleet
     for (const auto& worker : in.gone_workers())
     {
         remember_gone({worker.id(), worker.born_ms()});
     }
+    return true;
+}
+
+} // namespace limpetstack::fleet
--- a/test/worker_departure-test.cpp
+++ b/test/worker_departure-test.cpp
@@ -103,6 +103,34 @@
     EXPECT_EQ(fixture.workers->runs().count(first_run), 1U);
 }
 
+// Guards against work that is repeated although it is done: the run was ended
+// as lapsed in a cut, and its worker lists later that it had ended before.
+TEST(worker_departure, end_listed_after_the_lapse_counts)
+{
+    fleet_fixture fixture;
+    start_run(fixture);
+    const auto lost_hold = fixture.port.holds.front();
+    fixture.port.holds.clear();
+    fixture.advance(milliseconds(7000));
+    ASSERT_EQ(fixture.workers->runs().count(first_run), 0U);
+    add_ready_worker(fixture, "w2", "r1");
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.starts.size(), 1U);
+    accept_starts(fixture);
+    fixture.port.holds.clear();
+    lost_hold.done({});
+    fixture.report("w1");
+    fixture.advance(milliseconds(1000));
+    ASSERT_FALSE(fixture.port.holds.empty());
+    ASSERT_EQ(fixture.port.holds.front().order.worker, "w1");
+    fixture.port.holds.front().done(lists_with_end(fixture, run_done));
+    fixture.commit();
+    EXPECT_EQ(fixture.state.find_step(make_run("job", 0, 1))->done_count, 1U);
+    // The second run is stopped.
+    ASSERT_EQ(fixture.port.stops.size(), 1U);
+    EXPECT_EQ(fixture.port.stops.front().run.run(), 2U);
+}
+
 // Guards against a start on a worker that answers nothing whose attempts each
 // grant a new lease, so that the runs there end late.
 TEST(worker_departure, attempts_of_a_start_share_one_lease)
