Answer a request whose handler throws and go on serving

An exception in the handler of an HTTP request left the event loop and ended the fleet daemon, with it the service for all other callers. Change: the server catches it, logs request_failed and answers 504, because the request may have had an effect.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,11 +1,14 @@
 #include "transport/http_server.hpp"
 
+#include "base/log.hpp"
 #include "transport/address.hpp"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <chrono>
+#include <exception>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -137,16 +140,34 @@
         request.time_left_ms =
             parse_milliseconds(message[state_->deadline_header]);
         request.body = std::move(message.body());
-        state_->handler(std::move(request),
-                        [self = shared_from_this(),
-                         used = false](http_server_answer answer) mutable
-                        {
-                            if (!used)
-                            {
-                                used = true;
-                                self->write(std::move(answer));
-                            }
-                        });
+        handle(std::move(request));
+    }
+
+    // Calls the handler. An exception that a request causes must not end the
+    // process, which serves others; the request may have had an effect.
+    void handle(http_server_request request)
+    {
+        constexpr unsigned outcome_unknown = 504;
+        const http_responder respond =
+            [self = shared_from_this(),
+             used = std::make_shared<bool>(false)](http_server_answer answer)
+        {
+            if (!std::exchange(*used, true))
+            {
+                self->write(std::move(answer));
+            }
+        };
+        const auto target = request.target;
+        try
+        {
+            state_->handler(std::move(request), respond);
+        }
+        catch (const std::exception& error)
+        {
+            log_event(log_level::error, "request_failed",
+                      {{"target", target}, {"reason", error.what()}});
+            respond({outcome_unknown, "{}", 0});
+        }
     }
 
     void write(http_server_answer answer)
--- a/test/http_channel-test.cpp
+++ b/test/http_channel-test.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,10 @@
               [this](const http_server_request& request, http_responder respond)
               {
                   targets.push_back(request.target);
+                  if (request.target == "/throws")
+                  {
+                      throw std::length_error("unexpected");
+                  }
                   if (request.target == "/silent")
                   {
                       delayed.push_back(std::move(respond));
@@ -53,6 +58,24 @@
     http_server server;
 };
 
+// Guards against a request with an unexpected error that ends the process and
+// with it the service for everybody else.
+TEST_F(http_channel_test, exception_of_a_handler_ends_only_its_request)
+{
+    http_channel channel(io, address);
+    std::vector<unsigned> statuses;
+    for (const char* const target : {"/throws", "/next"})
+    {
+        channel.send("GET", target, {}, "", std::chrono::milliseconds(200),
+                     [&statuses](const http_channel_answer& answer)
+                     {
+                         statuses.push_back(answer.status);
+                     });
+    }
+    run();
+    EXPECT_EQ(statuses, (std::vector<unsigned>{504, 200}));
+}
+
 // Guards against a call that is sent twice when a callback queues the next
 // call. The second answer would then be taken for that of a later call.
 TEST_F(http_channel_test, call_from_a_callback_is_sent_once)
