Send no start to a worker that became unreachable after the placement

Found by looking at every path that grants a lease on an order that nobody may answer: holds and further attempts grant nothing new to an unreachable worker, but the first attempt of a start did. The subtask then waited for that lease, up to 6.2 s. Change: such a placement ends as never started and is made anew. Measured: worker_departure.placement_on_an_unreachable_worker_is_not_started passes; it fails without the check, since the start is sent.

--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -193,6 +193,12 @@
             propose_end(found->second, run_never, "", "not_started");
             continue;
         }
+        if (worker->unreachable)
+        {
+            // The order would only grant a lease that nobody answers for.
+            propose_end(found->second, run_never, "", "worker_unreachable");
+            continue;
+        }
         send_start(found->second, *worker, now);
     }
 }
--- a/test/worker_departure-test.cpp
+++ b/test/worker_departure-test.cpp
@@ -152,6 +152,21 @@
     }
 }
 
+// Guards against a start that is sent to a worker which became unreachable
+// after the placement, and that delays the subtask by a lease.
+TEST(worker_departure, placement_on_an_unreachable_worker_is_not_started)
+{
+    fleet_fixture fixture;
+    start_run(fixture);
+    fixture.submit("other", make_step(1, 1));
+    fixture.scheduler->run_round(fixture.now, fixture.wall_ms);
+    fixture.port.holds.front().done({});
+    fixture.commit();
+    EXPECT_TRUE(fixture.port.starts.empty());
+    EXPECT_EQ(fixture.workers->runs().count("other.0.0.0#1"), 0U);
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 1U);
+}
+
 // Guards against a worker that has left and gets runs again, at once or after a
 // restart of the leader, because a delayed report of it arrives.
 TEST(worker_departure, delayed_report_does_not_bring_a_worker_back)
