Limit a leader's connections to workers to half of its descriptors

The leader used 49 to 69% of its core, 247 new connections a second. Cause: one connection for holds and at least one for orders to each worker, 6,000 for 3,000 workers, against 4,096 descriptors. Further connections failed at once, were taken for missing answers and tried again without a pause: in a profile 31% of the leader's time was spent on failed calls and the starts and stops that they repeat, 13% on scheduling. Ruled out: the scheduler's rounds (13%) and the reports (10%). Change: at half of the descriptors the settings name, the worker port closes the connections that were not used for the longest time; one with a call in progress stays. A new leader asks at most 256 workers without runs at once whether they are there.

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -409,7 +409,8 @@
     end_expired(worker, now);
     remove_silent(worker, now);
     remove_displaced(worker, now);
-    if (now >= worker.retry_at && needs_hold(worker, now))
+    if (now >= worker.retry_at && needs_hold(worker, now) &&
+        may_confirm(worker))
     {
         hold(worker, now);
     }
@@ -434,6 +435,12 @@
         return;
     }
     scanned_at_ = now;
+    open_confirmations_ = static_cast<std::size_t>(std::count_if(
+        workers_.begin(), workers_.end(),
+        [](const auto& entry)
+        {
+            return entry.second.holding && !entry.second.confirmed;
+        }));
     finish_removals(now);
     for (auto& [id, worker] : workers_)
     {
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -330,6 +330,7 @@
     void finish_removals(time_point now);
     static bool needs_lists(const live_run& run, time_point now);
     bool needs_hold(const worker_session& worker, time_point now) const;
+    bool may_confirm(const worker_session& worker) const;
     bool is_silent(const worker_session& worker, time_point now) const;
     void close_connections(const worker_record& record, time_point now);
     void end_incarnation(const worker_incarnation& incarnation,
@@ -370,6 +371,8 @@
     std::set<std::string> due_workers_;
     std::set<std::string> stopping_; // Keys of runs with a requested stop.
     answer_counts answers_;          // Of all workers.
+    // Open holds to workers that have not answered this leader yet.
+    std::size_t open_confirmations_ = 0;
     // Ids of removed workers with runs whose ends may still be listed.
     std::set<std::string> removed_workers_;
     // Start time of the youngest incarnation that was known, by address.
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -81,9 +81,19 @@
                             options_.max_hold_wait);
 }
 
+// Limits the holds that a new leader opens at once, so that a large fleet does
+// not exhaust its connections. Workers with runs come first.
+bool worker_fleet::may_confirm(const worker_session& worker) const
+{
+    constexpr std::size_t max_open_confirmations = 256;
+    return worker.confirmed || !worker.runs.empty() ||
+           open_confirmations_ < max_open_confirmations;
+}
+
 void worker_fleet::hold(worker_session& worker, time_point now)
 {
     worker.holding = true;
+    open_confirmations_ += worker.confirmed ? 0 : 1;
     auto order = make_hold_order(worker);
     // An unreachable worker gets no new lease: this leader ends its runs when
     // the last granted lease has expired.
--- a/src/daemon/fleet/core_leadership.cpp
+++ b/src/daemon/fleet/core_leadership.cpp
@@ -20,10 +20,17 @@
 // suspended. It is shorter than the time after which others elect a leader.
 constexpr milliseconds max_leadership_check_age{400};
 
+// The part of the descriptors that connections to workers may take. Reports of
+// workers, other hosts, callers and files need the rest.
+constexpr double worker_connections_share = 0.5;
+
 } // namespace
 
 core_node::leadership::leadership(core_node& node, std::uint64_t term)
-    : port(node.io_, node.protocol_)
+    : port(node.io_, node.protocol_,
+           static_cast<std::size_t>(
+               static_cast<double>(node.settings_.max_descriptors) *
+               worker_connections_share))
     , guarded_port(
           port,
           [&node]
--- a/src/daemon/fleet/node_settings.hpp
+++ b/src/daemon/fleet/node_settings.hpp
@@ -29,6 +29,8 @@
     std::string data_folder; // Empty when the host has no disk.
     // Number of hosts with a disk that may be lost at the same time.
     std::size_t tolerated_losses = 1;
+    // Descriptors that the process may have open at the same time.
+    std::size_t max_descriptors = 4096;
     // Time between the signal to stop and the kill.
     milliseconds stop_grace{6000};
     worker_fleet_options workers;
--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -45,6 +45,7 @@
             {std::make_shared<const http::request<http::string_body>>(
                  std::move(request)),
              timeout, std::move(done)});
+        last_used_ = boot_now();
         start_next();
     }
 
@@ -60,6 +61,20 @@
     }
 
     std::size_t backlog() const { return calls_.size(); }
+    bool is_open() const { return stream_ != nullptr; }
+    time_point last_used() const { return last_used_; }
+
+    void close_if_idle()
+    {
+        if (calls_.empty())
+        {
+            if (const auto stream = std::exchange(stream_, nullptr))
+            {
+                stream->close();
+            }
+        }
+    }
+
     std::chrono::milliseconds waited() const
     {
         return calls_.empty() ? milliseconds(0) : boot_now() - call_started_;
@@ -186,6 +201,7 @@
         }
         const auto done = std::move(calls_.front().done);
         calls_.pop_front();
+        last_used_ = boot_now();
         const auto self = shared_from_this();
         active_ = false;
         done(answer); // The callback may queue and start the next call.
@@ -200,6 +216,7 @@
     std::optional<http::response_parser<http::string_body>> parser_;
     std::deque<call> calls_;
     time_point call_started_; // When the first call became active.
+    time_point last_used_;    // When a call was queued or ended.
     bool active_ = false;     // The first call is in progress.
     bool closed_ = false;     // No further callback may be invoked.
 };
@@ -242,6 +259,21 @@
     return implementation_->backlog();
 }
 
+bool http_channel::is_open() const
+{
+    return implementation_->is_open();
+}
+
+time_point http_channel::last_used() const
+{
+    return implementation_->last_used();
+}
+
+void http_channel::close_if_idle()
+{
+    implementation_->close_if_idle();
+}
+
 std::chrono::milliseconds http_channel::waited() const
 {
     return implementation_->waited();
--- a/src/transport/http_channel.hpp
+++ b/src/transport/http_channel.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/clock.hpp"
+
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
@@ -49,6 +51,16 @@
     /// Returns the number of calls that are queued or in progress.
     std::size_t backlog() const;
 
+    /// Returns true while a connection is open or being opened.
+    bool is_open() const;
+
+    /// Returns when the last call was queued or ended.
+    time_point last_used() const;
+
+    /// Closes the connection unless a call is queued or in progress. The next
+    /// call opens another one.
+    void close_if_idle();
+
     /// Returns how long the current call has been in progress; zero without
     /// one.
     std::chrono::milliseconds waited() const;
--- a/src/transport/http_worker_port.cpp
+++ b/src/transport/http_worker_port.cpp
@@ -24,9 +24,11 @@
 } // namespace
 
 http_worker_port::http_worker_port(boost::asio::io_context& io,
-                                   const external_protocol& protocol)
+                                   const external_protocol& protocol,
+                                   std::size_t max_connections)
     : io_(io)
     , protocol_(protocol)
+    , max_connections_(max_connections)
 {
 }
 
@@ -43,6 +45,61 @@
     return item;
 }
 
+std::vector<http_channel*> http_worker_port::open_channels() const
+{
+    std::vector<http_channel*> open;
+    const auto add = [&open](const std::unique_ptr<http_channel>& channel)
+    {
+        if (channel != nullptr && channel->is_open())
+        {
+            open.push_back(channel.get());
+        }
+    };
+    for (const auto& [id, item] : channels_)
+    {
+        add(item.holds);
+        std::for_each(item.orders.begin(), item.orders.end(), add);
+    }
+    return open;
+}
+
+std::size_t http_worker_port::open_connections() const
+{
+    return open_channels().size();
+}
+
+// Closes idle connections when the one that a call on `channel` opens would
+// exceed the limit. Some more are closed than needed, so that the channels are
+// not searched for each new connection.
+void http_worker_port::make_room(const http_channel& channel)
+{
+    if (channel.is_open() || ++connections_bound_ <= max_connections_)
+    {
+        return;
+    }
+    auto open = open_channels();
+    std::sort(open.begin(), open.end(),
+              [](const http_channel* a, const http_channel* b)
+              {
+                  return a->last_used() < b->last_used();
+              });
+    const auto wanted = max_connections_ - max_connections_ / 8;
+    auto left = open.size();
+    for (auto* const item : open)
+    {
+        if (left < wanted)
+        {
+            break;
+        }
+        if (item->backlog() == 0)
+        {
+            item->close_if_idle();
+            --left;
+        }
+    }
+    connections_bound_ = left + 1;
+}
+
 // Returns the channel with the fewest pending calls among those that are not
 // stalled. When all are stalled, opens a new one, or returns the channel with
 // the fewest calls if there are `max_order_channels` already.
@@ -85,6 +142,7 @@
                                   milliseconds timeout,
                                   std::function<void(const order_answer&)> done)
 {
+    make_room(channel);
     channel.send(
         call.method, call.target, call.headers, call.body, timeout,
         [this, done = std::move(done)](const http_channel_answer& answer)
@@ -116,6 +174,7 @@
                                  std::function<void(const hold_answer&)> done)
 {
     const auto call = protocol_.encode_hold(order);
+    make_room(channel);
     channel.send(
         call.method, call.target, call.headers, call.body,
         order.wait_limit_ms > 0 ? milliseconds(order.wait_limit_ms) + hold_slack
--- a/src/transport/http_worker_port.hpp
+++ b/src/transport/http_worker_port.hpp
@@ -15,12 +15,20 @@
 
 /// Sends orders to workers over HTTP. Each worker has one connection for holds,
 /// whose answers may be delayed, and one for all other orders. More connections
-/// for orders are opened while answers to orders do not come.
+/// for orders are opened while answers to orders do not come. When the number
+/// of open connections reaches a limit, those that were not used for the
+/// longest time are closed.
 class http_worker_port : public worker_port
 {
 public:
+    /// `max_connections` limits the open connections; connections with a call
+    /// in progress are never closed, so that more may be open.
     http_worker_port(boost::asio::io_context& io,
-                     const external_protocol& protocol);
+                     const external_protocol& protocol,
+                     std::size_t max_connections);
+
+    /// Returns the number of open connections.
+    std::size_t open_connections() const;
 
     void start(const worker_record& worker, const start_order& order,
                milliseconds timeout,
@@ -43,6 +51,8 @@
         std::unique_ptr<http_channel> holds;
     };
     channels& channels_of(const worker_record& worker);
+    std::vector<http_channel*> open_channels() const;
+    void make_room(const http_channel& channel);
     http_channel& order_channel(const worker_record& worker);
     void send_order(http_channel& channel, const outgoing_call& call,
                     milliseconds timeout,
@@ -52,6 +62,10 @@
 
     boost::asio::io_context& io_;
     const external_protocol& protocol_;
+    const std::size_t max_connections_;
+    // An upper bound of the open connections: closed ones are discounted when
+    // it reaches the limit.
+    std::size_t connections_bound_ = 0;
     std::map<std::string, channels> channels_; // By worker id.
 };
 
