Log why a run that is still listed was taken for ended

Change: run_ended logs the number of start attempts, the time left until the worker's leases are over and the time since its last answer; unknown_run_stopped logs the reason and the age of the end, and is counted by reason. No change of behaviour.

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -234,15 +234,7 @@
         return;
     }
     run.end_proposed = true;
-    counters_.add(
-        absl::StrCat("run_ends_total{end=\"", run_end_Name(end), "\"}"));
-    log_event(log_level::info, "run_ended",
-              {{"job", run.ref.job()},
-               {"run", key_of(run.ref)},
-               {"worker", run.incarnation.worker},
-               {"end", run_end_Name(end)},
-               {"reason", reason},
-               {"epoch", absl::StrCat(epoch_)}});
+    log_end(run, end, reason, clock_());
     fleet_command command;
     auto& ended = *command.mutable_end();
     *ended.mutable_run() = run.ref;
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -130,6 +131,13 @@
     time_point progressed_at;
 };
 
+/// Why the leader ended a run, kept for a while after the end.
+struct ended_record
+{
+    std::string reason;
+    time_point at;
+};
+
 /// A start that was sent to a worker a short time before another one.
 struct recent_start
 {
@@ -288,6 +296,10 @@
     worker_session* session_of(const worker_incarnation& incarnation);
     void propose_end(live_run& run, run_end end, const std::string& checkpoint,
                      const char* reason);
+    void log_end(const live_run& run, run_end end, const char* reason,
+                 time_point now);
+    void stop_unknown_run(const worker_session& worker, const run_ref& run,
+                          time_point now);
     void start_committed(time_point now);
     void check_gang_placements();
     void send_start(live_run& run, worker_session& worker, time_point now);
@@ -375,6 +387,10 @@
     std::size_t open_confirmations_ = 0;
     // Ids of removed workers with runs whose ends may still be listed.
     std::set<std::string> removed_workers_;
+    // Ends that this leader proposed, by the key of the run, and the keys in
+    // the order of the ends.
+    std::map<std::string, ended_record> recent_ends_;
+    std::deque<std::string> recent_end_keys_;
     // Start time of the youngest incarnation that was known, by address.
     std::map<std::string, std::int64_t> youngest_born_ms_;
     time_point scanned_at_; // Last scan of all workers.
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -262,12 +262,7 @@
         if (found == runs_.end() ||
             session_of(found->second.incarnation) != &worker)
         {
-            log_event(log_level::warning, "unknown_run_stopped",
-                      {{"job", item.run.job()},
-                       {"run", key},
-                       {"worker", worker.record.id()}});
-            port_.stop(worker.record, item.run, epoch_, order_timeout,
-                       [](const order_answer&) {});
+            stop_unknown_run(worker, item.run, now);
             continue;
         }
         auto& run = found->second;
