Keep ended jobs for a time that a jump of the clock does not shorten

Cause: the time for which an ended job can be queried was measured on the time of day. Change: it is measured on the steady clock, from when the leader learned of the end. After a change of leader it begins anew, so no job is dropped early. Measured: fleet_scheduler.ended_job_outlives_a_jump_of_the_time_of_day failed before.

--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -154,7 +154,7 @@
     }
     for (const auto& [id, at] : ended_)
     {
-        if (at + options_.ended_job_retention.count() < wall_ms &&
+        if (now - at > options_.ended_job_retention &&
             closing_.count(id) == 0 &&
             workers_.runs().lower_bound(id + ".") ==
                 workers_.runs().lower_bound(id + "/"))
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -56,18 +56,19 @@
     , workers_(workers)
     , propose_(std::move(propose))
     , counters_(counters)
-    , tickets_(policy, std::move(clock),
+    , tickets_(policy, clock,
                [this]
                {
                    changed_ = true;
                })
 {
+    const auto now = clock();
     for (const auto& [id, job] : state_.jobs())
     {
         jobs_to_refresh_.insert(id);
         if (job.finished_ms > 0)
         {
-            ended_[id] = job.finished_ms;
+            ended_[id] = now;
         }
     }
 }
@@ -161,12 +162,12 @@
     case fleet_command::kFail:
         closing_.erase(command.fail().job());
         stop_job(command.fail().job(), "job_failed", now);
-        ended_[command.fail().job()] = command.fail().at_ms();
+        ended_[command.fail().job()] = now;
         jobs_to_refresh_.insert(command.fail().job());
         break;
     case fleet_command::kFinish:
         closing_.erase(command.finish().job());
-        ended_[command.finish().job()] = command.finish().at_ms();
+        ended_[command.finish().job()] = now;
         break;
     case fleet_command::kForget:
         closing_.erase(command.forget().job());
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -268,9 +268,9 @@
     std::set<std::string> closing_;
     // Wall-clock time in ms of the next occurrence, by job.
     std::map<std::string, std::int64_t> due_times_;
-    // Wall-clock time in ms at which each ended job ended. Its record is
-    // dropped after the retention.
-    std::map<std::string, std::int64_t> ended_;
+    // When this leader learned that the job had ended. Its record is dropped
+    // after the retention.
+    std::map<std::string, time_point> ended_;
     std::map<pending_step_key, reservation> reservations_;
     // Sum of all reservations by worker.
     std::map<std::string, resource_amounts> reserved_;
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -51,6 +51,28 @@
     EXPECT_EQ(fixture.port.starts.size(), 2U);
 }
 
+// Guards against an ended job that is not known any more because the time of
+// day jumped ahead.
+TEST(fleet_scheduler, ended_job_outlives_a_jump_of_the_time_of_day)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.submit("job", make_step(1, 1));
+    fixture.schedule();
+    end_run(fixture, make_run("job", 0, 1), run_done);
+    fixture.schedule();
+    ASSERT_TRUE(fixture.state.find_job("job")->complete);
+    fixture.wall_ms += 200000;
+    fixture.schedule();
+    EXPECT_NE(fixture.state.find_job("job"), nullptr);
+    fixture.start_leader();
+    fixture.schedule();
+    EXPECT_NE(fixture.state.find_job("job"), nullptr);
+    fixture.advance(milliseconds(131000));
+    fixture.schedule();
+    EXPECT_EQ(fixture.state.find_job("job"), nullptr);
+}
+
 // Guards against a memory leak: failures of subtasks that stay recorded after
 // their job was forgotten.
 TEST(fleet_scheduler, forgetting_a_job_drops_its_recorded_failures)
