--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -49,7 +49,7 @@
 fleet_scheduler::fleet_scheduler(const fleet_scheduler_options& options,
                                  const fleet_state& state,
                                  worker_fleet& workers, policy_port& policy,
-                                 policy_tickets::clock_reader clock,
+                                 const policy_tickets::clock_reader& clock,
                                  proposer propose, metrics& counters)
     : options_(options)
     , state_(state)
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -45,8 +45,9 @@
 
     fleet_scheduler(const fleet_scheduler_options& options,
                     const fleet_state& state, worker_fleet& workers,
-                    policy_port& policy, policy_tickets::clock_reader clock,
-                    proposer propose, metrics& counters);
+                    policy_port& policy,
+                    const policy_tickets::clock_reader& clock, proposer propose,
+                    metrics& counters);
 
     /// Sets the document in force. `document` must stay valid until the next
     /// call or the end of this object.
