Stop runs at the next incarnation of a worker that restarts under its id

Cause: a worker may restart under its id. Orders name the id only, and the next incarnation knows no epoch and its clock starts anew, so it carries out a start that was meant for the earlier one. When its first report was applied, runs that it had accepted, and runs of an earlier leader, ended at once with the earlier incarnation (worker_born_again, worker_gone after a change of leader); only unanswered starts were stopped at the next one, and nothing was counted there. Change: a run has a location. When its worker restarts, it ends at once only if the earlier incarnation has listed it and its start was sent once. Otherwise it moves to the next incarnation, which counts its resources, is told to stop it, and lists it or not after the longest stop; a lease bounds the wait. An answer with a lower clock, or lists with a later start time, show the restart before its report; the worker gets no placement until then. Ruled out: an end at the acknowledgement of the stop, as before for unanswered starts: the run may still be stopping.

--- a/src/coordination/fleet/lease_clock.hpp
+++ b/src/coordination/fleet/lease_clock.hpp
@@ -44,6 +44,12 @@
     /// Returns true when the worker's clock has been read.
     bool has_reading() const { return latest_.has_value(); }
 
+    /// Returns the highest reading in milliseconds, 0 without one.
+    std::int64_t latest_reading() const
+    {
+        return latest_ ? latest_->worker_time_ms : 0;
+    }
+
     /// Returns the lowest possible time of the worker's clock if both clocks
     /// run at the same rate; 0 without a reading.
     std::int64_t worker_time(time_point now) const
@@ -61,7 +67,8 @@
         granted_end_ = std::max(granted_end_, lease_end_ms);
     }
 
-    /// Records that an earlier leader may have granted leases up to `now`.
+    /// Records that others may have granted leases up to `now`: an earlier
+    /// leader, or this one to another incarnation of the worker.
     void inherit_leases(time_point now) { inherited_ = now; }
 
     /// Returns when every lease has expired even if the worker's clock runs as
--- a/src/coordination/fleet/run_ends.cpp
+++ b/src/coordination/fleet/run_ends.cpp
@@ -31,7 +31,7 @@
     const auto key = key_of(run.ref);
     std::optional<milliseconds> lease_left;
     std::optional<milliseconds> silence;
-    if (const auto* const worker = session_of(run.incarnation))
+    if (const auto* const worker = session_of(run.location))
     {
         silence = now - worker->last_contact;
         if (const auto expiry = worker->clock.expiry_time())
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -113,11 +113,22 @@
             }
         }
     }
-    // Runs on an incarnation that no longer exists ended together with it.
+    // Runs on an incarnation that no longer exists ended together with it,
+    // unless the next incarnation may have received their start.
     std::vector<std::string> orphaned;
-    for (const auto& [key, run] : runs_)
+    for (auto& [key, run] : runs_)
     {
-        if (session_of(run.incarnation) == nullptr)
+        if (session_of(run.location) != nullptr)
+        {
+            continue;
+        }
+        const auto found = workers_.find(run.location.worker);
+        if (found != workers_.end() &&
+            found->second.record.born_ms() > run.location.born_ms)
+        {
+            move_run(run, found->second, now);
+        }
+        else
         {
             orphaned.push_back(key);
         }
@@ -156,6 +167,7 @@
     auto& live = runs_[key];
     live.ref = run;
     live.incarnation = incarnation;
+    live.location = incarnation;
     live.phase = phase;
     live.changed_at = now;
     live.started_at = now;
@@ -172,14 +184,20 @@
     }
     if (auto* const worker = session_of(incarnation))
     {
-        worker->runs.insert(key);
-        worker->used = worker->used + live.need;
-        worker->filler_runs += live.filler ? 1 : 0;
-        worker->serving_runs += live.serves_users ? 1 : 0;
+        occupy(*worker, live);
     }
     return live;
 }
 
+// Counts the run's resources on the worker.
+void worker_fleet::occupy(worker_session& worker, const live_run& run)
+{
+    worker.runs.insert(key_of(run.ref));
+    worker.used = worker.used + run.need;
+    worker.filler_runs += run.filler ? 1 : 0;
+    worker.serving_runs += run.serves_users ? 1 : 0;
+}
+
 worker_session* worker_fleet::session_of(const worker_incarnation& incarnation)
 {
     const auto found = workers_.find(incarnation.worker);
@@ -196,7 +214,7 @@
     {
         return;
     }
-    if (auto* const worker = session_of(found->second.incarnation);
+    if (auto* const worker = session_of(found->second.location);
         worker != nullptr && worker->runs.erase(key) > 0)
     {
         worker->used = worker->used - found->second.need;
@@ -309,7 +327,12 @@
 {
     ended_before_start_ = false;
     const auto key = key_of(ended.run());
-    if (auto* const worker = session_of({ended.worker(), ended.born_ms()}))
+    const auto found = runs_.find(key);
+    const auto location =
+        found == runs_.end()
+            ? worker_incarnation{ended.worker(), ended.born_ms()}
+            : found->second.location;
+    if (auto* const worker = session_of(location))
     {
         due_workers_.insert(ended.worker());
         worker->pending_ends.erase(key);
@@ -322,7 +345,6 @@
     {
         stop_superseded(ended.run(), now);
     }
-    const auto found = runs_.find(key);
     if (found == runs_.end())
     {
         return;
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -95,7 +95,10 @@
 struct live_run
 {
     run_ref ref;
-    worker_incarnation incarnation;
+    worker_incarnation incarnation; // On which it was placed.
+    // On which it may be: a later incarnation of the same worker when that may
+    // have received the start.
+    worker_incarnation location;
     resource_amounts need;
     std::int64_t priority = 0;
     bool gang = false;
@@ -109,8 +112,11 @@
     bool stop_acknowledged = false;
     bool end_proposed = false;
     std::string ticket; // From the queue's policy; empty without one.
-    bool worker_restarted = false; // Its worker restarted during the start.
+    // The incarnation on which it was placed has listed it.
+    bool listed_by_incarnation = false;
     int start_attempts = 0;
+    // The latest reading of the worker's clock when it was last sent.
+    std::int64_t sent_reading_ms = 0;
     int stop_attempts = 0;
     time_point first_sent_at; // The first attempt to start it.
     // End of the lease that the attempts to start it grant, on the worker's
@@ -185,6 +191,9 @@
     int missed_answers = 0;
     // The probability that a worker which is up leaves that many unanswered.
     double missed_probability = 1;
+    // A later incarnation has answered, which has not reported yet. The worker
+    // gets no placements.
+    bool succeeded = false;
     // The missing answers suggest that the worker is down or disconnected. It
     // gets no placements and no new lease until it answers.
     bool unreachable = false;
@@ -346,7 +355,12 @@
     bool is_silent(const worker_session& worker, time_point now) const;
     void close_connections(const worker_record& record, time_point now);
     void end_incarnation(const worker_incarnation& incarnation,
-                         const char* reason, time_point now);
+                         const char* reason);
+    void move_run(live_run& run, worker_session& successor, time_point now);
+    void move_unproved_runs(const worker_incarnation& incarnation,
+                            worker_session& successor, time_point now);
+    void record_successor(worker_session& worker, time_point now);
+    void occupy(worker_session& worker, const live_run& run);
     void end_expired(worker_session& worker, time_point now);
     void refresh_record(const worker_record& record, time_point now);
     static void record_start(const live_run& run, worker_session& worker,
--- a/src/coordination/fleet/worker_incarnations.cpp
+++ b/src/coordination/fleet/worker_incarnations.cpp
@@ -35,10 +35,69 @@
         return;
     }
     record_crash(found->second);
+    const worker_incarnation earlier{record.id(),
+                                     found->second.record.born_ms()};
     close_connections(found->second.record, now);
-    end_incarnation({record.id(), found->second.record.born_ms()},
-                    "worker_born_again", now);
-    add_session(record, now);
+    move_unproved_runs(earlier, add_session(record, now), now);
+    end_incarnation(earlier, "worker_born_again");
+}
+
+// Moves the runs to the next incarnation of their worker whose start that may
+// have received: it accepts orders for the earlier incarnation.
+void worker_fleet::move_unproved_runs(const worker_incarnation& incarnation,
+                                      worker_session& successor, time_point now)
+{
+    for (auto& [key, run] : runs_)
+    {
+        const bool sent = run.phase != run_phase::proposed &&
+                          run.phase != run_phase::committed;
+        const bool proved =
+            run.listed_by_incarnation && run.start_attempts <= 1;
+        if (run.location == incarnation && sent && !proved && !run.end_proposed)
+        {
+            move_run(run, successor, now);
+            send_stop(run, now);
+        }
+    }
+}
+
+// Stops the run at the next incarnation of its worker and counts its resources
+// there. It ends like any run that is stopped, at the latest when a lease has
+// expired that the next incarnation gave it before now.
+void worker_fleet::move_run(live_run& run, worker_session& successor,
+                            time_point now)
+{
+    run.location = {successor.record.id(), successor.record.born_ms()};
+    run.phase = run_phase::present;
+    run.stop_requested = true;
+    run.stop_sent = false;
+    run.stop_acknowledged = false;
+    run.changed_at = now;
+    stopping_.insert(key_of(run.ref));
+    occupy(successor, run);
+    successor.clock.inherit_leases(now);
+    log_event(log_level::info, "run_stopping",
+              {{"job", run.ref.job()},
+               {"run", key_of(run.ref)},
+               {"worker", run.location.worker},
+               {"born_ms", absl::StrCat(run.location.born_ms)},
+               {"reason", "worker_restarted"}});
+}
+
+// Records that another incarnation answered for the worker, which may have
+// accepted starts with its own longest lease.
+void worker_fleet::record_successor(worker_session& worker, time_point now)
+{
+    worker.clock.inherit_leases(now);
+    if (!worker.succeeded)
+    {
+        worker.succeeded = true;
+        log_event(log_level::warning, "worker_succeeded",
+                  {{"worker", worker.record.id()},
+                   {"born_ms", absl::StrCat(worker.record.born_ms())},
+                   {"runs", absl::StrCat(worker.runs.size())},
+                   {"epoch", absl::StrCat(epoch_)}});
+    }
 }
 
 // Closes the connections to the worker. Answers to orders that are under way
@@ -50,7 +109,7 @@
     for (const auto& key : stopping_)
     {
         auto& run = runs_.at(key);
-        if (run.incarnation.worker == record.id() && run.stop_sent)
+        if (run.location.worker == record.id() && run.stop_sent)
         {
             run.stop_sent = false;
             run.changed_at = now;
@@ -59,24 +118,11 @@
 }
 
 void worker_fleet::end_incarnation(const worker_incarnation& incarnation,
-                                   const char* reason, time_point now)
+                                   const char* reason)
 {
     for (auto& [key, run] : runs_)
     {
-        if (!(run.incarnation == incarnation))
-        {
-            continue;
-        }
-        if (run.phase == run_phase::starting)
-        {
-            // The start order may still arrive, at the next incarnation.
-            run.worker_restarted = true;
-            stopping_.insert(key);
-            run.stop_requested = true;
-            run.stop_sent = false;
-            run.changed_at = now;
-        }
-        else if (run.phase != run_phase::proposed)
+        if (run.location == incarnation && run.phase != run_phase::proposed)
         {
             propose_end(run, run_lapsed, "", reason);
         }
@@ -174,7 +220,7 @@
         if (!replaced)
         {
             end_incarnation({found->first, found->second.record.born_ms()},
-                            "worker_left", now);
+                            "worker_left");
             close_connections(found->second.record, now);
             workers_.erase(found);
         }
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -97,7 +97,8 @@
     auto order = make_hold_order(worker);
     // An unreachable worker gets no new lease: this leader ends its runs when
     // the last granted lease has expired.
-    const bool renews = has_started_run(worker) && !worker.unreachable;
+    const bool renews =
+        has_started_run(worker) && !worker.unreachable && !worker.succeeded;
     if (renews && worker.clock.has_reading())
     {
         order.lease_end_ms = grant_lease(worker, now);
@@ -137,7 +138,14 @@
         deposed_ = true;
         return;
     }
-    if (answer.result != order_result::accepted ||
+    const bool from_successor = answer.result == order_result::accepted &&
+                                incarnation.born_ms != 0 &&
+                                answer.lists.born_ms > incarnation.born_ms;
+    if (from_successor)
+    {
+        record_successor(*worker, now);
+    }
+    if (answer.result != order_result::accepted || from_successor ||
         (answer.lists.born_ms != 0 && incarnation.born_ms != 0 &&
          answer.lists.born_ms != incarnation.born_ms))
     {
@@ -187,15 +195,17 @@
 }
 
 // Returns true when a start on the worker was answered, or a run of an earlier
-// leader may be there: its lease must be renewed.
+// leader may be there: its lease must be renewed. Runs that were meant for an
+// earlier incarnation are stopped and need no lease.
 bool worker_fleet::has_started_run(const worker_session& worker) const
 {
     return std::any_of(worker.runs.begin(), worker.runs.end(),
                        [this](const std::string& key)
                        {
-                           const auto phase = runs_.at(key).phase;
-                           return phase == run_phase::present ||
-                                  phase == run_phase::adopted;
+                           const auto& run = runs_.at(key);
+                           return run.location == run.incarnation &&
+                                  (run.phase == run_phase::present ||
+                                   run.phase == run_phase::adopted);
                        });
 }
 
@@ -215,7 +225,7 @@
             propose_late_end(worker, item);
             continue;
         }
-        if (session_of(found->second.incarnation) != &worker)
+        if (session_of(found->second.location) != &worker)
         {
             continue;
         }
@@ -260,7 +270,7 @@
         seen.insert(key);
         const auto found = runs_.find(key);
         if (found == runs_.end() ||
-            session_of(found->second.incarnation) != &worker)
+            session_of(found->second.location) != &worker)
         {
             stop_unknown_run(worker, item.run, now);
             continue;
@@ -278,6 +288,9 @@
             run.progressed_at = now;
         }
         run.listed_at = now;
+        run.listed_by_incarnation =
+            run.listed_by_incarnation ||
+            (lists.born_ms != 0 && lists.born_ms == run.incarnation.born_ms);
         run.percent = item.percent;
         if (!item.checkpoint.empty())
         {
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -185,7 +185,7 @@
         {
             continue;
         }
-        auto* const worker = session_of(found->second.incarnation);
+        auto* const worker = session_of(found->second.location);
         const auto* const job = state_.find_job(found->second.ref.job());
         if (worker == nullptr || found->second.stop_requested ||
             job == nullptr || job->ended())
@@ -193,7 +193,7 @@
             propose_end(found->second, run_never, "", "not_started");
             continue;
         }
-        if (worker->unreachable)
+        if (worker->unreachable || worker->succeeded)
         {
             // The order would only grant a lease that nobody answers for.
             propose_end(found->second, run_never, "", "worker_unreachable");
@@ -215,6 +215,7 @@
     }
     run.phase = run_phase::starting;
     run.changed_at = now;
+    run.sent_reading_ms = worker.clock.latest_reading();
     due_workers_.insert(run.incarnation.worker);
     ++run.start_attempts;
     start_order order;
@@ -262,12 +263,13 @@
 {
     const auto found = runs_.find(key);
     if (found == runs_.end() || found->second.phase != run_phase::starting ||
-        found->second.end_proposed || found->second.worker_restarted)
+        found->second.end_proposed ||
+        !(found->second.location == found->second.incarnation))
     {
         return;
     }
     auto& run = found->second;
-    auto* const worker = session_of(run.incarnation);
+    auto* const worker = session_of(run.location);
     counters_.add(
         absl::StrCat("starts_total{result=\"", name_of(answer.result), "\"}"));
     counters_.observe_latency(
@@ -275,6 +277,12 @@
     if (worker != nullptr)
     {
         record_order_answer(*worker, answer, now);
+        if (answer.worker_time_ms > 0 &&
+            answer.worker_time_ms < run.sent_reading_ms)
+        {
+            // A steady clock does not run backwards.
+            record_successor(*worker, now);
+        }
     }
     const auto refuse = [&](const char* reason, milliseconds pause)
     {
@@ -375,7 +383,7 @@
         propose_end(run, run_never, "", "stopped_before_start");
         return;
     }
-    const auto found = workers_.find(run.incarnation.worker);
+    const auto found = workers_.find(run.location.worker);
     if (found == workers_.end())
     {
         propose_end(run, run_lapsed, "", "worker_gone");
@@ -398,7 +406,7 @@
         return;
     }
     auto& run = found->second;
-    auto* const worker = session_of(run.incarnation);
+    auto* const worker = session_of(run.location);
     if (worker != nullptr)
     {
         record_order_answer(*worker, answer, now);
@@ -414,10 +422,6 @@
     {
         run.stop_acknowledged = true;
         run.changed_at = now;
-        if (run.worker_restarted)
-        {
-            propose_end(run, run_never, "", "displaced");
-        }
         return;
     }
     run.stop_sent = false; // `advance` sends the stop again.
@@ -444,7 +448,6 @@
         // The longest stop is over: if the run was present, the worker lists it
         // as ended now.
         if (run.stop_acknowledged && !run.end_proposed &&
-            !run.worker_restarted &&
             now - run.changed_at >= options_.max_stop_time &&
             now - run.lists_requested_at >= list_request_interval)
         {
--- /dev/null
+++ b/test/worker_restart-test.cpp
@@ -0,0 +1,235 @@
+// Checks how the leader treats runs whose worker restarts under its id: orders
+// for the earlier incarnation may have reached the next one.
+#include "coordination/fleet/worker_fleet.hpp"
+
+#include "support/fleet_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <utility>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+const std::string first_run = "job.0.0.0#1";
+
+// The clock of the next incarnation starts anew.
+constexpr std::int64_t restarted_clock_ms = 40;
+
+hold_answer lists_of(std::int64_t born_ms, std::int64_t worker_time_ms)
+{
+    hold_answer answer;
+    answer.result = order_result::accepted;
+    answer.lists.worker_time_ms = worker_time_ms;
+    answer.lists.born_ms = born_ms;
+    return answer;
+}
+
+// Answers every open hold and list request of w1 as the incarnation with the
+// start time, on which nothing runs.
+void answer_lists(fleet_fixture& fixture, std::int64_t born_ms)
+{
+    auto lists = std::exchange(fixture.port.holds, {});
+    for (auto& request : std::exchange(fixture.port.list_requests, {}))
+    {
+        lists.push_back(std::move(request));
+    }
+    for (const auto& request : lists)
+    {
+        request.done(lists_of(born_ms, fixture.worker_clock()));
+    }
+    fixture.commit();
+}
+
+// Sends the start of a run to the worker w1.
+void send_start(fleet_fixture& fixture)
+{
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.submit("job", make_step(1, 8));
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.starts.size(), 1U);
+}
+
+// Takes the answer of a worker that accepted the start.
+void accept_start(fleet_fixture& fixture, std::int64_t worker_time_ms)
+{
+    fixture.port.starts.front().done({order_result::accepted, worker_time_ms});
+    fixture.port.starts.clear();
+    fixture.commit();
+}
+
+void restart_worker(fleet_fixture& fixture)
+{
+    fixture.add_worker("w1", "r1", 2);
+    fixture.port.holds.clear();
+    fixture.commit();
+}
+
+// Stops the run at the next incarnation, on which it is at work or may start.
+void stop_at_successor(fleet_fixture& fixture)
+{
+    ASSERT_EQ(fixture.port.stops.size(), 1U);
+    EXPECT_EQ(fixture.port.stops.front().worker, "w1");
+    fixture.port.stops.front().done(
+        {order_result::accepted, fixture.worker_clock()});
+    fixture.port.stops.clear();
+}
+
+// Guards against a second run of a subtask whose start was accepted by the next
+// incarnation of its worker, and against a start on the capacity that it has.
+TEST(worker_restart, run_that_the_next_incarnation_accepted_is_stopped_there)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, fixture.worker_clock());
+    restart_worker(fixture);
+    add_ready_worker(fixture, "w2", "r1");
+    fixture.submit("other", make_step(2, 8));
+    fixture.schedule();
+    ASSERT_EQ(fixture.workers->runs().count(first_run), 1U);
+    EXPECT_EQ(fixture.workers->runs().count("job.0.0.0#2"), 0U);
+    // One subtask of the other job fits on w2, none on w1.
+    ASSERT_EQ(fixture.port.starts.size(), 1U);
+    EXPECT_EQ(fixture.port.starts.front().order.worker, "w2");
+    stop_at_successor(fixture);
+    fixture.advance(milliseconds(1000));
+    answer_lists(fixture, 2);
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
+}
+
+// Guards against a run that counts as ended when its stop is acknowledged,
+// while the worker still takes time to stop it.
+TEST(worker_restart, run_ends_only_when_the_longest_stop_is_over)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, fixture.worker_clock());
+    restart_worker(fixture);
+    stop_at_successor(fixture);
+    fixture.advance(milliseconds(400));
+    answer_lists(fixture, 2);
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 1U);
+}
+
+// Guards against the same after a change of leader: the start of the earlier
+// leader was accepted by an incarnation that the new leader learns of later.
+TEST(worker_restart, run_of_an_earlier_leader_is_stopped_at_the_successor)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    fixture.port = {};
+    fixture.start_leader();
+    fixture.commit();
+    restart_worker(fixture);
+    add_ready_worker(fixture, "w2", "r1");
+    fixture.schedule();
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 1U);
+    EXPECT_EQ(fixture.workers->runs().count("job.0.0.0#2"), 0U);
+    stop_at_successor(fixture);
+}
+
+// Guards against the same when the change of leader comes after the report of
+// the next incarnation, before the end of the run is committed.
+TEST(worker_restart, orphaned_run_is_stopped_at_the_successor)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    fixture.port = {};
+    fleet_command restarted;
+    *restarted.mutable_worker() = fixture.state.workers().at("w1");
+    restarted.mutable_worker()->set_born_ms(2);
+    ASSERT_EQ(fixture.state.apply(restarted), apply_result::changed);
+    fixture.start_leader();
+    fixture.report("w1");
+    fixture.commit();
+    add_ready_worker(fixture, "w2", "r1");
+    fixture.schedule();
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 1U);
+    EXPECT_EQ(fixture.workers->runs().count("job.0.0.0#2"), 0U);
+    fixture.advance(milliseconds(200));
+    stop_at_successor(fixture);
+}
+
+// Guards against a subtask that stays at work for the leader because the next
+// incarnation of its worker answers nothing.
+TEST(worker_restart, run_ends_with_the_longest_lease_at_a_silent_successor)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, fixture.worker_clock());
+    restart_worker(fixture);
+    for (int i = 0; i < 60; ++i)
+    {
+        EXPECT_EQ(fixture.workers->runs().count(first_run), 1U);
+        fixture.advance(milliseconds(100));
+    }
+    for (int i = 0; i < 5; ++i)
+    {
+        fixture.advance(milliseconds(100));
+    }
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
+}
+
+// Guards against a run that its crashed worker had listed and that waits for
+// the next incarnation, where it can not be.
+TEST(worker_restart, run_that_the_earlier_incarnation_listed_ends_at_once)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, fixture.worker_clock());
+    ASSERT_FALSE(fixture.port.holds.empty());
+    auto answer = lists_of(1, fixture.worker_clock());
+    answer.lists.running.push_back({make_run("job", 0, 1), "", 10});
+    const auto hold = fixture.port.holds.front();
+    fixture.port.holds.clear();
+    hold.done(answer);
+    fixture.commit();
+    restart_worker(fixture);
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
+}
+
+// Guards against a second run while the next incarnation, which has not
+// reported yet, holds a longer lease than the earlier one was granted.
+TEST(worker_restart, lower_clock_in_an_answer_extends_the_lease)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, restarted_clock_ms);
+    for (int i = 0; i < 60; ++i)
+    {
+        fixture.advance(milliseconds(100));
+        ASSERT_EQ(fixture.workers->runs().count(first_run), 1U) << i;
+    }
+    for (int i = 0; i < 5; ++i)
+    {
+        fixture.advance(milliseconds(100));
+    }
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
+}
+
+// Guards against placements on a worker that has restarted and has not reported
+// yet.
+TEST(worker_restart, worker_with_other_start_time_gets_no_placement)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.start_leader();
+    fixture.report("w1");
+    fixture.commit();
+    ASSERT_EQ(fixture.workers->availability(fixture.workers->workers().at("w1"),
+                                            fixture.now),
+              worker_availability::usable);
+    answer_lists(fixture, 2);
+    EXPECT_EQ(fixture.workers->availability(fixture.workers->workers().at("w1"),
+                                            fixture.now),
+              worker_availability::unreachable);
+    restart_worker(fixture);
+    EXPECT_EQ(fixture.workers->availability(fixture.workers->workers().at("w1"),
+                                            fixture.now),
+              worker_availability::usable);
+}
+
+} // namespace
+} // namespace limpetstack::fleet
