Take a worker for displaced only by one that was seen after it

Callers may see: a worker that is cut off for a moment loses its runs for the leader and is never used again, while it goes on with them (found by reading). Cause: an unreachable worker counted as gone when a later start time was known at its address. Start times come from clocks that differ, and the entry of a worker stayed after it had crashed. Change: the other incarnation must have been first reported, or have answered, since the last contact with the worker; one that an earlier leader knew, after an answer to this leader. Measured: worker_restart.worker_is_not_displaced_by_an_earlier_one failed before; the tests of worker_departure pass unchanged.

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -89,6 +89,10 @@
     {
         add_session(record, now).clock.inherit_leases(now);
     }
+    for (auto& [address, owner] : address_owners_)
+    {
+        owner.seen_at = {};
+    }
     for (const auto& [id, job] : state_.jobs())
     {
         for (const auto& [number, occurrence] : job.occurrences)
@@ -153,8 +157,7 @@
     worker.last_report = now;
     worker.last_contact = now;
     worker.added_at = now;
-    auto& youngest = youngest_born_ms_[record.address()];
-    youngest = std::max(youngest, record.born_ms());
+    record_owner(worker, now);
     due_workers_.insert(record.id());
     return worker;
 }
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -144,6 +144,15 @@
     time_point at;
 };
 
+/// The youngest incarnation that was known at an address.
+struct address_owner
+{
+    std::int64_t born_ms = 0;
+    // When this leader learned of it, or it last answered; an incarnation that
+    // an earlier leader knew has not been seen until it answers.
+    time_point seen_at;
+};
+
 /// A start that was sent to a worker a short time before another one.
 struct recent_start
 {
@@ -360,6 +369,7 @@
     void move_unproved_runs(const worker_incarnation& incarnation,
                             worker_session& successor, time_point now);
     void record_successor(worker_session& worker, time_point now);
+    void record_owner(const worker_session& worker, time_point now);
     void occupy(worker_session& worker, const live_run& run);
     void end_expired(worker_session& worker, time_point now);
     void refresh_record(const worker_record& record, time_point now);
@@ -405,8 +415,7 @@
     // the order of the ends.
     std::map<std::string, ended_record> recent_ends_;
     std::deque<std::string> recent_end_keys_;
-    // Start time of the youngest incarnation that was known, by address.
-    std::map<std::string, std::int64_t> youngest_born_ms_;
+    std::map<std::string, address_owner> address_owners_; // By address.
     time_point scanned_at_; // Last scan of all workers.
     bool deposed_ = false;
     bool ended_before_start_ = false;
--- a/src/coordination/fleet/worker_incarnations.cpp
+++ b/src/coordination/fleet/worker_incarnations.cpp
@@ -164,13 +164,25 @@
     propose_(std::move(command));
 }
 
-// Returns true when a younger incarnation has the worker's address. Both can
-// not be up.
+// Records that the worker is up at its address.
+void worker_fleet::record_owner(const worker_session& worker, time_point now)
+{
+    auto& owner = address_owners_[worker.record.address()];
+    if (worker.record.born_ms() >= owner.born_ms)
+    {
+        owner = {worker.record.born_ms(), now};
+    }
+}
+
+// Returns true when a younger incarnation at the worker's address was known or
+// answered after the last contact with the worker. Both can not be up. The
+// start times alone prove nothing: they come from clocks that may differ.
 bool worker_fleet::is_displaced(const worker_session& worker) const
 {
-    const auto found = youngest_born_ms_.find(worker.record.address());
-    return found != youngest_born_ms_.end() &&
-           found->second > worker.record.born_ms();
+    const auto found = address_owners_.find(worker.record.address());
+    return found != address_owners_.end() &&
+           found->second.born_ms > worker.record.born_ms() &&
+           found->second.seen_at >= worker.last_contact;
 }
 
 // Removes an unreachable worker that a younger incarnation at its address
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -170,6 +170,7 @@
     }
     worker->confirmed = true;
     worker->last_answer = now;
+    record_owner(*worker, now);
     record_answer(*worker, now);
     worker->acknowledged_end = std::max(worker->acknowledged_end, sent_end);
     worker->clock.sample(answer.lists.worker_time_ms, now);
--- a/test/worker_restart-test.cpp
+++ b/test/worker_restart-test.cpp
@@ -231,5 +231,37 @@
               worker_availability::usable);
 }
 
+// Guards against a worker that is cut off for a moment and loses its runs
+// because a crashed one at its address had a clock that was ahead.
+TEST(worker_restart, worker_is_not_displaced_by_an_earlier_one)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.replace_worker("w1", "w0"); // The start time of w0 is later.
+    for (int i = 0; i < 4; ++i)
+    {
+        fixture.advance(milliseconds(1500));
+        fixture.report("w1");
+        confirm_workers(fixture);
+    }
+    fixture.submit("job", make_step(1, 8));
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.starts.size(), 1U);
+    ASSERT_EQ(fixture.port.starts.front().order.worker, "w1");
+    fixture.port.holds.clear();
+    accept_start(fixture, fixture.worker_clock());
+    for (int i = 0; i < 10; ++i)
+    {
+        auto holds = std::exchange(fixture.port.holds, {});
+        for (const auto& hold : holds)
+        {
+            hold.done({});
+        }
+        fixture.advance(milliseconds(100));
+    }
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 1U);
+    EXPECT_EQ(fixture.state.workers().count("w1"), 1U);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
