--- a/src/coordination/fleet/worker_availability.cpp
+++ b/src/coordination/fleet/worker_availability.cpp
@@ -109,11 +109,11 @@
 worker_availability worker_fleet::availability(const worker_session& worker,
                                                time_point now) const
 {
-    if (worker.record.draining())
+    if (worker.record.draining() || worker.removed)
     {
         return worker_availability::draining;
     }
-    if (!worker.clock.has_reading() || worker.unreachable ||
+    if (!worker.clock.has_reading() || worker.unreachable || worker.succeeded ||
         is_silent(worker, now))
     {
         return worker_availability::unreachable;
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -89,6 +89,10 @@
     {
         add_session(record, now).clock.inherit_leases(now);
     }
+    for (auto& [address, owner] : address_owners_)
+    {
+        owner.seen_at = {};
+    }
     for (const auto& [id, job] : state_.jobs())
     {
         for (const auto& [number, occurrence] : job.occurrences)
@@ -113,18 +117,24 @@
             }
         }
     }
-    // Runs on an incarnation that no longer exists ended together with it.
-    std::vector<std::string> orphaned;
-    for (const auto& [key, run] : runs_)
+    // Runs on an incarnation that is not in the state may be at the next one,
+    // which may have received their start.
+    for (auto& [key, run] : runs_)
     {
-        if (session_of(run.incarnation) == nullptr)
+        if (session_of(run.location) != nullptr)
         {
-            orphaned.push_back(key);
+            continue;
+        }
+        const auto found = workers_.find(run.location.worker);
+        if (found != workers_.end() &&
+            found->second.record.born_ms() > run.location.born_ms)
+        {
+            move_run(run, found->second, now);
+        }
+        else
+        {
+            orphan_run(key, now);
         }
-    }
-    for (const auto& key : orphaned)
-    {
-        propose_end(runs_.at(key), run_lapsed, "", "worker_gone");
     }
 }
 
@@ -142,8 +152,7 @@
     worker.last_report = now;
     worker.last_contact = now;
     worker.added_at = now;
-    auto& youngest = youngest_born_ms_[record.address()];
-    youngest = std::max(youngest, record.born_ms());
+    record_owner(worker, now);
     due_workers_.insert(record.id());
     return worker;
 }
@@ -156,6 +165,7 @@
     auto& live = runs_[key];
     live.ref = run;
     live.incarnation = incarnation;
+    live.location = incarnation;
     live.phase = phase;
     live.changed_at = now;
     live.started_at = now;
@@ -172,14 +182,20 @@
     }
     if (auto* const worker = session_of(incarnation))
     {
-        worker->runs.insert(key);
-        worker->used = worker->used + live.need;
-        worker->filler_runs += live.filler ? 1 : 0;
-        worker->serving_runs += live.serves_users ? 1 : 0;
+        occupy(*worker, live);
     }
     return live;
 }
 
+// Counts the run's resources on the worker.
+void worker_fleet::occupy(worker_session& worker, const live_run& run)
+{
+    worker.runs.insert(key_of(run.ref));
+    worker.used = worker.used + run.need;
+    worker.filler_runs += run.filler ? 1 : 0;
+    worker.serving_runs += run.serves_users ? 1 : 0;
+}
+
 worker_session* worker_fleet::session_of(const worker_incarnation& incarnation)
 {
     const auto found = workers_.find(incarnation.worker);
@@ -196,7 +212,7 @@
     {
         return;
     }
-    if (auto* const worker = session_of(found->second.incarnation);
+    if (auto* const worker = session_of(found->second.location);
         worker != nullptr && worker->runs.erase(key) > 0)
     {
         worker->used = worker->used - found->second.need;
@@ -204,6 +220,7 @@
         worker->serving_runs -= found->second.serves_users ? 1 : 0;
     }
     stopping_.erase(key);
+    orphans_.erase(key);
     runs_.erase(found);
 }
 
@@ -309,7 +326,12 @@
 {
     ended_before_start_ = false;
     const auto key = key_of(ended.run());
-    if (auto* const worker = session_of({ended.worker(), ended.born_ms()}))
+    const auto found = runs_.find(key);
+    const auto location =
+        found == runs_.end()
+            ? worker_incarnation{ended.worker(), ended.born_ms()}
+            : found->second.location;
+    if (auto* const worker = session_of(location))
     {
         due_workers_.insert(ended.worker());
         worker->pending_ends.erase(key);
@@ -322,7 +344,6 @@
     {
         stop_superseded(ended.run(), now);
     }
-    const auto found = runs_.find(key);
     if (found == runs_.end())
     {
         return;
@@ -415,6 +436,7 @@
         return;
     }
     start_committed(now);
+    finish_departures(now);
     for (const auto& id : std::exchange(due_workers_, {}))
     {
         if (const auto found = workers_.find(id); found != workers_.end())
@@ -434,6 +456,7 @@
             return entry.second.holding && !entry.second.confirmed;
         }));
     finish_removals(now);
+    end_orphans(now);
     for (auto& [id, worker] : workers_)
     {
         advance_worker(worker, now);
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -95,7 +95,10 @@
 struct live_run
 {
     run_ref ref;
-    worker_incarnation incarnation;
+    worker_incarnation incarnation; // On which it was placed.
+    // On which it may be: a later incarnation of the same worker when that may
+    // have received the start.
+    worker_incarnation location;
     resource_amounts need;
     std::int64_t priority = 0;
     bool gang = false;
@@ -109,8 +112,11 @@
     bool stop_acknowledged = false;
     bool end_proposed = false;
     std::string ticket; // From the queue's policy; empty without one.
-    bool worker_restarted = false; // Its worker restarted during the start.
+    // The incarnation on which it was placed has listed it.
+    bool listed_by_incarnation = false;
     int start_attempts = 0;
+    // The latest reading of the worker's clock when it was last sent.
+    std::int64_t sent_reading_ms = 0;
     int stop_attempts = 0;
     time_point first_sent_at; // The first attempt to start it.
     // End of the lease that the attempts to start it grant, on the worker's
@@ -138,6 +144,15 @@
     time_point at;
 };
 
+/// The youngest incarnation that was known at an address.
+struct address_owner
+{
+    std::int64_t born_ms = 0;
+    // When this leader learned of it, or it last answered; an incarnation that
+    // an earlier leader knew has not been seen until it answers.
+    time_point seen_at;
+};
+
 /// A start that was sent to a worker a short time before another one.
 struct recent_start
 {
@@ -177,14 +192,18 @@
     // The worker has answered under this leader's epoch.
     bool confirmed = false;
     bool holding = false; // A hold call has been sent and not answered.
+    // When its runs were stopped because it leaves. Its lease is not renewed.
+    std::optional<time_point> departing_since;
     bool removal_proposed = false; // Its removal from the state is proposed.
-    // When it was removed from the state with runs on it, whose ends may still
-    // be listed by an answer that is under way.
-    std::optional<time_point> removed_at;
+    // It was removed from the state, and is kept until its runs have ended.
+    bool removed = false;
     // Orders and holds without an answer since the last answer of any kind.
     int missed_answers = 0;
     // The probability that a worker which is up leaves that many unanswered.
     double missed_probability = 1;
+    // A later incarnation has answered, which has not reported yet. The worker
+    // gets no placements.
+    bool succeeded = false;
     // The missing answers suggest that the worker is down or disconnected. It
     // gets no placements and no new lease until it answers.
     bool unreachable = false;
@@ -217,6 +236,7 @@
 public:
     using proposer = std::function<void(fleet_command)>;
     using clock_reader = std::function<time_point()>;
+    using departure_handler = std::function<void(bool leading)>;
 
     worker_fleet(const worker_fleet_options& options, const fleet_state& state,
                  worker_port& port, proposer propose, clock_reader clock,
@@ -244,6 +264,16 @@
     /// Stops a run. Stopping a member of a gang stops the whole gang.
     void stop(const std::string& key, const char* reason, time_point now);
 
+    /// Stops the runs of a worker that is about to leave, so that their state
+    /// is saved. Calls `ready` with true when no run is left there, or after a
+    /// time limit; with false when this leadership ends before.
+    void begin_departure(const worker_incarnation& incarnation,
+                         departure_handler ready, time_point now);
+
+    /// Answers the departures that are not ready. Is called at the end of the
+    /// leadership.
+    void cancel_departures();
+
     /// Returns whether the worker may get placements now, or why not.
     worker_availability availability(const worker_session& worker,
                                      time_point now) const;
@@ -289,6 +319,12 @@
     static std::string key_of(const run_ref& run);
 
 private:
+    struct departure
+    {
+        worker_incarnation incarnation;
+        departure_handler ready;
+    };
+
     worker_session& add_session(const worker_record& record, time_point now);
     live_run& add_run(const run_ref& run, const worker_incarnation& incarnation,
                       run_phase phase, time_point now);
@@ -337,16 +373,28 @@
     void propose_removal(worker_session& worker, const char* reason, bool gone);
     bool is_displaced(const worker_session& worker) const;
     void remove_displaced(worker_session& worker, time_point now);
+    void stop_all(const worker_session& worker, const char* reason,
+                  time_point now);
+    void finish_departures(time_point now);
     void begin_removal(worker_session& worker, time_point now);
-    bool removal_is_due(const worker_session& worker, time_point now) const;
+    void end_proved_runs(const worker_session& worker, time_point now);
     void finish_removals(time_point now);
+    void orphan_run(const std::string& key, time_point now);
+    void move_orphans(worker_session& successor, time_point now);
+    void end_orphans(time_point now);
     static bool needs_lists(const live_run& run, time_point now);
     bool needs_hold(const worker_session& worker, time_point now) const;
     bool may_confirm(const worker_session& worker) const;
     bool is_silent(const worker_session& worker, time_point now) const;
     void close_connections(const worker_record& record, time_point now);
     void end_incarnation(const worker_incarnation& incarnation,
-                         const char* reason, time_point now);
+                         const char* reason);
+    void move_run(live_run& run, worker_session& successor, time_point now);
+    void move_unproved_runs(const worker_incarnation& incarnation,
+                            worker_session& successor, time_point now);
+    void record_successor(worker_session& worker, time_point now);
+    void record_owner(const worker_session& worker, time_point now);
+    void occupy(worker_session& worker, const live_run& run);
     void end_expired(worker_session& worker, time_point now);
     void refresh_record(const worker_record& record, time_point now);
     static void record_start(const live_run& run, worker_session& worker,
@@ -385,14 +433,18 @@
     answer_counts answers_;          // Of all workers.
     // Open holds to workers that have not answered this leader yet.
     std::size_t open_confirmations_ = 0;
-    // Ids of removed workers with runs whose ends may still be listed.
+    std::vector<departure> departures_; // Those that are not ready.
+    // Ids of removed workers that are kept until their runs have ended.
     std::set<std::string> removed_workers_;
+    // Keys of runs whose worker was removed from the state under an earlier
+    // leader, and when the leases of earlier leaders have expired.
+    std::set<std::string> orphans_;
+    time_point orphans_end_at_;
     // Ends that this leader proposed, by the key of the run, and the keys in
     // the order of the ends.
     std::map<std::string, ended_record> recent_ends_;
     std::deque<std::string> recent_end_keys_;
-    // Start time of the youngest incarnation that was known, by address.
-    std::map<std::string, std::int64_t> youngest_born_ms_;
+    std::map<std::string, address_owner> address_owners_; // By address.
     time_point scanned_at_; // Last scan of all workers.
     bool deposed_ = false;
     bool ended_before_start_ = false;
