Count runs that the leader does not have on a worker until they end

Callers saw a start that exceeded a worker's capacity (LIMIT), reported beside a subtask that ran twice. A worker that does not guard its capacity starts whatever it is told to start.

Cause of the excess: a worker may list a run that the leader does not have there, after a wrong conclusion about its end or an order that was carried out late. The leader sent one stop, ignored its answer and counted nothing, so the next placement took the run's resources for free. Without another run on the worker its lists were not requested any more.

A session now keeps the unknown runs that its worker listed, with the needs from their job, or the whole capacity without it. They count as used. The stop is repeated until it is acknowledged; an answer that the order is invalid does not acknowledge it. A run is released when its end is listed, when lists that were requested after the longest time of an acknowledged stop lack it, or when the longest lease since it was first listed has expired. The lists are requested meanwhile, without a lease. Lists that later ones have overtaken do not name unknown runs: they sent a stop of a run whose end was listed.

The constant order_retry_delay had two definitions and has one now.

--- a/src/coordination/fleet/run_ends.cpp
+++ b/src/coordination/fleet/run_ends.cpp
@@ -63,26 +63,4 @@
     }
 }
 
-// Stops a run that a worker lists although no run of this leader is there.
-void worker_fleet::stop_unknown_run(const worker_session& worker,
-                                    const run_ref& run, time_point now)
-{
-    const auto key = key_of(run);
-    const auto ended = recent_ends_.find(key);
-    const bool known = ended != recent_ends_.end();
-    counters_.add(absl::StrCat("unknown_runs_total{ended_as=\"",
-                               known ? ended->second.reason : "", "\"}"));
-    log_event(log_level::warning, "unknown_run_stopped",
-              {{"job", run.job()},
-               {"run", key},
-               {"worker", worker.record.id()},
-               {"born_ms", absl::StrCat(worker.record.born_ms())},
-               {"ended_as", known ? ended->second.reason : ""},
-               {"ended_ms_ago",
-                known ? absl::StrCat((now - ended->second.at).count()) : ""},
-               {"epoch", absl::StrCat(epoch_)}});
-    port_.stop(worker.record, run, epoch_, order_timeout,
-               [](const order_answer&) {});
-}
-
 } // namespace limpetstack::fleet
--- /dev/null
+++ b/src/coordination/fleet/unknown_runs.cpp
@@ -0,0 +1,168 @@
+// Runs that a worker lists although the leader does not have them there: their
+// end was a wrong conclusion, or an order was carried out late. They are
+// stopped, and occupy the worker until they have certainly ended.
+#include "coordination/fleet/worker_fleet.hpp"
+
+#include "base/log.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace limpetstack::fleet
+{
+
+// Returns what a run that the worker lists occupies there; without the run's
+// job, the whole worker.
+resource_amounts worker_fleet::need_on(const worker_session& worker,
+                                       const run_ref& run) const
+{
+    const auto* const job = state_.find_job(run.job());
+    if (job == nullptr ||
+        run.step() >= static_cast<std::uint32_t>(job->job.spec().steps_size()))
+    {
+        return worker.capacity;
+    }
+    return counted_need(job->job.spec().steps(static_cast<int>(run.step())));
+}
+
+// Stops the run and counts its resources. Its lease may come from an order that
+// this leader did not send.
+void worker_fleet::record_unknown_run(worker_session& worker,
+                                      const run_ref& run, time_point now)
+{
+    const auto key = key_of(run);
+    const auto [at, added] = worker.unknown_runs.try_emplace(key);
+    if (!added)
+    {
+        return;
+    }
+    auto& unknown = at->second;
+    unknown.ref = run;
+    unknown.need = need_on(worker, run);
+    worker.used = worker.used + unknown.need;
+    worker.clock.inherit_leases(now);
+    const auto ended = recent_ends_.find(key);
+    const bool known = ended != recent_ends_.end();
+    counters_.add(absl::StrCat("unknown_runs_total{ended_as=\"",
+                               known ? ended->second.reason : "", "\"}"));
+    log_event(log_level::warning, "unknown_run_stopped",
+              {{"job", run.job()},
+               {"run", key},
+               {"worker", worker.record.id()},
+               {"born_ms", absl::StrCat(worker.record.born_ms())},
+               {"ended_as", known ? ended->second.reason : ""},
+               {"ended_ms_ago",
+                known ? absl::StrCat((now - ended->second.at).count()) : ""},
+               {"epoch", absl::StrCat(epoch_)}});
+    stop_unknown_run(worker, unknown, now);
+}
+
+void worker_fleet::stop_unknown_run(const worker_session& worker,
+                                    unknown_run& run, time_point now)
+{
+    run.stop_sent = true;
+    run.changed_at = now;
+    ++run.stop_attempts;
+    const worker_incarnation incarnation{worker.record.id(),
+                                         worker.record.born_ms()};
+    port_.stop(worker.record, run.ref, epoch_,
+               timeout_of_attempt(run.stop_attempts, now),
+               [this, incarnation, key = key_of(run.ref),
+                alive = std::weak_ptr<int>(alive_)](const order_answer& answer)
+               {
+                   if (!alive.expired())
+                   {
+                       on_unknown_stop_answer(incarnation, key, answer,
+                                              clock_());
+                   }
+               });
+}
+
+void worker_fleet::on_unknown_stop_answer(const worker_incarnation& incarnation,
+                                          const std::string& key,
+                                          const order_answer& answer,
+                                          time_point now)
+{
+    auto* const worker = session_of(incarnation);
+    if (worker == nullptr)
+    {
+        return;
+    }
+    record_order_answer(*worker, answer, now);
+    if (answer.result == order_result::newer_epoch)
+    {
+        deposed_ = true;
+        return;
+    }
+    const auto found = worker->unknown_runs.find(key);
+    if (found == worker->unknown_runs.end())
+    {
+        return;
+    }
+    auto& run = found->second;
+    run.stop_sent = false;
+    run.stop_acknowledged =
+        run.stop_acknowledged || acknowledges_stop(answer.result);
+    run.changed_at = now;
+}
+
+void worker_fleet::retry_unknown_stops(worker_session& worker, time_point now)
+{
+    for (auto& [key, run] : worker.unknown_runs)
+    {
+        if (!run.stop_sent && !run.stop_acknowledged &&
+            now - run.changed_at >= order_retry_delay)
+        {
+            stop_unknown_run(worker, run, now);
+        }
+    }
+}
+
+// Frees the resources of an unknown run that has ended, if there is one.
+void worker_fleet::release_unknown_run(worker_session& worker,
+                                       const std::string& key,
+                                       const char* reason)
+{
+    const auto found = worker.unknown_runs.find(key);
+    if (found == worker.unknown_runs.end())
+    {
+        return;
+    }
+    log_event(log_level::info, "unknown_run_ended",
+              {{"job", found->second.ref.job()},
+               {"run", key},
+               {"worker", worker.record.id()},
+               {"reason", reason},
+               {"epoch", absl::StrCat(epoch_)}});
+    worker.used = worker.used - found->second.need;
+    worker.unknown_runs.erase(found);
+}
+
+// Releases unknown runs that are missing in the worker's lists, which were
+// requested at `sent`, after the longest time of an acknowledged stop. A run
+// that is stopping is not listed.
+void worker_fleet::release_missing_runs(worker_session& worker,
+                                        const std::set<std::string>& seen,
+                                        time_point sent)
+{
+    std::vector<std::string> ended;
+    for (const auto& [key, run] : worker.unknown_runs)
+    {
+        if (seen.count(key) == 0 && run.stop_acknowledged &&
+            run.changed_at + options_.max_stop_time <= sent)
+        {
+            ended.push_back(key);
+        }
+    }
+    for (const auto& key : ended)
+    {
+        release_unknown_run(worker, key, "absent_after_stop");
+    }
+}
+
+} // namespace limpetstack::fleet
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -397,7 +397,7 @@
 
 void worker_fleet::end_expired(worker_session& worker, time_point now)
 {
-    if (worker.runs.empty())
+    if (worker.runs.empty() && worker.unknown_runs.empty())
     {
         return;
     }
@@ -406,6 +406,11 @@
     {
         return;
     }
+    while (!worker.unknown_runs.empty())
+    {
+        const auto key = worker.unknown_runs.begin()->first;
+        release_unknown_run(worker, key, "lease_over");
+    }
     for (const auto& key : worker.runs)
     {
         auto& run = runs_.at(key);
@@ -426,6 +431,7 @@
     end_expired(worker, now);
     remove_silent(worker, now);
     remove_displaced(worker, now);
+    retry_unknown_stops(worker, now);
     if (now >= worker.retry_at && needs_hold(worker, now) &&
         may_confirm(worker))
     {
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -137,6 +137,18 @@
     time_point progressed_at;
 };
 
+/// A run that a worker listed although the leader does not have it there. It
+/// occupies the worker until it has certainly ended.
+struct unknown_run
+{
+    run_ref ref;
+    resource_amounts need;
+    bool stop_sent = false;
+    bool stop_acknowledged = false;
+    int stop_attempts = 0;
+    time_point changed_at; // The last change of the progress of the stop order.
+};
+
 /// Why the leader ended a run, kept for a while after the end.
 struct ended_record
 {
@@ -170,9 +182,12 @@
 
     worker_record record;
     resource_amounts capacity;
-    resource_amounts used; // Sum of the needs of all live runs.
+    resource_amounts used; // Sum of the needs of all live and unknown runs.
     lease_clock clock;
     std::set<std::string> runs; // Keys of the live runs on the worker.
+    std::map<std::string, unknown_run> unknown_runs; // By key.
+    // The highest time of its clock at which the worker listed its runs.
+    std::int64_t lists_time_ms = 0;
     // Number of live runs that use the processor time that others leave.
     std::size_t filler_runs = 0;
     // Number of live runs with a tail latency target.
@@ -316,8 +331,21 @@
                      const char* reason);
     void log_end(const live_run& run, run_end end, const char* reason,
                  time_point now);
-    void stop_unknown_run(const worker_session& worker, const run_ref& run,
+    resource_amounts need_on(const worker_session& worker,
+                             const run_ref& run) const;
+    void record_unknown_run(worker_session& worker, const run_ref& run,
+                            time_point now);
+    void stop_unknown_run(const worker_session& worker, unknown_run& run,
                           time_point now);
+    void on_unknown_stop_answer(const worker_incarnation& incarnation,
+                                const std::string& key,
+                                const order_answer& answer, time_point now);
+    void retry_unknown_stops(worker_session& worker, time_point now);
+    void release_unknown_run(worker_session& worker, const std::string& key,
+                             const char* reason);
+    void release_missing_runs(worker_session& worker,
+                              const std::set<std::string>& seen,
+                              time_point sent);
     void start_committed(time_point now);
     void check_gang_placements();
     void send_start(live_run& run, worker_session& worker, time_point now);
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -13,9 +13,7 @@
 namespace
 {
 
-// Time before a failed hold is repeated, and the longest such time for a worker
-// without runs.
-constexpr milliseconds order_retry_delay{150};
+// The longest time before a failed hold to a worker without runs is repeated.
 constexpr milliseconds max_hold_retry_delay{1000};
 
 // The leader accepts this many hold answers per second from workers on which no
@@ -183,7 +181,10 @@
     if (answer.lists.ended.size() < ends_per_page)
     {
         end_missing(*worker, seen, sent, now);
+        release_missing_runs(*worker, seen, sent);
     }
+    worker->lists_time_ms =
+        std::max(worker->lists_time_ms, answer.lists.worker_time_ms);
     if (worker->pending_ends.empty())
     {
         worker->committed_end = worker->listed_end;
@@ -219,6 +220,7 @@
         worker.listed_end = std::max(worker.listed_end, item.number);
         const auto key = key_of(item.run);
         seen.insert(key);
+        release_unknown_run(worker, key, "listed");
         const auto found = runs_.find(key);
         if (found == runs_.end() ||
             (found->second.end_proposed && worker.pending_ends.count(key) == 0))
@@ -273,7 +275,11 @@
         if (found == runs_.end() ||
             session_of(found->second.location) != &worker)
         {
-            stop_unknown_run(worker, item.run, now);
+            // Later lists may have shown the end of the run.
+            if (lists.worker_time_ms >= worker.lists_time_ms)
+            {
+                record_unknown_run(worker, item.run, now);
+            }
             continue;
         }
         auto& run = found->second;
@@ -367,6 +373,7 @@
         worker.missed_answers > 0 && !is_silent(worker, now);
     return !worker.holding && worker.pending_ends.empty() &&
            (!worker.confirmed || may_answer_again ||
+            !worker.unknown_runs.empty() ||
             worker.acknowledged_end < worker.committed_end ||
             std::any_of(worker.runs.begin(), worker.runs.end(),
                         [this, now](const std::string& key)
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -24,9 +24,6 @@
 constexpr milliseconds short_order_timeout{100};
 constexpr int attempts_with_long_timeout = 3;
 
-// Time before a failed stop is repeated.
-constexpr milliseconds order_retry_delay{150};
-
 // Time between two list requests for a stopped run that the worker has not
 // listed as ended.
 constexpr milliseconds list_request_interval{500};
@@ -416,8 +413,7 @@
         deposed_ = true;
         return;
     }
-    if (answer.result == order_result::accepted ||
-        answer.result == order_result::old_run ||
+    if (acknowledges_stop(answer.result) ||
         answer.result == order_result::invalid)
     {
         run.stop_acknowledged = true;
--- a/src/coordination/fleet/worker_port.hpp
+++ b/src/coordination/fleet/worker_port.hpp
@@ -21,6 +21,16 @@
 /// this time is repeated on a new connection.
 constexpr milliseconds order_timeout{300};
 
+/// Time before an order or a hold that failed is repeated.
+constexpr milliseconds order_retry_delay{150};
+
+/// Returns true when the answer proves that the worker will not start the run
+/// any more, and that it is stopping it if it is there.
+inline bool acknowledges_stop(order_result result)
+{
+    return result == order_result::accepted || result == order_result::old_run;
+}
+
 /// Sends orders to workers. Callbacks run later, on the same thread; they may
 /// never run once the port's owner no longer leads.
 class worker_port
