Start no run beside an unknown run that it conflicts with

Cause: the unknown run is stopped, but the next run of its subtask was placed and started elsewhere meanwhile. Runs that were placed on the worker before it listed the unknown run were started, and unanswered starts were repeated, although they no longer fitted.

A committed run now waits until no unknown run of its subtask is left; all members of a gang wait, since they start together. Subtasks of speculative steps may run twice and do not wait. A committed run that no longer fits ends as never started, which is true, since no order was sent, and is placed elsewhere. A start is not repeated in either case: the run is stopped, since the earlier attempt may be carried out.

Measured with both conditions disabled in unknown_runs.cpp: the four new tests of unknown_run-test.cpp fail (starts.empty() Actual: false); with them they pass.

--- a/src/coordination/fleet/unknown_runs.cpp
+++ b/src/coordination/fleet/unknown_runs.cpp
@@ -7,6 +7,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -16,18 +17,24 @@
 namespace limpetstack::fleet
 {
 
+// Returns the step of a run that a worker listed; nothing if the job is not in
+// the replicated state.
+const step_spec* worker_fleet::find_spec(const run_ref& run) const
+{
+    const auto* const job = state_.find_job(run.job());
+    return job != nullptr && run.step() < static_cast<std::uint32_t>(
+                                              job->job.spec().steps_size())
+               ? &job->job.spec().steps(static_cast<int>(run.step()))
+               : nullptr;
+}
+
 // Returns what a run that the worker lists occupies there; without the run's
 // job, the whole worker.
 resource_amounts worker_fleet::need_on(const worker_session& worker,
                                        const run_ref& run) const
 {
-    const auto* const job = state_.find_job(run.job());
-    if (job == nullptr ||
-        run.step() >= static_cast<std::uint32_t>(job->job.spec().steps_size()))
-    {
-        return worker.capacity;
-    }
-    return counted_need(job->job.spec().steps(static_cast<int>(run.step())));
+    const auto* const spec = find_spec(run);
+    return spec == nullptr ? worker.capacity : counted_need(*spec);
 }
 
 // Stops the run and counts its resources. Its lease may come from an order that
@@ -123,6 +130,50 @@
     }
 }
 
+// Returns the keys of the subtasks with an unknown run, of which no other run
+// may start meanwhile.
+std::set<std::string> worker_fleet::unknown_subtasks() const
+{
+    std::set<std::string> subtasks;
+    for (const auto& [id, worker] : workers_)
+    {
+        for (const auto& [key, run] : worker.unknown_runs)
+        {
+            const auto* const spec = find_spec(run.ref);
+            if (spec != nullptr && !spec->speculative())
+            {
+                subtasks.insert(subtask_key(run.ref));
+            }
+        }
+    }
+    return subtasks;
+}
+
+// Returns true when the start of the run waits for the end of an unknown run of
+// one of the subtasks. All members of a gang start together.
+bool worker_fleet::must_wait(const live_run& run,
+                             const std::set<std::string>& unknown) const
+{
+    if (unknown.empty() || !run.gang)
+    {
+        return unknown.count(subtask_key(run.ref)) > 0;
+    }
+    const auto members = gang_members(run.ref);
+    return std::any_of(members.begin(), members.end(),
+                       [&](const std::string& key)
+                       {
+                           return unknown.count(
+                                      subtask_key(runs_.at(key).ref)) > 0;
+                       });
+}
+
+// Returns true when the runs that are placed on the worker do not fit beside
+// its unknown runs.
+bool worker_fleet::is_overfull(const worker_session& worker)
+{
+    return !worker.unknown_runs.empty() && !fits(worker.used, worker.capacity);
+}
+
 // Frees the resources of an unknown run that has ended, if there is one.
 void worker_fleet::release_unknown_run(worker_session& worker,
                                        const std::string& key,
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -112,6 +112,9 @@
     bool stop_acknowledged = false;
     bool end_proposed = false;
     std::string ticket; // From the queue's policy; empty without one.
+    // Its start waits for the end of an unknown run of its subtask, or of
+    // another member of its gang.
+    bool waits = false;
     // The incarnation on which it was placed has listed it.
     bool listed_by_incarnation = false;
     int start_attempts = 0;
@@ -331,6 +334,7 @@
                      const char* reason);
     void log_end(const live_run& run, run_end end, const char* reason,
                  time_point now);
+    const step_spec* find_spec(const run_ref& run) const;
     resource_amounts need_on(const worker_session& worker,
                              const run_ref& run) const;
     void record_unknown_run(worker_session& worker, const run_ref& run,
@@ -340,6 +344,11 @@
     void on_unknown_stop_answer(const worker_incarnation& incarnation,
                                 const std::string& key,
                                 const order_answer& answer, time_point now);
+    std::set<std::string> unknown_subtasks() const;
+    bool must_wait(const live_run& run,
+                   const std::set<std::string>& unknown) const;
+    void log_wait(live_run& run) const;
+    static bool is_overfull(const worker_session& worker);
     void retry_unknown_stops(worker_session& worker, time_point now);
     void release_unknown_run(worker_session& worker, const std::string& key,
                              const char* reason);
@@ -411,8 +420,8 @@
                                    time_point now);
     bool has_started_run(const worker_session& worker) const;
     milliseconds timeout_of_attempt(int attempt, time_point now) const;
-    static bool may_repeat_start(const live_run& run,
-                                 const worker_session& worker, time_point now);
+    bool may_repeat_start(const live_run& run, const worker_session& worker,
+                          time_point now) const;
     void record_order_answer(worker_session& worker, const order_answer& answer,
                              time_point now);
     void record_answer(worker_session& worker, time_point now);
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -138,10 +138,12 @@
 // Returns true when a start that was not answered is attempted again.
 bool worker_fleet::may_repeat_start(const live_run& run,
                                     const worker_session& worker,
-                                    time_point now)
+                                    time_point now) const
 {
-    return run.start_attempts < max_start_attempts ||
-           (!worker.unreachable && now - run.first_sent_at < start_time_limit);
+    return !is_overfull(worker) && !must_wait(run, unknown_subtasks()) &&
+           (run.start_attempts < max_start_attempts ||
+            (!worker.unreachable &&
+             now - run.first_sent_at < start_time_limit));
 }
 
 // Marks members of gangs for a stop unless the whole gang can start: all
@@ -175,6 +177,11 @@
 {
     check_gang_placements();
     const auto keys = std::exchange(newly_committed_, {});
+    if (keys.empty())
+    {
+        return;
+    }
+    const auto unknown = unknown_subtasks();
     for (const auto& key : keys)
     {
         const auto found = runs_.find(key);
@@ -196,10 +203,35 @@
             propose_end(found->second, run_never, "", "worker_unreachable");
             continue;
         }
+        if (is_overfull(*worker))
+        {
+            propose_end(found->second, run_never, "", "worker_occupied");
+            continue;
+        }
+        if (must_wait(found->second, unknown))
+        {
+            newly_committed_.push_back(key);
+            log_wait(found->second);
+            continue;
+        }
         send_start(found->second, *worker, now);
     }
 }
 
+// Logs the first time that the run waits for the end of an unknown run.
+void worker_fleet::log_wait(live_run& run) const
+{
+    if (!std::exchange(run.waits, true))
+    {
+        log_event(log_level::info, "run_waits",
+                  {{"job", run.ref.job()},
+                   {"run", key_of(run.ref)},
+                   {"worker", run.location.worker},
+                   {"reason", "unknown_run"},
+                   {"epoch", absl::StrCat(epoch_)}});
+    }
+}
+
 void worker_fleet::send_start(live_run& run, worker_session& worker,
                               time_point now)
 {
--- a/test/unknown_run-test.cpp
+++ b/test/unknown_run-test.cpp
@@ -263,5 +263,70 @@
     EXPECT_TRUE(fixture.port.stops.empty());
 }
 
+// Guards against two runs of a subtask at once: its next run starts elsewhere
+// while an earlier one is still at work.
+TEST(unknown_run, next_run_of_the_subtask_waits_for_its_end)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w2", "r1");
+    list_unknown_run(fixture, make_step(1, all_accelerators));
+    fixture.schedule();
+    EXPECT_TRUE(fixture.port.starts.empty());
+    acknowledge_stop(fixture);
+    fixture.advance(milliseconds(200));
+    auto answer = lists(fixture);
+    answer.lists.ended.push_back({1, make_run("lost", 0, 1), run_stopped, ""});
+    answer_hold(fixture, answer);
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.starts.size(), 1U);
+    EXPECT_EQ(fixture.port.starts.front().order.run.run(), 2U);
+}
+
+// Guards against members of a gang that start alone, because the next run of
+// one of them waits for the end of an earlier one.
+TEST(unknown_run, all_members_of_a_gang_wait_for_its_end)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w2", "r1");
+    list_unknown_run(fixture, make_step(2, 1, true));
+    fixture.schedule();
+    EXPECT_EQ(fixture.workers->runs().size(), 2U);
+    EXPECT_TRUE(fixture.port.starts.empty());
+}
+
+// Guards against a start that exceeds the capacity of a worker: the run was
+// placed there before the worker listed another one.
+TEST(unknown_run, run_that_no_longer_fits_is_not_started)
+{
+    fleet_fixture fixture;
+    lose_run(fixture, make_step(1, 1));
+    cancel_lost(fixture);
+    fixture.submit("other", make_step(1, all_accelerators));
+    fixture.scheduler->run_round(fixture.now, fixture.wall_ms);
+    ASSERT_EQ(fixture.workers->runs().count("other.0.0.0#1"), 1U);
+    answer_hold(fixture, lists_with(fixture, make_run("lost", 0, 1)));
+    EXPECT_TRUE(fixture.port.starts.empty());
+    EXPECT_EQ(fixture.workers->runs().count("other.0.0.0#1"), 0U);
+}
+
+// Guards against the same when the worker has left the first attempt to start
+// the run unanswered.
+TEST(unknown_run, start_that_no_longer_fits_is_not_repeated)
+{
+    fleet_fixture fixture;
+    lose_run(fixture, make_step(1, 1));
+    cancel_lost(fixture);
+    answer_hold(fixture, lists(fixture));
+    ASSERT_TRUE(can_start(fixture));
+    const auto start = fixture.port.starts.front();
+    fixture.port.starts.clear();
+    // The lists are requested because the answer is late.
+    fixture.advance(milliseconds(350));
+    answer_hold(fixture, lists_with(fixture, make_run("lost", 0, 1)));
+    start.done({});
+    fixture.commit();
+    EXPECT_TRUE(fixture.port.starts.empty());
+}
+
 } // namespace
 } // namespace limpetstack::fleet
