Report two runs of a subtask when a worker lists an unknown one

Callers saw TWICE without a line in the logs that names it: the line about the unknown run does not tell whether another run of its subtask was at work.

When a worker lists a run that the leader does not have there, each other run of the subtask whose start was sent is named in an error line together with it, and counted in subtasks_running_twice_total. Steps that are speculative are left out.

Measured with the call disabled: unknown_run.second_run_of_a_subtask_is_counted fails (counter is 0, expected 1); with it the 14 tests of unknown_run-test pass.

--- a/src/coordination/fleet/unknown_runs.cpp
+++ b/src/coordination/fleet/unknown_runs.cpp
@@ -66,9 +66,41 @@
                {"ended_ms_ago",
                 known ? absl::StrCat((now - ended->second.at).count()) : ""},
                {"epoch", absl::StrCat(epoch_)}});
+    report_second_runs(worker, run);
     stop_unknown_run(worker, unknown, now);
 }
 
+// Reports the other runs of the unknown run's subtask that may be at work.
+void worker_fleet::report_second_runs(const worker_session& worker,
+                                      const run_ref& run)
+{
+    const auto* const spec = find_spec(run);
+    if (spec == nullptr || spec->speculative())
+    {
+        return;
+    }
+    const auto prefix = absl::StrCat(subtask_key(run), "#");
+    for (auto at = runs_.lower_bound(prefix);
+         at != runs_.end() && at->first.compare(0, prefix.size(), prefix) == 0;
+         ++at)
+    {
+        const auto& other = at->second;
+        if (other.phase == run_phase::proposed ||
+            other.phase == run_phase::committed)
+        {
+            continue;
+        }
+        counters_.add("subtasks_running_twice_total");
+        log_event(log_level::error, "subtask_runs_twice",
+                  {{"job", run.job()},
+                   {"run", key_of(run)},
+                   {"worker", worker.record.id()},
+                   {"other_run", at->first},
+                   {"other_worker", other.location.worker},
+                   {"epoch", absl::StrCat(epoch_)}});
+    }
+}
+
 void worker_fleet::stop_unknown_run(const worker_session& worker,
                                     unknown_run& run, time_point now)
 {
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -339,6 +339,7 @@
                              const run_ref& run) const;
     void record_unknown_run(worker_session& worker, const run_ref& run,
                             time_point now);
+    void report_second_runs(const worker_session& worker, const run_ref& run);
     void stop_unknown_run(const worker_session& worker, unknown_run& run,
                           time_point now);
     void on_unknown_stop_answer(const worker_incarnation& incarnation,
--- a/test/unknown_run-test.cpp
+++ b/test/unknown_run-test.cpp
@@ -328,5 +328,21 @@
     EXPECT_TRUE(fixture.port.starts.empty());
 }
 
+// Guards against two runs of a subtask that nobody learns of.
+TEST(unknown_run, second_run_of_a_subtask_is_counted)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w2", "r1");
+    lose_run(fixture, make_step(1, 1));
+    fixture.workers->avoid("w1", fixture.now + stop_time);
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.starts.size(), 1U);
+    ASSERT_EQ(fixture.port.starts.front().order.worker, "w2");
+    accept_starts(fixture);
+    fixture.commit();
+    answer_hold(fixture, lists_with(fixture, make_run("lost", 0, 1)));
+    EXPECT_EQ(fixture.counters.counter("subtasks_running_twice_total"), 1U);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
