Do not take a stop that is answered as invalid for acknowledged

The leader counted the answer as an acknowledged stop and ended the run 900 ms later, as absent.

Such a stop is now repeated like one without an answer. So that the subtask does not wait for good on a worker whose leases other runs renew, the run also ends, as lapsed, once the worker's lists have lacked it for the longest time of a stop after the end of the lease of its start: a later start is rejected as late. This holds only for runs with a stop that was answered as invalid.

Measured: with the answer counted as acknowledged, worker_stop.invalid_answer_does_not_acknowledge_a_stop fails (runs 0, expected 1); without end_unstopped, worker_stop.run_without_an_acknowledged_stop_ends_after_its_lease fails (runs 1, expected 0).

--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -110,6 +110,10 @@
     bool stop_requested = false;
     bool stop_sent = false;
     bool stop_acknowledged = false;
+    bool stop_invalid = false; // A stop was answered as invalid.
+    // The worker's clock when it first lacked the run after the end of the
+    // lease of its start; 0: not yet.
+    std::int64_t absent_since_ms = 0;
     bool end_proposed = false;
     std::string ticket; // From the queue's policy; empty without one.
     // Its start waits for the end of an unknown run of its subtask, or of
@@ -387,6 +391,8 @@
                          std::set<std::string>& seen, time_point now);
     void end_missing(worker_session& worker, const std::set<std::string>& seen,
                      time_point sent, time_point now);
+    void end_unstopped(worker_session& worker, const worker_lists& lists,
+                       const std::set<std::string>& seen);
     void retry_stops(time_point now);
     void advance_worker(worker_session& worker, time_point now);
     void remove_silent(worker_session& worker, time_point now);
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -181,6 +181,7 @@
     if (answer.lists.ended.size() < ends_per_page)
     {
         end_missing(*worker, seen, sent, now);
+        end_unstopped(*worker, answer.lists, seen);
         release_missing_runs(*worker, seen, sent);
     }
     worker->lists_time_ms =
@@ -345,6 +346,35 @@
     }
 }
 
+// Ends runs whose stops are answered as invalid. After the end of the lease of
+// its start, a run that is missing in the lists can not start any more; it may
+// only be stopping because of an order that was not answered.
+void worker_fleet::end_unstopped(worker_session& worker,
+                                 const worker_lists& lists,
+                                 const std::set<std::string>& seen)
+{
+    for (const auto& key : worker.runs)
+    {
+        auto& run = runs_.at(key);
+        if (!run.stop_invalid || run.stop_acknowledged || run.end_proposed ||
+            run.start_lease_end_ms == 0 || !(run.location == run.incarnation) ||
+            seen.count(key) > 0 ||
+            lists.worker_time_ms <= run.start_lease_end_ms)
+        {
+            continue;
+        }
+        if (run.absent_since_ms == 0)
+        {
+            run.absent_since_ms = lists.worker_time_ms;
+        }
+        else if (lists.worker_time_ms - run.absent_since_ms >=
+                 options_.max_stop_time.count())
+        {
+            propose_end(run, run_lapsed, "", "absent_after_lease");
+        }
+    }
+}
+
 // Returns true when the worker's lists are needed to follow the run. A start is
 // usually answered by itself.
 bool worker_fleet::needs_lists(const live_run& run, time_point now)
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -445,13 +445,14 @@
         deposed_ = true;
         return;
     }
-    if (acknowledges_stop(answer.result) ||
-        answer.result == order_result::invalid)
+    if (acknowledges_stop(answer.result))
     {
         run.stop_acknowledged = true;
         run.changed_at = now;
         return;
     }
+    run.stop_invalid =
+        run.stop_invalid || answer.result == order_result::invalid;
     run.stop_sent = false; // `advance` sends the stop again.
     run.changed_at = now;
     if (worker != nullptr && !worker->unreachable &&
--- /dev/null
+++ b/test/worker_stop-test.cpp
@@ -0,0 +1,91 @@
+// Checks when the leader takes a run for ended whose stop was answered as
+// invalid: the worker has done nothing, and may carry out an earlier start.
+#include "coordination/fleet/worker_fleet.hpp"
+
+#include "support/fleet_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+const std::string stopped_run = "late.0.0.0#1";
+
+// Answers open holds and list requests with the run that is at work, and stops
+// as invalid.
+void answer_all(fleet_fixture& fixture)
+{
+    auto lists = std::exchange(fixture.port.holds, {});
+    for (auto& request : std::exchange(fixture.port.list_requests, {}))
+    {
+        lists.push_back(std::move(request));
+    }
+    for (const auto& request : lists)
+    {
+        hold_answer answer;
+        answer.result = order_result::accepted;
+        answer.lists.worker_time_ms = fixture.worker_clock();
+        answer.lists.born_ms = 1;
+        answer.lists.running.push_back({make_run("job", 0, 1), "", 10});
+        request.done(answer);
+    }
+    for (const auto& stop : std::exchange(fixture.port.stops, {}))
+    {
+        stop.done({order_result::invalid, fixture.worker_clock()});
+    }
+    fixture.commit();
+}
+
+// Adds a worker with a run at work, and a second run there whose start is not
+// answered and whose job is cancelled.
+void stop_unanswered_start(fleet_fixture& fixture)
+{
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.submit("job", make_step(1, 1));
+    fixture.schedule();
+    accept_starts(fixture);
+    fixture.port.starts.clear();
+    fixture.commit();
+    fixture.submit("late", make_step(1, 1));
+    fixture.schedule();
+    ASSERT_EQ(fixture.port.starts.size(), 1U);
+    fixture.workers->stop(stopped_run, "cancelled", fixture.now);
+    ASSERT_EQ(fixture.port.stops.size(), 1U);
+}
+
+// Guards against a second run of a subtask whose stop was answered as invalid,
+// while its start may still be carried out.
+TEST(worker_stop, invalid_answer_does_not_acknowledge_a_stop)
+{
+    fleet_fixture fixture;
+    stop_unanswered_start(fixture);
+    for (int i = 0; i < 60; ++i)
+    {
+        answer_all(fixture);
+        ASSERT_EQ(fixture.workers->runs().count(stopped_run), 1U) << i;
+        fixture.advance(milliseconds(100));
+    }
+}
+
+// Guards against a subtask that never runs again because each stop of its
+// earlier run is answered as invalid.
+TEST(worker_stop, run_without_an_acknowledged_stop_ends_after_its_lease)
+{
+    fleet_fixture fixture;
+    stop_unanswered_start(fixture);
+    for (int i = 0; i < 80; ++i)
+    {
+        answer_all(fixture);
+        fixture.advance(milliseconds(100));
+    }
+    EXPECT_EQ(fixture.workers->runs().count(stopped_run), 0U);
+    EXPECT_EQ(fixture.workers->runs().count("job.0.0.0#1"), 1U);
+}
+
+} // namespace
+} // namespace limpetstack::fleet
