Repeat a refused stop only after a pause

Callers would see: a leader that is busy with one worker (found by reading). Where many answers are lost, a stop that was not acknowledged was sent again at once, whatever the answer was. A worker that refuses it at once, as unhealthy or invalid, got the next one with each round trip.

Only a stop without an answer is sent again at once; its timeout has passed by then. A refused one waits for order_retry_delay.

--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -455,7 +455,8 @@
         run.stop_invalid || answer.result == order_result::invalid;
     run.stop_sent = false; // `advance` sends the stop again.
     run.changed_at = now;
-    if (worker != nullptr && !worker->unreachable &&
+    if (answer.result == order_result::unknown && worker != nullptr &&
+        !worker->unreachable &&
         !answers_are_reliable(lost_share(answers_, now)))
     {
         send_stop(run, now);
--- a/test/worker_stop-test.cpp
+++ b/test/worker_stop-test.cpp
@@ -87,5 +87,31 @@
     EXPECT_EQ(fixture.workers->runs().count("job.0.0.0#1"), 1U);
 }
 
+// Guards against a stop that is sent over and over without a pause where many
+// answers are lost, because its worker refuses it at once.
+TEST(worker_stop, refused_stop_is_repeated_after_a_pause)
+{
+    for (const auto result : {order_result::invalid, order_result::unhealthy})
+    {
+        fleet_fixture fixture;
+        stop_unanswered_start(fixture);
+        for (int i = 0; i < 3; ++i)
+        {
+            ASSERT_EQ(fixture.port.stops.size(), 1U);
+            const auto lost = fixture.port.stops.front();
+            fixture.port.stops.clear();
+            lost.done({});
+            fixture.advance(milliseconds(200));
+        }
+        ASSERT_EQ(fixture.port.stops.size(), 1U);
+        const auto refused = fixture.port.stops.front();
+        fixture.port.stops.clear();
+        refused.done({result, fixture.worker_clock()});
+        EXPECT_TRUE(fixture.port.stops.empty());
+        fixture.advance(milliseconds(200));
+        EXPECT_EQ(fixture.port.stops.size(), 1U);
+    }
+}
+
 } // namespace
 } // namespace limpetstack::fleet
