--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -110,8 +110,15 @@
     bool stop_requested = false;
     bool stop_sent = false;
     bool stop_acknowledged = false;
+    bool stop_invalid = false; // A stop was answered as invalid.
+    // The worker's clock when it first lacked the run after the end of the
+    // lease of its start; 0: not yet.
+    std::int64_t absent_since_ms = 0;
     bool end_proposed = false;
     std::string ticket; // From the queue's policy; empty without one.
+    // Its start waits for the end of an unknown run of its subtask, or of
+    // another member of its gang.
+    bool waits = false;
     // The incarnation on which it was placed has listed it.
     bool listed_by_incarnation = false;
     int start_attempts = 0;
@@ -137,6 +144,18 @@
     time_point progressed_at;
 };
 
+/// A run that a worker listed although the leader does not have it there. It
+/// occupies the worker until it has certainly ended.
+struct unknown_run
+{
+    run_ref ref;
+    resource_amounts need;
+    bool stop_sent = false;
+    bool stop_acknowledged = false;
+    int stop_attempts = 0;
+    time_point changed_at; // The last change of the progress of the stop order.
+};
+
 /// Why the leader ended a run, kept for a while after the end.
 struct ended_record
 {
@@ -170,9 +189,12 @@
 
     worker_record record;
     resource_amounts capacity;
-    resource_amounts used; // Sum of the needs of all live runs.
+    resource_amounts used; // Sum of the needs of all live and unknown runs.
     lease_clock clock;
     std::set<std::string> runs; // Keys of the live runs on the worker.
+    std::map<std::string, unknown_run> unknown_runs; // By key.
+    // The highest time of its clock at which the worker listed its runs.
+    std::int64_t lists_time_ms = 0;
     // Number of live runs that use the processor time that others leave.
     std::size_t filler_runs = 0;
     // Number of live runs with a tail latency target.
@@ -334,8 +356,28 @@
                      const char* reason);
     void log_end(const live_run& run, run_end end, const char* reason,
                  time_point now);
-    void stop_unknown_run(const worker_session& worker, const run_ref& run,
+    const step_spec* find_spec(const run_ref& run) const;
+    resource_amounts need_on(const worker_session& worker,
+                             const run_ref& run) const;
+    void record_unknown_run(worker_session& worker, const run_ref& run,
+                            time_point now);
+    void report_second_runs(const worker_session& worker, const run_ref& run);
+    void stop_unknown_run(const worker_session& worker, unknown_run& run,
                           time_point now);
+    void on_unknown_stop_answer(const worker_incarnation& incarnation,
+                                const std::string& key,
+                                const order_answer& answer, time_point now);
+    std::set<std::string> unknown_subtasks() const;
+    bool must_wait(const live_run& run,
+                   const std::set<std::string>& unknown) const;
+    void log_wait(live_run& run) const;
+    static bool is_overfull(const worker_session& worker);
+    void retry_unknown_stops(worker_session& worker, time_point now);
+    void release_unknown_run(worker_session& worker, const std::string& key,
+                             const char* reason);
+    void release_missing_runs(worker_session& worker,
+                              const std::set<std::string>& seen,
+                              time_point sent);
     void start_committed(time_point now);
     void check_gang_placements();
     void send_start(live_run& run, worker_session& worker, time_point now);
@@ -367,6 +409,8 @@
                          std::set<std::string>& seen, time_point now);
     void end_missing(worker_session& worker, const std::set<std::string>& seen,
                      time_point sent, time_point now);
+    void end_unstopped(worker_session& worker, const worker_lists& lists,
+                       const std::set<std::string>& seen);
     void retry_stops(time_point now);
     void advance_worker(worker_session& worker, time_point now);
     void remove_silent(worker_session& worker, time_point now);
@@ -407,8 +451,8 @@
                                    time_point now);
     bool has_started_run(const worker_session& worker) const;
     milliseconds timeout_of_attempt(int attempt, time_point now) const;
-    static bool may_repeat_start(const live_run& run,
-                                 const worker_session& worker, time_point now);
+    bool may_repeat_start(const live_run& run, const worker_session& worker,
+                          time_point now) const;
     void record_order_answer(worker_session& worker, const order_answer& answer,
                              time_point now);
     void record_answer(worker_session& worker, time_point now);
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -24,9 +24,6 @@
 constexpr milliseconds short_order_timeout{100};
 constexpr int attempts_with_long_timeout = 3;
 
-// Time before a failed stop is repeated.
-constexpr milliseconds order_retry_delay{150};
-
 // Time between two list requests for a stopped run that the worker has not
 // listed as ended.
 constexpr milliseconds list_request_interval{500};
@@ -141,10 +138,12 @@
 // Returns true when a start that was not answered is attempted again.
 bool worker_fleet::may_repeat_start(const live_run& run,
                                     const worker_session& worker,
-                                    time_point now)
+                                    time_point now) const
 {
-    return run.start_attempts < max_start_attempts ||
-           (!worker.unreachable && now - run.first_sent_at < start_time_limit);
+    return !is_overfull(worker) && !must_wait(run, unknown_subtasks()) &&
+           (run.start_attempts < max_start_attempts ||
+            (!worker.unreachable &&
+             now - run.first_sent_at < start_time_limit));
 }
 
 // Marks members of gangs for a stop unless the whole gang can start: all
@@ -178,6 +177,11 @@
 {
     check_gang_placements();
     const auto keys = std::exchange(newly_committed_, {});
+    if (keys.empty())
+    {
+        return;
+    }
+    const auto unknown = unknown_subtasks();
     for (const auto& key : keys)
     {
         const auto found = runs_.find(key);
@@ -199,10 +203,35 @@
             propose_end(found->second, run_never, "", "worker_unreachable");
             continue;
         }
+        if (is_overfull(*worker))
+        {
+            propose_end(found->second, run_never, "", "worker_occupied");
+            continue;
+        }
+        if (must_wait(found->second, unknown))
+        {
+            newly_committed_.push_back(key);
+            log_wait(found->second);
+            continue;
+        }
         send_start(found->second, *worker, now);
     }
 }
 
+// Logs the first time that the run waits for the end of an unknown run.
+void worker_fleet::log_wait(live_run& run) const
+{
+    if (!std::exchange(run.waits, true))
+    {
+        log_event(log_level::info, "run_waits",
+                  {{"job", run.ref.job()},
+                   {"run", key_of(run.ref)},
+                   {"worker", run.location.worker},
+                   {"reason", "unknown_run"},
+                   {"epoch", absl::StrCat(epoch_)}});
+    }
+}
+
 void worker_fleet::send_start(live_run& run, worker_session& worker,
                               time_point now)
 {
@@ -415,17 +444,18 @@
         deposed_ = true;
         return;
     }
-    if (answer.result == order_result::accepted ||
-        answer.result == order_result::old_run ||
-        answer.result == order_result::invalid)
+    if (acknowledges_stop(answer.result))
     {
         run.stop_acknowledged = true;
         run.changed_at = now;
         return;
     }
+    run.stop_invalid =
+        run.stop_invalid || answer.result == order_result::invalid;
     run.stop_sent = false; // `advance` sends the stop again.
     run.changed_at = now;
-    if (worker != nullptr && !worker->unreachable &&
+    if (answer.result == order_result::unknown && worker != nullptr &&
+        !worker->unreachable &&
         !answers_are_reliable(lost_share(answers_, now)))
     {
         send_stop(run, now);
