Count leases from the lowest time that a worker's clock may have

Cause: the end of a lease was computed from the last reading of the worker's clock plus the time since then, as if both clocks ran at the same rate. A clock that runs 2% slow is behind that by 2% of the reading's age. An order that is carried out late keeps the whole excess, because the worker shortens a lease from when it carries out the order. A new leader waits for one longest lease at the slowest rate and 100 ms; a reading older than 5 s uses up the 100 ms. Change: worker_time is the lowest time that the clock may have. A lease then ends at most one longest lease, stretched by the drift, after its order was made, however late the order is written or carried out.

--- a/src/coordination/fleet/lease_clock.hpp
+++ b/src/coordination/fleet/lease_clock.hpp
@@ -31,10 +31,7 @@
         {
             return;
         }
-        if (!latest_ || worker_time_ms >= latest_->worker_time_ms)
-        {
-            latest_ = reading{worker_time_ms, now};
-        }
+        latest_reading_ = std::max(latest_reading_, worker_time_ms);
         if (!bound_ || worker_time_ms >= earliest_time(now))
         {
             bound_ = reading{worker_time_ms, now};
@@ -42,22 +39,17 @@
     }
 
     /// Returns true when the worker's clock has been read.
-    bool has_reading() const { return latest_.has_value(); }
+    bool has_reading() const { return latest_reading_ > 0; }
 
     /// Returns the highest reading in milliseconds, 0 without one.
-    std::int64_t latest_reading() const
-    {
-        return latest_ ? latest_->worker_time_ms : 0;
-    }
+    std::int64_t latest_reading() const { return latest_reading_; }
 
-    /// Returns the lowest possible time of the worker's clock if both clocks
-    /// run at the same rate; 0 without a reading.
+    /// Returns a time that the worker's clock has reached even if it runs as
+    /// slow as allowed; 0 without a reading. A lease that counts from it is
+    /// over when a later leader expects, however old the reading is.
     std::int64_t worker_time(time_point now) const
     {
-        return latest_ ? std::max(latest_->worker_time_ms +
-                                      (now - latest_->at).count(),
-                                  earliest_time(now))
-                       : 0;
+        return bound_ ? earliest_time(now) : 0;
     }
 
     /// Records a lease up to `lease_end_ms` on the worker's clock. It counts
@@ -123,7 +115,7 @@
 
     double max_drift_; // A fraction of the elapsed time.
     milliseconds max_lease_;
-    std::optional<reading> latest_; // The highest reading.
+    std::int64_t latest_reading_ = 0;
     // The reading from which the highest lower bound of the clock follows.
     std::optional<reading> bound_;
     std::int64_t granted_end_ = 0;
