Count the right to send orders from the sending of answered heartbeats

Cause: a leader led for an election timeout after the last answer had arrived. The member that sent it counts its time from the heartbeat, so it may have elected another leader meanwhile: an earlier leader went on for as long as the answers had been under way. The new leader's bound of earlier leases counts from its own beginning and covers 100 ms. Besides, entries that the next leader had committed were applied, and their starts sent, before the host ended its own leadership. Change: consensus records when each heartbeat round was sent. Orders are sent only while the replica leads the term and fewer than two election timeouts have passed since the sending of the last round that a majority answered. Others lead one election timeout after it at the earliest, so the new leader waits for one more. The decision is a function with a test; the host logs when it withholds orders. Ruled out on paper: one election timeout, which needs no longer wait, but with which no leader could act where answers take half a second; to end the leadership itself by the same rule, because no other could be elected at such delays either. An order that waits in a channel needs no second check for its lease: the lease was computed when it was queued.

--- a/src/coordination/consensus.hpp
+++ b/src/coordination/consensus.hpp
@@ -5,6 +5,7 @@
 #include "state/stored_log.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -100,6 +101,13 @@
                          std::uint64_t retained);
 
     bool is_leader() const { return role_ == role::leader; }
+
+    /// Returns when this leader sent the latest heartbeat that a majority has
+    /// answered. Members that answered it elect no other leader before an
+    /// election timeout has passed since then. Returns nothing without such a
+    /// heartbeat or on another replica.
+    std::optional<time_point> confirmed_at() const;
+
     std::uint64_t leader() const { return leader_; }
     std::uint64_t term() const { return hard_state_.term; }
     std::uint64_t commit() const { return commit_; }
@@ -126,6 +134,8 @@
         bool probing = true;
         // Time of the last answer to a newer heartbeat round.
         std::optional<time_point> last_response;
+        // When the latest heartbeat that the member has answered was sent.
+        std::optional<time_point> confirmed_at;
         std::optional<time_point> snapshot_sent;
     };
 
@@ -171,6 +181,7 @@
     void update_members();
     void check_quorum();
     void broadcast_heartbeat();
+    std::optional<time_point> round_sent_at(std::uint64_t round) const;
     void send_empty_append(std::uint64_t to, const progress& peer);
     void send_new_entries(std::uint64_t to, progress& peer);
     void send_snapshot(std::uint64_t to, progress& peer);
@@ -204,6 +215,8 @@
     time_point leader_since_;
     time_point last_heartbeat_;
     std::uint64_t round_ = 0; // Number of the latest heartbeat round.
+    // When the latest rounds were sent, in their order.
+    std::deque<time_point> round_times_;
     // Index of the no-op entry with which this leader began its term.
     std::uint64_t term_start_index_ = 0;
     std::uint64_t next_read_id_ = 1;
--- a/src/coordination/consensus_election.cpp
+++ b/src/coordination/consensus_election.cpp
@@ -134,6 +134,7 @@
     peers_.clear();
     pending_reads_.clear();
     round_ = 0;
+    round_times_.clear();
     update_members();
     // Entries of earlier terms are committed only together with an entry of
     // this term, so the leader appends one at once.
--- a/src/coordination/consensus_leader.cpp
+++ b/src/coordination/consensus_leader.cpp
@@ -23,6 +23,9 @@
 // because it may take longer than a heartbeat to arrive.
 constexpr int snapshot_retry_timeouts = 4;
 
+// Answers to rounds that were sent longer ago confirm no leadership.
+constexpr milliseconds round_memory{5000};
+
 proposal_result rejected(wire::command_code code, std::string message)
 {
     return {code, std::move(message), 0};
@@ -189,6 +192,11 @@
 {
     last_heartbeat_ = now_;
     ++round_;
+    round_times_.push_back(now_);
+    while (now_ - round_times_.front() > round_memory)
+    {
+        round_times_.pop_front();
+    }
     for (auto& read : pending_reads_)
     {
         if (read.round == 0)
@@ -202,6 +210,39 @@
     }
 }
 
+// Returns nothing when the round was sent too long ago.
+std::optional<time_point> consensus::round_sent_at(std::uint64_t round) const
+{
+    const auto later = round_ - round;
+    return later < round_times_.size()
+               ? std::optional(*(round_times_.rbegin() +
+                                 static_cast<std::ptrdiff_t>(later)))
+               : std::nullopt;
+}
+
+std::optional<time_point> consensus::confirmed_at() const
+{
+    if (role_ != role::leader)
+    {
+        return std::nullopt;
+    }
+    std::vector<std::uint64_t> times;
+    for (const auto id : voter_ids(log_.members()))
+    {
+        const auto peer = peers_.find(id);
+        const auto at = id == options_.id      ? std::optional(now_)
+                        : peer == peers_.end() ? std::nullopt
+                                               : peer->second.confirmed_at;
+        times.push_back(
+            at ? static_cast<std::uint64_t>(at->time_since_epoch().count())
+               : 0);
+    }
+    const auto majority = majority_value(std::move(times));
+    return majority > 0 ? std::optional(time_point(milliseconds(
+                              static_cast<milliseconds::rep>(majority))))
+                        : std::nullopt;
+}
+
 wire::append_request consensus::next_append(const progress& peer) const
 {
     wire::append_request request;
@@ -295,6 +336,10 @@
         // repeated or delayed answer does not.
         peer.acknowledged_round = answer.round();
         peer.last_response = now_;
+        if (const auto sent = round_sent_at(answer.round()))
+        {
+            peer.confirmed_at = sent;
+        }
     }
     if (answer.last_index() <= log_.last_index())
     {
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -87,7 +87,8 @@
     const auto now = clock_();
     for (const auto& [id, record] : state_.workers())
     {
-        add_session(record, now).clock.inherit_leases(now);
+        add_session(record, now)
+            .clock.inherit_leases(now + options_.leadership_overlap);
     }
     for (auto& [address, owner] : address_owners_)
     {
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -28,6 +28,9 @@
     milliseconds report_interval{1500}; // Time between a worker's reports.
     // The largest fraction by which a worker's clock may run slow.
     double max_clock_drift = 0.02;
+    // The longest time for which an earlier leader may send orders after a new
+    // leader has begun.
+    milliseconds leadership_overlap{0};
     milliseconds max_hold_wait{2000}; // The longest wait of a hold call.
     // The longest time that a worker takes to stop a run.
     milliseconds max_stop_time{900};
--- a/src/daemon/fleet/core_leadership.cpp
+++ b/src/daemon/fleet/core_leadership.cpp
@@ -33,9 +33,9 @@
                worker_connections_share))
     , guarded_port(
           port,
-          [&node]
+          [&node, term]
           {
-              return node.may_act_as_leader();
+              return node.may_act_as_leader(term);
           },
           [&node](std::function<void()> callback)
           {
@@ -97,6 +97,10 @@
             });
         runner_->pump();
     }
+    if (leadership_)
+    {
+        log_permission();
+    }
     const auto leader = leader_address();
     if (leader != last_leader_)
     {
@@ -107,12 +111,37 @@
     }
 }
 
-// Returns false when this host may have been suspended since it last checked
-// whether it still leads. Callbacks that became due meanwhile run first.
-bool core_node::may_act_as_leader() const
+bool core_node::may_act_as_leader(std::uint64_t term) const
 {
-    return !unconfirmed_after_gap_ &&
-           boot_now() - leadership_checked_at_ <= max_leadership_check_age;
+    const auto& replica = runner_->replica();
+    leader_evidence evidence;
+    evidence.leads = replica.is_leader() && replica.term() == term;
+    evidence.confirmed_after_gap = !unconfirmed_after_gap_;
+    evidence.checked_at = leadership_checked_at_;
+    evidence.confirmed_at = replica.confirmed_at();
+    return may_act(
+        evidence,
+        {max_leadership_check_age, max_confirmation_age(election_timeout)},
+        boot_now());
+}
+
+// Logs when the leader's orders begin or cease to be withheld.
+void core_node::log_permission()
+{
+    const auto& replica = runner_->replica();
+    const bool acts = may_act_as_leader(replica.term());
+    if (acts == leadership_->acts)
+    {
+        return;
+    }
+    leadership_->acts = acts;
+    const auto confirmed_at = replica.confirmed_at();
+    log_event(
+        log_level::warning, acts ? "orders_resumed" : "orders_withheld",
+        {{"term", absl::StrCat(replica.term())},
+         {"confirmed_ms_ago",
+          confirmed_at ? absl::StrCat((boot_now() - *confirmed_at).count())
+                       : ""}});
 }
 
 // After a suspension, messages that arrived meanwhile make a majority look
--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -14,10 +14,6 @@
 
 constexpr milliseconds heartbeat_interval{100};
 
-// Followers elect another leader when they have not heard the leader for this
-// long. A leader that has not heard a majority for as long steps down.
-constexpr milliseconds election_timeout{600};
-
 // Ping interval, silence timeout and redial delay of connections to peers.
 constexpr peer_links_options link_options{milliseconds(300), milliseconds(900),
                                           milliseconds(200)};
@@ -33,7 +29,8 @@
 constexpr std::uint32_t max_control_body_bytes = 8U << 20U;
 
 consensus_options make_consensus_options(const node_settings& settings,
-                                         std::uint64_t id)
+                                         std::uint64_t id,
+                                         milliseconds election_timeout)
 {
     consensus_options options;
     options.id = id;
@@ -70,6 +67,8 @@
     , disk_timer_(io)
     , service_(protocol, state_, service_dependencies())
 {
+    settings_.workers.leadership_overlap =
+        max_leadership_overlap(election_timeout);
     consensus_runner::callbacks callbacks;
     callbacks.send = [this](const wire::consensus_message& message)
     {
@@ -109,8 +108,9 @@
         exit_when_disk_recovers();
     };
     runner_ = std::make_unique<consensus_runner>(
-        make_consensus_options(settings_, storage_.id), storage_.content,
-        *storage_.log, disk_, state_, std::move(callbacks), boot_now());
+        make_consensus_options(settings_, storage_.id, election_timeout),
+        storage_.content, *storage_.log, disk_, state_, std::move(callbacks),
+        boot_now());
     storage_.content = {};
     use_document();
     links_ = std::make_unique<peer_links>(
--- a/src/daemon/fleet/core_node.hpp
+++ b/src/daemon/fleet/core_node.hpp
@@ -5,6 +5,7 @@
 #include "coordination/fleet/fleet_scheduler.hpp"
 #include "coordination/fleet/fleet_service.hpp"
 #include "coordination/fleet/guarded_worker_port.hpp"
+#include "coordination/fleet/leader_permission.hpp"
 #include "coordination/fleet/member_policy.hpp"
 #include "coordination/fleet/worker_fleet.hpp"
 #include "daemon/fleet/disk_thread.hpp"
@@ -53,6 +54,10 @@
     void stop();
 
 private:
+    // Followers elect another leader when they have not heard the leader for
+    // this long. A leader that has not heard a majority for as long steps down.
+    static constexpr milliseconds election_timeout{600};
+
     // Holds everything that exists only while this host leads.
     struct leadership
     {
@@ -63,6 +68,7 @@
         worker_fleet workers;
         fleet_scheduler scheduler;
         time_point began_at; // When the leadership was confirmed.
+        bool acts = true;    // False while its orders are withheld.
     };
 
     void on_tick();
@@ -74,8 +80,9 @@
     void send_message(const wire::consensus_message& message);
     void record_observed_host(const hello& from);
     void update_leadership();
-    bool may_act_as_leader() const;
+    bool may_act_as_leader(std::uint64_t term) const;
     void confirm_after_gap(time_point now);
+    void log_permission();
     void begin_leadership();
     void run_due_work();
     void manage_members();
--- a/test/lease_bounds-test.cpp
+++ b/test/lease_bounds-test.cpp
@@ -2,6 +2,10 @@
 // that the worker's leases are over.
 #include "coordination/fleet/lease_clock.hpp"
 
+#include "coordination/fleet/leader_permission.hpp"
+#include "coordination/fleet/worker_fleet.hpp"
+#include "support/fleet_fixture.hpp"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -15,6 +19,8 @@
 
 constexpr double max_drift = 0.02;
 constexpr milliseconds max_lease{6000};
+constexpr milliseconds leadership_overlap =
+    max_leadership_overlap(milliseconds(600));
 
 // The longest time after its sending at which a worker carries out an order.
 constexpr int max_late_ms = 12000;
@@ -62,30 +68,64 @@
     return *rc::gen::inRange(first, last + 1);
 }
 
+// Returns 0 in half of the cases, otherwise up to `last`.
+int drawn_or_none(int last)
+{
+    return drawn(0, 1) == 0 ? 0 : drawn(0, last);
+}
+
 // Reads the worker's clock some time before `now`; the reading may have been
 // delayed on its way.
 void read_clock(lease_clock& clock, const worker_model& worker, time_point now)
 {
-    const auto arrived = now - milliseconds(drawn(0, 60000));
-    const auto read = arrived - milliseconds(drawn(0, 3000));
+    const auto arrived = now - milliseconds(drawn_or_none(60000));
+    const auto read = arrived - milliseconds(drawn_or_none(3000));
     clock.sample(worker.clock(read), arrived);
 }
 
+// Returns when a leader that takes over at `fixture.now` takes all leases of
+// the worker "w1" for expired.
+time_point expiry_after_takeover(fleet_fixture& fixture)
+{
+    worker_fleet_options options;
+    options.leadership_overlap = leadership_overlap;
+    const worker_fleet later(
+        options, fixture.state, fixture.port, [](const fleet_command&) {},
+        [&fixture]
+        {
+            return fixture.now;
+        },
+        2, fixture.counters);
+    return *later.workers().at("w1").clock.expiry_time();
+}
+
 // Guards against a new leader that starts a subtask elsewhere while a lease of
-// an earlier leader is still valid: leases grow with the age of the reading
-// that they are computed from, and orders are carried out late.
+// an earlier leader is still valid: that leader may act beside the new one for
+// a while, leases grow with the age of the reading that they are computed from,
+// and orders are carried out late.
 RC_GTEST_PROP(lease_bounds, no_run_outlasts_the_bound_of_a_new_leader, ())
 {
+    fleet_fixture fixture;
+    fixture.add_worker("w1", "r1");
+    const auto expiry = expiry_after_takeover(fixture);
     worker_model worker(drawn(980, 1000));
-    const time_point takeover{milliseconds(1000000)};
     lease_clock earlier(max_drift, max_lease);
-    lease_clock later(max_drift, max_lease);
-    later.inherit_leases(takeover);
-    const auto sent = takeover - milliseconds(drawn(0, 200));
+    const auto sent =
+        fixture.now + leadership_overlap - milliseconds(drawn(0, 800));
     read_clock(earlier, worker, sent);
     worker.carry_out(earlier.worker_time(sent) + max_lease.count(),
-                     sent + milliseconds(drawn(0, max_late_ms)));
-    RC_ASSERT(!worker.runs_at(*later.expiry_time()));
+                     sent + milliseconds(drawn_or_none(max_late_ms)));
+    RC_ASSERT(!worker.runs_at(expiry));
+}
+
+// Guards against a leader that waits for leases of others when it has begun
+// later than they could act.
+TEST(lease_bounds, new_leader_waits_for_one_lease_and_the_overlap)
+{
+    fleet_fixture fixture;
+    fixture.add_worker("w1", "r1");
+    EXPECT_LE(expiry_after_takeover(fixture) - fixture.now,
+              milliseconds(6300) + leadership_overlap);
 }
 
 // Guards against a leader that ends runs by its own record of granted leases
--- a/test/support/consensus_cluster.cpp
+++ b/test/support/consensus_cluster.cpp
@@ -65,6 +65,12 @@
     max_delay_ = max_delay;
 }
 
+void consensus_cluster::set_link(int from, int to,
+                                 std::optional<milliseconds> delay)
+{
+    links_[{from, to}] = delay;
+}
+
 void consensus_cluster::record_violation(const std::string& text)
 {
     if (violation_.empty())
@@ -109,6 +115,7 @@
 void consensus_cluster::clear_faults()
 {
     set_network_faults(0, 0, milliseconds(2));
+    links_.clear();
     for (int i = 0; i < size(); ++i)
     {
         at(i).isolated = false;
@@ -246,11 +253,19 @@
     {
         return;
     }
+    const auto link = links_.find({from, host_of(message.to())});
+    if (link != links_.end() && !link->second)
+    {
+        return;
+    }
+    const auto link_delay =
+        link == links_.end() ? milliseconds(0) : *link->second;
     const auto copies = chance() < repeat_probability_ ? 2 : 1;
     for (int i = 0; i < copies; ++i)
     {
-        const auto delay = milliseconds(
-            1 + random(static_cast<std::uint64_t>(max_delay_.count())));
+        const auto delay =
+            link_delay + milliseconds(1 + random(static_cast<std::uint64_t>(
+                                              max_delay_.count())));
         messages_in_flight_.emplace(now_ + delay, message);
     }
 }
--- a/test/support/consensus_cluster.hpp
+++ b/test/support/consensus_cluster.hpp
@@ -44,6 +44,10 @@
     void set_network_faults(double loss_probability, double repeat_probability,
                             milliseconds max_delay);
 
+    /// Delays all messages from one host to another by `delay`, which may be
+    /// longer than any timeout. Without a delay they are lost.
+    void set_link(int from, int to, std::optional<milliseconds> delay);
+
     /// Advances the clock by `duration` in small steps.
     void run(milliseconds duration);
 
@@ -83,6 +87,7 @@
     int size() const { return static_cast<int>(hosts_.size()); }
     std::uint64_t random(std::uint64_t bound) { return random_() % bound; }
     const std::string& violation() const { return violation_; }
+    time_point now() const { return now_; }
 
     /// Enables the admission of new identities to the group.
     bool admission_enabled = true;
@@ -103,6 +108,7 @@
     double loss_probability_ = 0;
     double repeat_probability_ = 0;
     milliseconds max_delay_{2};
+    std::map<std::pair<int, int>, std::optional<milliseconds>> links_;
     std::deque<host> hosts_;
     // The messages that are not delivered yet, by time of delivery.
     std::multimap<time_point, wire::consensus_message> messages_in_flight_;
