Keep to an answered leader when a newer term is seen

Callers may see: a subtask runs twice after a change of leader (found by reading, not by a play). Cause: a member that had answered a leader's heartbeat elected another at once when a delayed answer told it of a newer term, since it then forgot the leader. The leader may act for a time that counts from that heartbeat. Change: the last contact counts for one election timeout whatever term is seen. Measured: consensus.newer_term_does_not_shorten_the_time_of_a_leader failed before; all 15 tests of consensus, 8 of control_group and 300 of fleet_model pass.

--- a/src/coordination/consensus_election.cpp
+++ b/src/coordination/consensus_election.cpp
@@ -10,8 +10,10 @@
 
 bool consensus::has_live_leader() const
 {
+    // The contact counts also after a newer term was seen: the leader that
+    // this member answered may not know of that term.
     return role_ == role::leader ||
-           (leader_ != 0 && last_leader_contact_ &&
+           (last_leader_contact_ &&
             now_ - *last_leader_contact_ < options_.election_timeout);
 }
 
--- a/test/consensus-test.cpp
+++ b/test/consensus-test.cpp
@@ -292,6 +292,30 @@
     EXPECT_EQ(protocol.term(), term);
 }
 
+// Guards against a member that has answered a leader's heartbeat and elects
+// another leader at once, because a delayed answer told it of a newer term. The
+// leader may act for an election timeout after the heartbeat.
+TEST(consensus, newer_term_does_not_shorten_the_time_of_a_leader)
+{
+    consensus_cluster cluster(3, 12);
+    ASSERT_TRUE(cluster.run_until_converged(convergence_timeout));
+    const auto follower = (cluster.leader() + 1) % 3;
+    auto& protocol = *cluster.at(follower).protocol;
+    wire::consensus_message message;
+    message.set_from(cluster.at((cluster.leader() + 2) % 3).id);
+    message.set_to(cluster.at(follower).id);
+    message.set_term(protocol.term() + 1);
+    message.mutable_vote_answer()->set_granted(false);
+    protocol.receive(message);
+    ASSERT_EQ(protocol.term(), message.term());
+    (void)protocol.take_output();
+    message.set_term(protocol.term() + 1);
+    message.mutable_vote()->set_last_index(1000);
+    message.mutable_vote()->set_last_term(1000);
+    protocol.receive(message);
+    EXPECT_TRUE(empty(protocol.take_output()));
+}
+
 // Guards against a member with a newer term that can never follow the leader
 // again, because it rejects the leader and the others ignore its vote requests.
 TEST(consensus, member_with_a_newer_term_rejoins)
