Add the overlap of leaderships to the wait for orphaned runs

An orphaned run waited for the leases of earlier leaders without the time by which an earlier leader may act beside the new one, and a run that moved to the next incarnation of its worker shortened the inherited bound. Both bounds only grow now.

--- a/src/coordination/fleet/lease_clock.hpp
+++ b/src/coordination/fleet/lease_clock.hpp
@@ -61,7 +61,10 @@
 
     /// Records that others may have granted leases up to `now`: an earlier
     /// leader, or this one to another incarnation of the worker.
-    void inherit_leases(time_point now) { inherited_ = now; }
+    void inherit_leases(time_point now)
+    {
+        inherited_ = inherited_ ? std::max(*inherited_, now) : now;
+    }
 
     /// Returns when every lease has expired even if the worker's clock runs as
     /// slow as allowed. Returns nothing when no lease is known, or when the
--- a/src/coordination/fleet/worker_departures.cpp
+++ b/src/coordination/fleet/worker_departures.cpp
@@ -167,7 +167,7 @@
 void worker_fleet::orphan_run(const std::string& key, time_point now)
 {
     lease_clock leases(options_.max_clock_drift, options_.max_lease);
-    leases.inherit_leases(now);
+    leases.inherit_leases(now + options_.leadership_overlap);
     orphans_end_at_ = *leases.expiry_time();
     orphans_.insert(key);
     const auto& run = runs_.at(key);
