Acknowledge ends to a worker only until it has answered

Callers may see: a subtask that was done is started again (TWICE). Cause: every list request carried the number of the last committed end. A worker that restarts under its id numbers its ends from 1, so a request that was meant for the earlier incarnation, carried out by the next one, made that forget ends that no leader had seen; their runs then counted as stopped. Change: a request names ends only while they lack an acknowledgement, and none once the next incarnation has answered. What remains: an acknowledgement under way at the moment of the restart; orders name no incarnation.

--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -184,8 +184,8 @@
     std::uint64_t committed_end = 0;
     // The highest number of an end that the worker has listed.
     std::uint64_t listed_end = 0;
-    // The highest `committed_end` that was sent in a hold or list request and
-    // answered by the worker.
+    // The highest number of an end that a hold or list request acknowledged and
+    // the worker answered.
     std::uint64_t acknowledged_end = 0;
     // Keys of runs whose end was listed and proposed, but is not committed.
     std::set<std::string> pending_ends;
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -40,6 +40,16 @@
                     max_hold_retry_delay);
 }
 
+// Returns the number of the end up to which the next list request acknowledges
+// ends, 0 for none. The request may reach the next incarnation of the worker,
+// which numbers its ends anew, so it names only what needs an acknowledgement.
+std::uint64_t end_to_acknowledge(const worker_session& worker)
+{
+    return worker.succeeded || worker.acknowledged_end >= worker.committed_end
+               ? 0
+               : worker.committed_end;
+}
+
 } // namespace
 
 hold_order worker_fleet::make_hold_order(const worker_session& worker) const
@@ -47,7 +57,7 @@
     hold_order order;
     order.worker = worker.record.id();
     order.epoch = epoch_;
-    order.last_recorded_end = worker.committed_end;
+    order.last_recorded_end = end_to_acknowledge(worker);
     return order;
 }
 
@@ -59,7 +69,8 @@
 {
     const worker_incarnation incarnation{worker.record.id(),
                                          worker.record.born_ms()};
-    return [this, incarnation, is_hold, sent, sent_end = worker.committed_end,
+    return [this, incarnation, is_hold, sent,
+            sent_end = end_to_acknowledge(worker),
             alive = std::weak_ptr<int>(alive_)](const hold_answer& answer)
     {
         if (!alive.expired())
--- a/test/worker_restart-test.cpp
+++ b/test/worker_restart-test.cpp
@@ -231,6 +231,55 @@
               worker_availability::usable);
 }
 
+// Lists the end of the run of w1 as its first one, and commits it.
+void list_end(fleet_fixture& fixture)
+{
+    fixture.commit();
+    ASSERT_FALSE(fixture.port.holds.empty());
+    auto answer = lists_of(1, fixture.worker_clock());
+    answer.lists.ended.push_back({1, make_run("job", 0, 1), run_done, ""});
+    const auto hold = fixture.port.holds.front();
+    fixture.port.holds.clear();
+    hold.done(answer);
+    fixture.commit();
+    ASSERT_EQ(fixture.workers->runs().count(first_run), 0U);
+}
+
+// Guards against an end of the next incarnation that the worker forgets because
+// a request that was meant for the earlier one acknowledges its number.
+TEST(worker_restart, end_is_acknowledged_only_until_the_worker_answers)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, fixture.worker_clock());
+    list_end(fixture);
+    fixture.advance(milliseconds(200));
+    ASSERT_FALSE(fixture.port.holds.empty());
+    EXPECT_EQ(fixture.port.holds.front().order.last_recorded_end, 1U);
+    answer_lists(fixture, 1);
+    fixture.submit("other", make_step(1, 8));
+    fixture.schedule();
+    accept_start(fixture, fixture.worker_clock());
+    fixture.advance(milliseconds(200));
+    ASSERT_FALSE(fixture.port.holds.empty());
+    EXPECT_EQ(fixture.port.holds.front().order.last_recorded_end, 0U);
+}
+
+// Guards against the same when the next incarnation has answered, and the end
+// of the earlier one was not acknowledged.
+TEST(worker_restart, nothing_is_acknowledged_to_a_successor)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, fixture.worker_clock());
+    list_end(fixture);
+    fixture.advance(milliseconds(200));
+    answer_lists(fixture, 2);
+    fixture.advance(milliseconds(1200));
+    ASSERT_FALSE(fixture.port.holds.empty());
+    EXPECT_EQ(fixture.port.holds.front().order.last_recorded_end, 0U);
+}
+
 // Guards against a worker that is cut off for a moment and loses its runs
 // because a crashed one at its address had a clock that was ahead.
 TEST(worker_restart, worker_is_not_displaced_by_an_earlier_one)
