Restart workers at random in the model of the fleet

The random model knew crashes only of workers that come back under another id, seconds later, with a report at once, and took start times from the replicated state. It now keeps its own start times and clocks, and draws restarts under the same id, whose first report is late while orders for the earlier process are carried out, and replacements at the same address by a worker whose clock differs by up to 3 s, with short disconnections. A late order is carried out only by the process that it was sent to.

--- a/test/fleet_model-test.cpp
+++ b/test/fleet_model-test.cpp
@@ -22,6 +22,8 @@
     order_faults faults;
     bool takeovers = false;
     bool disconnections = false;
+    bool restarts = false;     // Under the same id.
+    bool replacements = false; // Under another id at the same address.
 };
 
 class fleet_model : public ::testing::TestWithParam<unsigned>
@@ -46,10 +48,7 @@
             if (t == fault_ticks)
             {
                 workers.faults = {};
-                for (int i = 0; i < worker_count; ++i)
-                {
-                    workers.set_disconnected("w" + std::to_string(i), false);
-                }
+                workers.reconnect_all();
             }
             const bool with_faults = t < fault_ticks;
             if (with_faults && random() % 12 == 0)
@@ -66,12 +65,17 @@
                     "w" + std::to_string(random() % worker_count),
                     random() % 2 == 0);
             }
+            if (with_faults && options.restarts && random() % 25 == 0)
+            {
+                workers.restart(workers.random_worker());
+            }
+            if (with_faults && options.replacements)
+            {
+                replace_or_disconnect(workers, random);
+            }
             if (t % 20 == 0)
             {
-                for (int i = 0; i < worker_count; ++i)
-                {
-                    fixture.report("w" + std::to_string(i));
-                }
+                workers.report_all();
             }
             workers.advance();
             fixture.schedule();
@@ -87,6 +91,20 @@
         }
     }
 
+    static void replace_or_disconnect(model_workers& workers,
+                                      std::mt19937& random)
+    {
+        if (random() % 25 == 0)
+        {
+            workers.replace(workers.random_worker());
+        }
+        if (random() % 20 == 0)
+        {
+            workers.disconnect_for(workers.random_worker(),
+                                   milliseconds(200 + random() % 2800));
+        }
+    }
+
     static void submit(fleet_fixture& fixture, std::mt19937& random,
                        const std::string& id)
     {
@@ -133,6 +151,27 @@
     run_history({{10, 10, 5}, true, true});
 }
 
+// Guards against a second run of a subtask, and a start beyond a worker's
+// capacity, when a worker that restarted under its id took a start that was
+// meant for its earlier process.
+TEST_P(fleet_model, restarts_under_the_same_id)
+{
+    run_history({{10, 10, 5}, true, false, true});
+}
+
+// Guards against the same when disconnections hide the restart.
+TEST_P(fleet_model, restarts_and_disconnections)
+{
+    run_history({{20, 10, 5}, true, true, true});
+}
+
+// Guards against a live worker that is taken for gone because another one was
+// at its address whose clock was ahead.
+TEST_P(fleet_model, replacements_with_differing_clocks)
+{
+    run_history({{10, 10, 5}, true, false, false, true});
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, fleet_model, ::testing::Range(1U, 61U));
 
 } // namespace
--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -26,7 +26,7 @@
                         const std::string& label)
 {
     fixture_.add_worker(id, rack, 1, "service", label);
-    workers_[id];
+    workers_[id].record = fixture_.state.workers().at(id);
 }
 
 void model_workers::set_disconnected(const std::string& id, bool disconnected)
@@ -78,7 +78,7 @@
         return order_result::newer_epoch;
     }
     worker.epoch = order.epoch;
-    const auto clock = fixture_.worker_clock();
+    const auto clock = clock_of(worker);
     const auto until = std::min(order.lease_end_ms, clock + max_lease_ms);
     const auto key = worker_fleet::key_of(order.run);
     if (order.lease_end_ms <= clock)
@@ -183,7 +183,7 @@
         return answer;
     }
     worker.epoch = order.epoch;
-    const auto clock = fixture_.worker_clock();
+    const auto clock = clock_of(worker);
     if (order.lease_end_ms)
     {
         worker.lease_until =
@@ -207,11 +207,7 @@
                        worker.ended.end());
     answer.result = order_result::accepted;
     answer.lists.worker_time_ms = clock;
-    const auto record = fixture_.state.workers().find(id);
-    if (record != fixture_.state.workers().end())
-    {
-        answer.lists.born_ms = record->second.born_ms();
-    }
+    answer.lists.born_ms = worker.record.born_ms();
     for (const auto& [key, run] : worker.runs)
     {
         // A run that is stopping is not listed as running.
@@ -252,7 +248,14 @@
     if (chance(faults.late))
     {
         delayed_.push_back(
-            {fixture_.now + milliseconds(2000 + random_() % 10000), carry_out});
+            {fixture_.now + milliseconds(2000 + random_() % 10000),
+             [this, id, carry_out, process = workers_[id].process]
+             {
+                 if (workers_[id].process == process)
+                 {
+                     carry_out();
+                 }
+             }});
         return;
     }
     carry_out();
@@ -273,10 +276,10 @@
     bool answered = false;
     deliver(
         id,
-        [this, carry_out, result]
+        [this, id, carry_out, result]
         {
             result->result = carry_out();
-            result->worker_time_ms = fixture_.worker_clock();
+            result->worker_time_ms = clock_of(workers_[id]);
         },
         [&answered]
         {
@@ -300,7 +303,8 @@
     {
         if (chance(faults.refused))
         {
-            item.done({order_result::unhealthy, fixture_.worker_clock()});
+            item.done({order_result::unhealthy,
+                       clock_of(workers_[item.order.worker])});
             continue;
         }
         take_order(
@@ -394,7 +398,7 @@
     for (auto& [id, worker] : workers_)
     {
         std::vector<std::pair<std::string, run_end>> ends;
-        const bool lease_expired = fixture_.worker_clock() > worker.lease_until;
+        const bool lease_expired = clock_of(worker) > worker.lease_until;
         if (lease_expired)
         {
             worker.expired_ends = worker.next_end - 1;
--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -46,6 +46,25 @@
     /// with nothing on it.
     void crash(const std::string& id);
 
+    /// Crashes the worker. It is back after 0.05 to 2 s, under the same id and
+    /// with nothing on it. Its first report arrives 0 to 2 s later; until then
+    /// it takes orders that were meant for the earlier process.
+    void restart(const std::string& id);
+
+    /// Crashes the worker. Another one is at its address after 0.05 to 2 s,
+    /// whose start time comes from a clock that differs by up to 3 s.
+    void replace(const std::string& id);
+
+    /// Disconnects the worker for the time.
+    void disconnect_for(const std::string& id, milliseconds duration);
+
+    /// Reconnects all workers.
+    void reconnect_all();
+
+    /// Delivers a report of the worker if it is up and its first report has
+    /// arrived.
+    void report(const std::string& id);
+
     /// Delivers the reports of all workers that are up.
     void report_all();
 
@@ -85,6 +104,10 @@
     };
     struct model_worker
     {
+        worker_record record;      // What it reports, with its own start time.
+        time_point clock_start;    // When its clock was 0.
+        std::uint64_t process = 0; // Number of the process under its id.
+        bool reporting = true;     // Its first report has arrived.
         std::map<std::string, model_run> runs; // By the key of the run.
         std::vector<listed_end> ended;
         // The highest run number that ended or was stopped, by subtask.
@@ -122,6 +145,12 @@
     void take_orders();
     void advance_time();
     void end_gang(const run_ref& run, run_end end, const std::string& except);
+    std::int64_t clock_of(const model_worker& worker) const;
+    bool end_process(const std::string& id);
+    void begin_process(const std::string& id, const worker_record& record,
+                       time_point clock_start);
+    void begin_process_later(const worker_record& record,
+                             std::int64_t clock_difference_ms);
 
     fleet_fixture& fixture_;
     std::mt19937 random_;
--- a/test/support/model_workers_crash.cpp
+++ b/test/support/model_workers_crash.cpp
@@ -2,7 +2,6 @@
 #include "support/model_workers.hpp"
 
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace limpetstack::fleet
@@ -16,25 +15,17 @@
 
 void model_workers::crash(const std::string& id)
 {
-    auto& worker = workers_[id];
-    if (worker.crashed)
+    if (!end_process(id))
     {
         return;
     }
-    ++crashes;
-    const auto lost = std::exchange(worker.runs, {});
-    worker.crashed = true;
-    for (const auto& [key, run] : lost)
-    {
-        if (run.gang)
-        {
-            end_gang(run.run, run_broken, key);
-        }
-    }
     delayed_.push_back({fixture_.now + restart_time, [this, id]
                         {
-                            workers_[id + "+"];
-                            fixture_.replace_worker(id, id + "+");
+                            auto record = workers_[id].record;
+                            record.set_id(id + "+");
+                            record.set_born_ms(record.born_ms() + 1);
+                            begin_process(record.id(), record, {});
+                            report(record.id());
                         }});
 }
 
@@ -42,10 +33,7 @@
 {
     for (const auto& [id, worker] : workers_)
     {
-        if (!worker.crashed)
-        {
-            fixture_.report(id);
-        }
+        report(id);
     }
 }
 
