Notice a restart in the answer to a stop

Callers may see: a start on a worker that has restarted under its id and has not reported yet, and an acknowledgement of ends to it (found by tracing the model). Cause: a lower clock was taken for a restart only in the answer to a start. Change: the answers to all orders are compared with the latest reading that was there when the order was sent. Measured: worker_restart.lower_clock_in_the_answer_to_a_stop_shows_the_restart failed before; all tests of worker_restart and fleet_model pass.

--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -115,7 +115,7 @@
     // The incarnation on which it was placed has listed it.
     bool listed_by_incarnation = false;
     int start_attempts = 0;
-    // The latest reading of the worker's clock when it was last sent.
+    // The latest reading of the worker's clock when an order was last sent.
     std::int64_t sent_reading_ms = 0;
     int stop_attempts = 0;
     time_point first_sent_at; // The first attempt to start it.
@@ -385,8 +385,8 @@
     milliseconds timeout_of_attempt(int attempt, time_point now) const;
     static bool may_repeat_start(const live_run& run,
                                  const worker_session& worker, time_point now);
-    void record_order_answer(worker_session& worker, const order_answer& answer,
-                             time_point now);
+    void record_order_answer(worker_session& worker, const live_run& run,
+                             const order_answer& answer, time_point now);
     void record_answer(worker_session& worker, time_point now);
     void record_missing_answer(worker_session& worker, worker_question question,
                                time_point now);
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -110,9 +110,10 @@
     return run.start_lease_end_ms;
 }
 
-// Records the answer to an order or its absence. A worker that reports and
-// answers none is unreachable, also when no hold is due.
+// Records the answer to an order for the run, or its absence. A worker that
+// reports and answers none is unreachable, also when no hold is due.
 void worker_fleet::record_order_answer(worker_session& worker,
+                                       const live_run& run,
                                        const order_answer& answer,
                                        time_point now)
 {
@@ -124,6 +125,12 @@
     {
         record_answer(worker, now);
         worker.clock.sample(answer.worker_time_ms, now);
+        if (answer.worker_time_ms > 0 &&
+            answer.worker_time_ms < run.sent_reading_ms)
+        {
+            // A steady clock does not run backwards.
+            record_successor(worker, now);
+        }
         return;
     }
     record_missing_answer(worker, worker_question::order, now);
@@ -276,13 +283,7 @@
         "order_ms", static_cast<double>((now - run.changed_at).count()));
     if (worker != nullptr)
     {
-        record_order_answer(*worker, answer, now);
-        if (answer.worker_time_ms > 0 &&
-            answer.worker_time_ms < run.sent_reading_ms)
-        {
-            // A steady clock does not run backwards.
-            record_successor(*worker, now);
-        }
+        record_order_answer(*worker, run, answer, now);
     }
     const auto refuse = [&](const char* reason, milliseconds pause)
     {
@@ -391,6 +392,7 @@
     }
     run.stop_sent = true;
     run.changed_at = now;
+    run.sent_reading_ms = found->second.clock.latest_reading();
     ++run.stop_attempts;
     port_.stop(found->second.record, run.ref, epoch_,
                timeout_of_attempt(run.stop_attempts, now),
@@ -409,7 +411,7 @@
     auto* const worker = session_of(run.location);
     if (worker != nullptr)
     {
-        record_order_answer(*worker, answer, now);
+        record_order_answer(*worker, run, answer, now);
     }
     if (answer.result == order_result::newer_epoch)
     {
--- a/test/worker_restart-test.cpp
+++ b/test/worker_restart-test.cpp
@@ -280,6 +280,23 @@
     EXPECT_EQ(fixture.port.holds.front().order.last_recorded_end, 0U);
 }
 
+// Guards against placements on a worker that has restarted, which shows first
+// in the answer to a stop.
+TEST(worker_restart, lower_clock_in_the_answer_to_a_stop_shows_the_restart)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, fixture.worker_clock());
+    fixture.workers->stop(first_run, "preempted", fixture.now);
+    ASSERT_EQ(fixture.port.stops.size(), 1U);
+    fixture.port.stops.front().done(
+        {order_result::accepted, restarted_clock_ms});
+    fixture.commit();
+    EXPECT_EQ(fixture.workers->availability(fixture.workers->workers().at("w1"),
+                                            fixture.now),
+              worker_availability::unreachable);
+}
+
 // Guards against a worker that is cut off for a moment and loses its runs
 // because a crashed one at its address had a clock that was ahead.
 TEST(worker_restart, worker_is_not_displaced_by_an_earlier_one)
