Acknowledge no ends while an answer of the worker is missing

Callers may see: a subtask that was done is started again (TWICE). Cause: while a worker restarts under its id, its requests stay unanswered; the acknowledgement of an end was repeated and could reach the next incarnation. Change: an end is acknowledged only when no answer is missing. An acknowledgement under way at the moment of the restart remains possible. Measured: worker_restart.nothing_is_acknowledged_while_an_answer_is_missing failed before; all tests of worker_restart and fleet_model pass.

--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -42,10 +42,13 @@
 
 // Returns the number of the end up to which the next list request acknowledges
 // ends, 0 for none. The request may reach the next incarnation of the worker,
-// which numbers its ends anew, so it names only what needs an acknowledgement.
+// which numbers its ends anew, so it names only what needs an acknowledgement,
+// and nothing while an answer is missing.
 std::uint64_t end_to_acknowledge(const worker_session& worker)
 {
-    return worker.succeeded || worker.acknowledged_end >= worker.committed_end
+    const bool may_have_restarted =
+        worker.succeeded || worker.missed_answers > 0;
+    return may_have_restarted || worker.acknowledged_end >= worker.committed_end
                ? 0
                : worker.committed_end;
 }
--- a/test/worker_restart-test.cpp
+++ b/test/worker_restart-test.cpp
@@ -280,6 +280,29 @@
     EXPECT_EQ(fixture.port.holds.front().order.last_recorded_end, 0U);
 }
 
+// Guards against the same when the worker left a request unanswered, as it does
+// while it restarts.
+TEST(worker_restart, nothing_is_acknowledged_while_an_answer_is_missing)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, fixture.worker_clock());
+    list_end(fixture);
+    fixture.advance(milliseconds(200));
+    ASSERT_EQ(fixture.port.holds.size(), 1U);
+    ASSERT_EQ(fixture.port.holds.front().order.last_recorded_end, 1U);
+    const auto unanswered = fixture.port.holds.front();
+    fixture.port.holds.clear();
+    unanswered.done({});
+    fixture.advance(milliseconds(1200));
+    ASSERT_FALSE(fixture.port.holds.empty());
+    EXPECT_EQ(fixture.port.holds.front().order.last_recorded_end, 0U);
+    answer_lists(fixture, 1);
+    fixture.advance(milliseconds(1200));
+    ASSERT_FALSE(fixture.port.holds.empty());
+    EXPECT_EQ(fixture.port.holds.front().order.last_recorded_end, 1U);
+}
+
 // Guards against placements on a worker that has restarted, which shows first
 // in the answer to a stop.
 TEST(worker_restart, lower_clock_in_the_answer_to_a_stop_shows_the_restart)
