Pick any worker in the model when all are down

random_worker divided by zero when restarts and replacements left no worker up (one history of a trial with more faults than the test draws).

--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -68,7 +68,7 @@
     /// Delivers the reports of all workers that are up.
     void report_all();
 
-    /// Returns a worker that is up.
+    /// Returns a worker that is up, or any one if all are down.
     std::string random_worker();
 
     /// Makes all runs that end on the worker fail, or lets them succeed again.
--- a/test/support/model_workers_crash.cpp
+++ b/test/support/model_workers_crash.cpp
@@ -47,7 +47,7 @@
             up.push_back(id);
         }
     }
-    return up.at(random_() % up.size());
+    return up.empty() ? workers_.begin()->first : up.at(random_() % up.size());
 }
 
 } // namespace limpetstack::fleet
