--- a/test/worker_restart-test.cpp
+++ b/test/worker_restart-test.cpp
@@ -209,6 +209,39 @@
     EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
 }
 
+// Guards against a second run of a subtask whose start the next incarnation
+// accepted, on a clock on which the short first lease is far ahead, when its
+// answer is lost.
+TEST(worker_restart, unanswered_start_waits_for_the_longest_lease)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    for (int i = 0; i < 60; ++i)
+    {
+        fixture.advance(milliseconds(100));
+        ASSERT_EQ(fixture.workers->runs().count(first_run), 1U) << i;
+    }
+    for (int i = 0; i < 5; ++i)
+    {
+        fixture.advance(milliseconds(100));
+    }
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
+}
+
+// Guards against a subtask that waits for the longest lease although reports
+// show that its worker has not restarted.
+TEST(worker_restart, first_lease_bounds_a_worker_that_goes_on_reporting)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    for (int i = 0; i < 12; ++i)
+    {
+        fixture.advance(milliseconds(100));
+        fixture.report("w1");
+    }
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
+}
+
 // Guards against placements on a worker that has restarted and has not reported
 // yet.
 TEST(worker_restart, worker_with_other_start_time_gets_no_placement)
