--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -119,9 +119,6 @@
     std::int64_t sent_reading_ms = 0;
     int stop_attempts = 0;
     time_point first_sent_at; // The first attempt to start it.
-    time_point last_sent_at;  // The last attempt to start it.
-    // The lowest likely time of the worker's clock at the last attempt.
-    std::int64_t last_sent_clock_ms = 0;
     // End of the lease that the attempts to start it grant, on the worker's
     // clock; 0: no attempt yet.
     std::int64_t start_lease_end_ms = 0;
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -223,8 +223,6 @@
     run.phase = run_phase::starting;
     run.changed_at = now;
     run.sent_reading_ms = worker.clock.latest_reading();
-    run.last_sent_at = now;
-    run.last_sent_clock_ms = worker.clock.worker_time(now);
     due_workers_.insert(run.incarnation.worker);
     ++run.start_attempts;
     start_order order;
