--- a/src/coordination/fleet/unknown_runs.cpp
+++ b/src/coordination/fleet/unknown_runs.cpp
@@ -112,18 +112,20 @@
     port_.stop(worker.record, run.ref, epoch_,
                timeout_of_attempt(run.stop_attempts, now),
                [this, incarnation, key = key_of(run.ref),
+                sent_reading_ms = worker.clock.latest_reading(),
                 alive = std::weak_ptr<int>(alive_)](const order_answer& answer)
                {
                    if (!alive.expired())
                    {
-                       on_unknown_stop_answer(incarnation, key, answer,
-                                              clock_());
+                       on_unknown_stop_answer(incarnation, key, sent_reading_ms,
+                                              answer, clock_());
                    }
                });
 }
 
 void worker_fleet::on_unknown_stop_answer(const worker_incarnation& incarnation,
                                           const std::string& key,
+                                          std::int64_t sent_reading_ms,
                                           const order_answer& answer,
                                           time_point now)
 {
@@ -132,7 +134,7 @@
     {
         return;
     }
-    record_order_answer(*worker, answer, now);
+    record_order_answer(*worker, sent_reading_ms, answer, now);
     if (answer.result == order_result::newer_epoch)
     {
         deposed_ = true;
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -125,7 +125,7 @@
     // The incarnation on which it was placed has listed it.
     bool listed_by_incarnation = false;
     int start_attempts = 0;
-    // The latest reading of the worker's clock when it was last sent.
+    // The latest reading of the worker's clock when an order was last sent.
     std::int64_t sent_reading_ms = 0;
     int stop_attempts = 0;
     time_point first_sent_at; // The first attempt to start it.
@@ -209,8 +209,8 @@
     std::uint64_t committed_end = 0;
     // The highest number of an end that the worker has listed.
     std::uint64_t listed_end = 0;
-    // The highest `committed_end` that was sent in a hold or list request and
-    // answered by the worker.
+    // The highest number of an end that a hold or list request acknowledged and
+    // the worker answered.
     std::uint64_t acknowledged_end = 0;
     // Keys of runs whose end was listed and proposed, but is not committed.
     std::set<std::string> pending_ends;
@@ -369,6 +369,7 @@
                           time_point now);
     void on_unknown_stop_answer(const worker_incarnation& incarnation,
                                 const std::string& key,
+                                std::int64_t sent_reading_ms,
                                 const order_answer& answer, time_point now);
     std::set<std::string> unknown_subtasks() const;
     bool must_wait(const live_run& run,
@@ -456,8 +457,9 @@
     milliseconds timeout_of_attempt(int attempt, time_point now) const;
     bool may_repeat_start(const live_run& run, const worker_session& worker,
                           time_point now) const;
-    void record_order_answer(worker_session& worker, const order_answer& answer,
-                             time_point now);
+    void record_order_answer(worker_session& worker,
+                             std::int64_t sent_reading_ms,
+                             const order_answer& answer, time_point now);
     void record_answer(worker_session& worker, time_point now);
     void record_missing_answer(worker_session& worker, worker_question question,
                                time_point now);
--- a/test/support/model_workers_crash.cpp
+++ b/test/support/model_workers_crash.cpp
@@ -2,7 +2,6 @@
 #include "support/model_workers.hpp"
 
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace limpetstack::fleet
@@ -22,111 +21,94 @@
 
 void model_workers::crash(const std::string& id)
 {
-    auto& worker = workers_[id];
-    if (worker.crashed)
+    if (end_process(id))
     {
-        return;
+        ++crashes;
+        begin_successor(id);
     }
-    ++crashes;
-    lose_runs(worker);
-    delayed_.push_back({fixture_.now + restart_time, [this, id]
-                        {
-                            workers_[id + "+"];
-                            fixture_.replace_worker(id, id + "+");
-                        }});
 }
 
-void model_workers::lose_runs(model_worker& worker)
+// Starts another worker at the same address after some time.
+void model_workers::begin_successor(const std::string& id)
 {
-    const auto lost = std::exchange(worker.runs, {});
-    worker.crashed = true;
-    for (const auto& [key, run] : lost)
-    {
-        if (run.gang)
-        {
-            end_gang(run.run, run_broken, key);
-        }
-    }
+    delayed_.push_back({fixture_.now + restart_time, [this, id]
+                        {
+                            auto record = workers_[id].record;
+                            record.set_id(id + "+");
+                            record.set_born_ms(record.born_ms() + 1);
+                            begin_process(record.id(), record, {});
+                            report(record.id());
+                        }});
 }
 
 void model_workers::depart(const std::string& id)
 {
     auto& worker = workers_[id];
-    if (worker.crashed || worker.departing)
+    if (worker.crashed || worker.departing || !worker.reporting)
     {
         return;
     }
     ++departures;
     worker.departing = true;
     fixture_.drain(id);
-    worker.rack = fixture_.state.workers().at(id).rack();
     const auto call_at = fixture_.now + milliseconds(1000 + random_() % 2000);
     const auto ends_at = call_at + milliseconds(1000 + random_() % 3000);
     const bool answered = !chance(lost_departure_answers);
-    delayed_.push_back({call_at, [this, id, ends_at, answered]
+    delayed_.push_back({call_at,
+                        [this, id, process = worker.process, ends_at, answered]
                         {
-                            call_departure(id, ends_at, answered);
+                            call_departure(id, process, ends_at, answered);
                         }});
-    delayed_.push_back({ends_at, [this, id]
+    delayed_.push_back({ends_at, [this, id, process = worker.process]
                         {
-                            leave(id);
+                            leave(id, process);
                         }});
 }
 
 // Calls for the departure, and repeats the call until the worker ends.
-void model_workers::call_departure(const std::string& id, time_point ends_at,
-                                   bool answered)
+void model_workers::call_departure(const std::string& id, std::uint64_t process,
+                                   time_point ends_at, bool answered)
 {
     const auto& worker = workers_[id];
-    if (worker.crashed || fixture_.now >= ends_at)
+    if (worker.crashed || worker.process != process || fixture_.now >= ends_at)
     {
         return;
     }
     if (!worker.disconnected)
     {
         fixture_.depart(id,
-                        [this, id, answered]
+                        [this, id, process, answered]
                         {
                             if (answered && !workers_[id].disconnected)
                             {
-                                delayed_.push_back({fixture_.now, [this, id]
+                                delayed_.push_back({fixture_.now,
+                                                    [this, id, process]
                                                     {
-                                                        leave(id);
+                                                        leave(id, process);
                                                     }});
                             }
                         });
     }
     delayed_.push_back({fixture_.now + departure_repeat,
-                        [this, id, ends_at, answered]
+                        [this, id, process, ends_at, answered]
                         {
-                            call_departure(id, ends_at, answered);
+                            call_departure(id, process, ends_at, answered);
                         }});
 }
 
-void model_workers::leave(const std::string& id)
+void model_workers::leave(const std::string& id, std::uint64_t process)
 {
-    auto& worker = workers_[id];
-    if (worker.crashed)
+    if (workers_[id].process == process && end_process(id))
     {
-        return;
+        begin_successor(id);
     }
-    lose_runs(worker);
-    delayed_.push_back({fixture_.now + restart_time, [this, id]
-                        {
-                            add(id + "+", workers_[id].rack);
-                        }});
 }
 
 void model_workers::report_all()
 {
     for (const auto& [id, worker] : workers_)
     {
-        // A departing worker may have been removed from the state already.
-        if (!worker.crashed &&
-            (!worker.departing || fixture_.state.workers().count(id) > 0))
-        {
-            fixture_.report(id);
-        }
+        report(id);
     }
 }
 
@@ -140,7 +122,7 @@
             up.push_back(id);
         }
     }
-    return up.at(random_() % up.size());
+    return up.empty() ? workers_.begin()->first : up.at(random_() % up.size());
 }
 
 } // namespace limpetstack::fleet
--- a/test/worker_restart-test.cpp
+++ b/test/worker_restart-test.cpp
@@ -209,6 +209,39 @@
     EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
 }
 
+// Guards against a second run of a subtask whose start the next incarnation
+// accepted, on a clock on which the short first lease is far ahead, when its
+// answer is lost.
+TEST(worker_restart, unanswered_start_waits_for_the_longest_lease)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    for (int i = 0; i < 60; ++i)
+    {
+        fixture.advance(milliseconds(100));
+        ASSERT_EQ(fixture.workers->runs().count(first_run), 1U) << i;
+    }
+    for (int i = 0; i < 5; ++i)
+    {
+        fixture.advance(milliseconds(100));
+    }
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
+}
+
+// Guards against a subtask that waits for the longest lease although reports
+// show that its worker has not restarted.
+TEST(worker_restart, first_lease_bounds_a_worker_that_goes_on_reporting)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    for (int i = 0; i < 12; ++i)
+    {
+        fixture.advance(milliseconds(100));
+        fixture.report("w1");
+    }
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
+}
+
 // Guards against placements on a worker that has restarted and has not reported
 // yet.
 TEST(worker_restart, worker_with_other_start_time_gets_no_placement)
@@ -231,6 +264,95 @@
               worker_availability::usable);
 }
 
+// Lists the end of the run of w1 as its first one, and commits it.
+void list_end(fleet_fixture& fixture)
+{
+    fixture.commit();
+    ASSERT_FALSE(fixture.port.holds.empty());
+    auto answer = lists_of(1, fixture.worker_clock());
+    answer.lists.ended.push_back({1, make_run("job", 0, 1), run_done, ""});
+    const auto hold = fixture.port.holds.front();
+    fixture.port.holds.clear();
+    hold.done(answer);
+    fixture.commit();
+    ASSERT_EQ(fixture.workers->runs().count(first_run), 0U);
+}
+
+// Guards against an end of the next incarnation that the worker forgets because
+// a request that was meant for the earlier one acknowledges its number.
+TEST(worker_restart, end_is_acknowledged_only_until_the_worker_answers)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, fixture.worker_clock());
+    list_end(fixture);
+    fixture.advance(milliseconds(200));
+    ASSERT_FALSE(fixture.port.holds.empty());
+    EXPECT_EQ(fixture.port.holds.front().order.last_recorded_end, 1U);
+    answer_lists(fixture, 1);
+    fixture.submit("other", make_step(1, 8));
+    fixture.schedule();
+    accept_start(fixture, fixture.worker_clock());
+    fixture.advance(milliseconds(200));
+    ASSERT_FALSE(fixture.port.holds.empty());
+    EXPECT_EQ(fixture.port.holds.front().order.last_recorded_end, 0U);
+}
+
+// Guards against the same when the next incarnation has answered, and the end
+// of the earlier one was not acknowledged.
+TEST(worker_restart, nothing_is_acknowledged_to_a_successor)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, fixture.worker_clock());
+    list_end(fixture);
+    fixture.advance(milliseconds(200));
+    answer_lists(fixture, 2);
+    fixture.advance(milliseconds(1200));
+    ASSERT_FALSE(fixture.port.holds.empty());
+    EXPECT_EQ(fixture.port.holds.front().order.last_recorded_end, 0U);
+}
+
+// Guards against the same when the worker left a request unanswered, as it does
+// while it restarts.
+TEST(worker_restart, nothing_is_acknowledged_while_an_answer_is_missing)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, fixture.worker_clock());
+    list_end(fixture);
+    fixture.advance(milliseconds(200));
+    ASSERT_EQ(fixture.port.holds.size(), 1U);
+    ASSERT_EQ(fixture.port.holds.front().order.last_recorded_end, 1U);
+    const auto unanswered = fixture.port.holds.front();
+    fixture.port.holds.clear();
+    unanswered.done({});
+    fixture.advance(milliseconds(1200));
+    ASSERT_FALSE(fixture.port.holds.empty());
+    EXPECT_EQ(fixture.port.holds.front().order.last_recorded_end, 0U);
+    answer_lists(fixture, 1);
+    fixture.advance(milliseconds(1200));
+    ASSERT_FALSE(fixture.port.holds.empty());
+    EXPECT_EQ(fixture.port.holds.front().order.last_recorded_end, 1U);
+}
+
+// Guards against placements on a worker that has restarted, which shows first
+// in the answer to a stop.
+TEST(worker_restart, lower_clock_in_the_answer_to_a_stop_shows_the_restart)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    accept_start(fixture, fixture.worker_clock());
+    fixture.workers->stop(first_run, "preempted", fixture.now);
+    ASSERT_EQ(fixture.port.stops.size(), 1U);
+    fixture.port.stops.front().done(
+        {order_result::accepted, restarted_clock_ms});
+    fixture.commit();
+    EXPECT_EQ(fixture.workers->availability(fixture.workers->workers().at("w1"),
+                                            fixture.now),
+              worker_availability::unreachable);
+}
+
 // Guards against a worker that is cut off for a moment and loses its runs
 // because a crashed one at its address had a clock that was ahead.
 TEST(worker_restart, worker_is_not_displaced_by_an_earlier_one)
