--- a/test/programs/fleet-soak.cpp
+++ b/test/programs/fleet-soak.cpp
@@ -2,7 +2,8 @@
 // loopback addresses; the workers and the callers are simulated in this
 // program. The program injects faults: it stops, pauses, kills and restarts
 // hosts, and relays cut the links to workers in one or both directions or close
-// them. It checks what workers and callers observe:
+// them. Workers crash and restart under their ids, and leave. It checks what
+// workers and callers observe:
 // - A subtask never has two runs at once.
 // - A subtask does not start again after its end was recorded.
 // - No worker gets more runs than its capacity allows.
@@ -10,7 +11,7 @@
 // end.
 #include "experiment/process.hpp"
 #include "experiment/relay.hpp"
-#include "support/soak_worker.hpp"
+#include "support/soak_workers.hpp"
 #include "transport/http_channel.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -34,12 +35,12 @@
 using namespace limpetstack;
 using namespace limpetstack::fleet;
 using nlohmann::json;
-using test::link_state;
 
 constexpr int core_count = 3;
 constexpr int entry_count = 2;
 constexpr int worker_count = 6;
 constexpr milliseconds step_time{50}; // Duration of one call of tick().
+constexpr milliseconds report_timeout{900};
 
 // Wait limit for open jobs to complete after the last fault.
 constexpr milliseconds settle_time{45000};
@@ -62,6 +63,17 @@
 public:
     soak(unsigned seed, std::string folder)
         : random_(seed)
+        , workers_(io_, worker_count, seed + 1, rules_,
+                   [this](const std::string& method, const std::string& target,
+                          std::string body, std::function<void(unsigned)> done)
+                   {
+                       any_control().send(
+                           method, target, {}, std::move(body), report_timeout,
+                           [done](const http_channel_answer& answer)
+                           {
+                               done(answer.status);
+                           });
+                   })
         , folder_(std::move(folder))
         , peer_port_(test::free_port())
         , control_port_(test::free_port())
@@ -72,12 +84,6 @@
         {
             add_host(i);
         }
-        for (int i = 0; i < worker_count; ++i)
-        {
-            workers_.push_back(std::make_unique<soak_worker>(
-                io_, "w" + std::to_string(i), "r" + std::to_string(i / 3),
-                rules_));
-        }
     }
 
     int run(int seconds)
@@ -91,10 +97,7 @@
         {
             tick(true);
         }
-        for (auto& worker : workers_)
-        {
-            worker->link().set(link_state::open, link_state::open);
-        }
+        workers_.open_links();
         const auto last = steady_now() + settle_time;
         while (steady_now() < last && !all_done())
         {
@@ -194,17 +197,14 @@
         io_.restart();
         io_.run_for(step_time);
         const auto now = steady_now();
-        for (auto& worker : workers_)
-        {
-            worker->advance();
-        }
+        workers_.advance(now);
         check_ends();
         bring_back(now);
         if (now - last_report_ >= milliseconds(500))
         {
             last_report_ = now;
             put_document();
-            report_workers();
+            workers_.report(now);
             poll_jobs();
         }
         if (!disturb)
@@ -221,7 +221,7 @@
         }
         if (random_() % 40 == 0)
         {
-            disturb_link();
+            workers_.disturb(now);
         }
     }
 
@@ -276,15 +276,6 @@
         }
     }
 
-    void disturb_link()
-    {
-        static constexpr link_state states[] = {
-            link_state::open, link_state::open, link_state::black_hole,
-            link_state::closed};
-        workers_[random_() % workers_.size()]->link().set(
-            states[random_() % 4], states[random_() % 4]);
-    }
-
     http_channel& channel(const std::string& address)
     {
         auto& item = channels_[address];
@@ -328,16 +319,6 @@
                            });
     }
 
-    void report_workers()
-    {
-        for (auto& worker : workers_)
-        {
-            any_control().send("PUT", "/-/instances/" + worker->id(), {},
-                               worker->report(), milliseconds(900),
-                               [](const http_channel_answer&) {});
-        }
-    }
-
     void submit()
     {
         char id[17];
@@ -444,15 +425,15 @@
     }
 
     std::mt19937 random_;
+    boost::asio::io_context io_;
+    soak_rules rules_;
+    soak_workers workers_;
     const std::string folder_;
     const int peer_port_;
     const int control_port_;
     const int front_port_;
     const int ready_port_;
-    boost::asio::io_context io_;
-    soak_rules rules_;
     std::vector<host> hosts_;
-    std::vector<std::unique_ptr<soak_worker>> workers_;
     std::map<std::string, std::unique_ptr<http_channel>> channels_;
     std::map<std::string, std::string> accepted_; // State by job id.
     std::map<std::string, std::string> bodies_;   // Body of the call by job id.
--- a/test/support/soak_worker.cpp
+++ b/test/support/soak_worker.cpp
@@ -46,13 +46,13 @@
     return 1000 + (steady_now() - started_).count();
 }
 
-std::string soak_worker::report()
+std::string soak_worker::report(bool draining)
 {
     return json{
         {"service", "s"},
         {"addr", relay_->address()},
         {"zone", "z"},
-        {"state", "ready"},
+        {"state", draining ? "draining" : "ready"},
         {"capacity", {{"cpu", 64000}, {"mem_mb", 64000}, {"gpu", max_runs}}},
         {"labels", {"a", rack_}},
         {"clock_ms", clock_ms()},
@@ -61,6 +61,30 @@
         .dump();
 }
 
+void soak_worker::crash()
+{
+    up_ = false;
+    for (const auto& item : std::exchange(runs_, {}))
+    {
+        --rules_.running[item.subtask];
+    }
+    holds_.clear();
+}
+
+void soak_worker::start_again()
+{
+    up_ = true;
+    started_ = steady_now();
+    born_ms_ = std::max(born_ms_ + 1, wall_clock_ms());
+    sequence_ = 0;
+    epoch_ = 0;
+    lease_end_ms_ = 0;
+    highest_ended_.clear();
+    ended_.clear();
+    next_end_ = 1;
+    last_end_before_lapse_ = 0;
+}
+
 void soak_worker::extend_lease(const json& order)
 {
     if (order.contains("until_ms"))
@@ -74,6 +98,10 @@
 void soak_worker::serve(const http_server_request& request,
                         http_responder respond)
 {
+    if (!up_)
+    {
+        return; // The connection is closed by the relay.
+    }
     const auto order = json::parse(request.body, nullptr, false);
     if (!order.is_object())
     {
--- a/test/support/soak_worker.hpp
+++ b/test/support/soak_worker.hpp
@@ -44,7 +44,16 @@
     test::relay& link() { return *relay_; }
 
     /// Returns the body of the worker's next report.
-    std::string report();
+    std::string report(bool draining);
+
+    /// Returns false between a crash and the next start.
+    bool is_up() const { return up_; }
+
+    /// Ends everything that runs. Orders have no effect until the next start.
+    void crash();
+
+    /// Starts the next incarnation, which knows nothing of the earlier one.
+    void start_again();
 
     /// Ends runs whose duration or lease is over, and answers holds that have
     /// an end to list or have reached their wait limit.
@@ -82,6 +91,7 @@
     std::string address_;
     std::unique_ptr<http_server> server_;
     std::unique_ptr<test::relay> relay_;
+    bool up_ = true;
     time_point started_ = steady_now();
     std::int64_t born_ms_ = wall_clock_ms(); // Identifies the incarnation.
     std::uint64_t sequence_ = 0;
