Notice a restart by any other start time in a worker's lists

Found by reading: a worker whose time of day was set back restarts with a lower start time; its lists were taken for missing answers, and the leader went on to use it. Each such answer also put off the end of the runs that it may have taken. Change: any other start time shows a later incarnation, since the session's own was up before. The bound of its leases counts from the first such answer; no start is repeated after it.

--- a/src/coordination/fleet/worker_incarnations.cpp
+++ b/src/coordination/fleet/worker_incarnations.cpp
@@ -84,16 +84,17 @@
 // accepted starts with its own longest lease.
 void worker_fleet::record_successor(worker_session& worker, time_point now)
 {
-    worker.clock.inherit_leases(now);
-    if (!worker.succeeded)
+    if (worker.succeeded)
     {
-        worker.succeeded = true;
-        log_event(log_level::warning, "worker_succeeded",
-                  {{"worker", worker.record.id()},
-                   {"born_ms", absl::StrCat(worker.record.born_ms())},
-                   {"runs", absl::StrCat(worker.runs.size())},
-                   {"epoch", absl::StrCat(epoch_)}});
+        return; // No start or lease was sent since the first such answer.
     }
+    worker.succeeded = true;
+    worker.clock.inherit_leases(now);
+    log_event(log_level::warning, "worker_succeeded",
+              {{"worker", worker.record.id()},
+               {"born_ms", absl::StrCat(worker.record.born_ms())},
+               {"runs", absl::StrCat(worker.runs.size())},
+               {"epoch", absl::StrCat(epoch_)}});
 }
 
 // Closes the connections to the worker. Answers to orders that are under way
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -152,16 +152,17 @@
         deposed_ = true;
         return;
     }
+    // Start times come from clocks that may be set back, so a lower one shows a
+    // later incarnation as well.
     const bool from_successor = answer.result == order_result::accepted &&
                                 incarnation.born_ms != 0 &&
-                                answer.lists.born_ms > incarnation.born_ms;
+                                answer.lists.born_ms != 0 &&
+                                answer.lists.born_ms != incarnation.born_ms;
     if (from_successor)
     {
         record_successor(*worker, now);
     }
-    if (answer.result != order_result::accepted || from_successor ||
-        (answer.lists.born_ms != 0 && incarnation.born_ms != 0 &&
-         answer.lists.born_ms != incarnation.born_ms))
+    if (answer.result != order_result::accepted || from_successor)
     {
         if (is_hold)
         {
--- a/test/worker_restart-test.cpp
+++ b/test/worker_restart-test.cpp
@@ -278,6 +278,19 @@
     ASSERT_EQ(fixture.workers->runs().count(first_run), 0U);
 }
 
+// Guards against the same when the time of day was set back before the restart.
+TEST(worker_restart, worker_with_lower_start_time_gets_no_placement)
+{
+    fleet_fixture fixture;
+    fixture.add_worker("w1", "r1", 5);
+    fixture.commit();
+    ASSERT_EQ(fixture.workers->availability(fixture.workers->workers().at("w1"),
+                                            fixture.now),
+              worker_availability::usable);
+    answer_lists(fixture, 3);
+    EXPECT_TRUE(fixture.workers->workers().at("w1").succeeded);
+}
+
 // Guards against an end of the next incarnation that the worker forgets because
 // a request that was meant for the earlier one acknowledges its number.
 TEST(worker_restart, end_is_acknowledged_only_until_the_worker_answers)
