--- a/src/coordination/fleet/unknown_runs.cpp
+++ b/src/coordination/fleet/unknown_runs.cpp
@@ -48,6 +48,7 @@
     {
         return;
     }
+    workers_with_unknown_runs_.insert(worker.record.id());
     auto& unknown = at->second;
     unknown.ref = run;
     unknown.need = need_on(worker, run);
@@ -169,9 +170,14 @@
 std::set<std::string> worker_fleet::unknown_subtasks() const
 {
     std::set<std::string> subtasks;
-    for (const auto& [id, worker] : workers_)
+    for (const auto& id : workers_with_unknown_runs_)
     {
-        for (const auto& [key, run] : worker.unknown_runs)
+        const auto found = workers_.find(id);
+        if (found == workers_.end())
+        {
+            continue;
+        }
+        for (const auto& [key, run] : found->second.unknown_runs)
         {
             const auto* const spec = find_spec(run.ref);
             if (spec != nullptr && !spec->speculative())
@@ -226,6 +232,10 @@
                {"epoch", absl::StrCat(epoch_)}});
     worker.used = worker.used - found->second.need;
     worker.unknown_runs.erase(found);
+    if (worker.unknown_runs.empty())
+    {
+        workers_with_unknown_runs_.erase(worker.record.id());
+    }
 }
 
 // Releases unknown runs that are missing in the worker's lists, which were
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -15,58 +15,14 @@
 // Time between two scans of all workers for timeouts that have expired.
 constexpr milliseconds scan_interval{40};
 
-// One accelerator counts as this many cores when amounts of work or capacity
-// are compared.
-constexpr std::int64_t cores_per_accelerator = 8;
-
 } // namespace
 
-resource_amounts operator+(const resource_amounts& a, const resource_amounts& b)
-{
-    return {a.cpu_milli + b.cpu_milli, a.memory_mb + b.memory_mb,
-            a.accelerators + b.accelerators};
-}
-
-resource_amounts operator-(const resource_amounts& a, const resource_amounts& b)
-{
-    return {a.cpu_milli - b.cpu_milli, a.memory_mb - b.memory_mb,
-            a.accelerators - b.accelerators};
-}
-
-resource_amounts to_amounts(const resources& value)
-{
-    return {value.cpu_milli(), value.memory_mb(), value.accelerators()};
-}
-
-resource_amounts counted_need(const step_spec& step)
-{
-    auto need = to_amounts(step.need());
-    if (step.filler())
-    {
-        need.cpu_milli = 0;
-    }
-    return need;
-}
-
-double weight_in_cores(const resource_amounts& amounts)
-{
-    return static_cast<double>(amounts.cpu_milli) / 1000.0 +
-           static_cast<double>(amounts.accelerators * cores_per_accelerator);
-}
-
 std::string subtask_key(const run_ref& run)
 {
     return absl::StrCat(run.job(), ".", run.occurrence(), ".", run.step(), ".",
                         run.index());
 }
 
-bool fits(const resource_amounts& need, const resource_amounts& available)
-{
-    return need.cpu_milli <= available.cpu_milli &&
-           need.memory_mb <= available.memory_mb &&
-           need.accelerators <= available.accelerators;
-}
-
 std::string worker_fleet::key_of(const run_ref& run)
 {
     return absl::StrCat(subtask_key(run), "#", run.run());
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -3,11 +3,13 @@
 #include "base/clock.hpp"
 #include "base/metrics.hpp"
 #include "coordination/fleet/answer_loss.hpp"
-#include "coordination/fleet/lease_clock.hpp"
+#include "coordination/fleet/live_run.hpp"
+#include "coordination/fleet/resource_amounts.hpp"
+#include "coordination/fleet/worker_availability.hpp"
 #include "coordination/fleet/worker_port.hpp"
+#include "coordination/fleet/worker_session.hpp"
 #include "state/fleet_state.hpp"
 
-#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -38,127 +40,6 @@
     milliseconds remove_silent_after{60000};
 };
 
-/// Amounts of one worker's resources: its capacity, the part that is free, or
-/// the need of a run.
-struct resource_amounts
-{
-    std::int64_t cpu_milli = 0;
-    std::int64_t memory_mb = 0;
-    std::int64_t accelerators = 0;
-};
-
-resource_amounts operator+(const resource_amounts& a,
-                           const resource_amounts& b);
-resource_amounts operator-(const resource_amounts& a,
-                           const resource_amounts& b);
-resource_amounts to_amounts(const resources& value);
-
-/// Returns the resources that a run of one subtask of the step occupies in the
-/// accounting of its worker. The processor need of fillers is not counted.
-resource_amounts counted_need(const step_spec& step);
-
-/// Returns the processors and accelerators as a number of cores; an accelerator
-/// counts as several cores.
-double weight_in_cores(const resource_amounts& amounts);
-
-/// Returns a key that is unique for a subtask within the fleet.
-std::string subtask_key(const run_ref& run);
-
-/// Returns true when `need` does not exceed the `available` resources.
-bool fits(const resource_amounts& need, const resource_amounts& available);
-
-enum class run_phase
-{
-    proposed,  // The placement is proposed and not committed yet.
-    committed, // The placement is committed; the start has not been sent.
-    starting,  // The start has been sent and not answered yet.
-    present,   // The worker accepted the start or listed the run.
-    adopted    // An earlier leader placed it; the worker has not listed it.
-};
-
-/// Whether a worker may get placements, or why not.
-enum class worker_availability
-{
-    usable,
-    draining,   // It reported that it is about to leave.
-    avoided,    // Runs failed or stalled there a short time ago.
-    refusing,   // It refused a start, or did not answer it, just now.
-    unreachable // It does not report, or does not answer the leader.
-};
-
-inline constexpr std::array all_availabilities{
-    worker_availability::usable, worker_availability::draining,
-    worker_availability::avoided, worker_availability::refusing,
-    worker_availability::unreachable};
-
-/// Returns the name of the value for logs and metrics.
-const char* name_of(worker_availability availability);
-
-/// A run that is or may be present on a worker, as the leader sees it.
-struct live_run
-{
-    run_ref ref;
-    worker_incarnation incarnation; // On which it was placed.
-    // On which it may be: a later incarnation of the same worker when that may
-    // have received the start.
-    worker_incarnation location;
-    resource_amounts need;
-    std::int64_t priority = 0;
-    bool gang = false;
-    bool checkpointable = false;
-    bool lasting = false;
-    bool filler = false;
-    bool serves_users = false;
-    run_phase phase = run_phase::proposed;
-    bool stop_requested = false;
-    bool stop_sent = false;
-    bool stop_acknowledged = false;
-    bool stop_invalid = false; // A stop was answered as invalid.
-    // The worker's clock when it first lacked the run after the end of the
-    // lease of its start; 0: not yet.
-    std::int64_t absent_since_ms = 0;
-    bool end_proposed = false;
-    std::string ticket; // From the queue's policy; empty without one.
-    // Its start waits for the end of an unknown run of its subtask, or of
-    // another member of its gang.
-    bool waits = false;
-    // The incarnation on which it was placed has listed it.
-    bool listed_by_incarnation = false;
-    int start_attempts = 0;
-    // The latest reading of the worker's clock when an order was last sent.
-    std::int64_t sent_reading_ms = 0;
-    int stop_attempts = 0;
-    time_point first_sent_at; // The first attempt to start it.
-    // End of the lease that the attempts to start it grant, on the worker's
-    // clock; 0: no attempt yet.
-    std::int64_t start_lease_end_ms = 0;
-    // The last change of the phase or of the progress of the stop order.
-    time_point changed_at;
-    // When the worker's lists were last requested to see the end of the
-    // stopped run.
-    time_point lists_requested_at;
-    time_point started_at; // When the run became present.
-    std::string checkpoint;
-    // The estimated run time of the whole subtask; often far off.
-    std::int64_t estimate_ms = 0;
-    int percent = 0;      // Progress, as the worker listed it.
-    time_point listed_at; // When the worker last listed the run.
-    // The last rise of `percent` or change of the checkpoint.
-    time_point progressed_at;
-};
-
-/// A run that a worker listed although the leader does not have it there. It
-/// occupies the worker until it has certainly ended.
-struct unknown_run
-{
-    run_ref ref;
-    resource_amounts need;
-    bool stop_sent = false;
-    bool stop_acknowledged = false;
-    int stop_attempts = 0;
-    time_point changed_at; // The last change of the progress of the stop order.
-};
-
 /// Why the leader ended a run, kept for a while after the end.
 struct ended_record
 {
@@ -175,83 +56,6 @@
     time_point seen_at;
 };
 
-/// A start that was sent to a worker a short time before another one.
-struct recent_start
-{
-    run_ref run;
-    time_point at;
-};
-
-/// The leader's view of one incarnation of a worker.
-struct worker_session
-{
-    explicit worker_session(lease_clock leases)
-        : clock(leases)
-    {
-    }
-
-    worker_record record;
-    resource_amounts capacity;
-    resource_amounts used; // Sum of the needs of all live and unknown runs.
-    lease_clock clock;
-    std::set<std::string> runs; // Keys of the live runs on the worker.
-    std::map<std::string, unknown_run> unknown_runs; // By key.
-    // The highest time of its clock at which the worker listed its runs.
-    std::int64_t lists_time_ms = 0;
-    // Number of live runs that use the processor time that others leave.
-    std::size_t filler_runs = 0;
-    // Number of live runs with a tail latency target.
-    std::size_t serving_runs = 0;
-    std::uint64_t last_sequence = 0; // Highest number of a report.
-    time_point last_report;          // When the last report arrived.
-    // The worker numbers the ends of its runs; ends up to this number are
-    // committed.
-    std::uint64_t committed_end = 0;
-    // The highest number of an end that the worker has listed.
-    std::uint64_t listed_end = 0;
-    // The highest number of an end that a hold or list request acknowledged and
-    // the worker answered.
-    std::uint64_t acknowledged_end = 0;
-    // Keys of runs whose end was listed and proposed, but is not committed.
-    std::set<std::string> pending_ends;
-    // The worker has answered under this leader's epoch.
-    bool confirmed = false;
-    bool holding = false; // A hold call has been sent and not answered.
-    // When its runs were stopped because it leaves. Its lease is not renewed.
-    std::optional<time_point> departing_since;
-    bool removal_proposed = false; // Its removal from the state is proposed.
-    // It was removed from the state, and is kept until its runs have ended.
-    bool removed = false;
-    // Orders and holds without an answer since the last answer of any kind.
-    int missed_answers = 0;
-    // The probability that a worker which is up leaves that many unanswered.
-    double missed_probability = 1;
-    // A later incarnation has answered, which has not reported yet. The worker
-    // gets no placements.
-    bool succeeded = false;
-    // The missing answers suggest that the worker is down or disconnected. It
-    // gets no placements and no new lease until it answers.
-    bool unreachable = false;
-    // Holds wait only for the shortest time until then, after a failed hold.
-    time_point short_holds_until;
-    time_point retry_at; // No hold is sent before this time.
-    // The last accepted answer to a hold or list request.
-    time_point last_answer;
-    // Before this time the worker gets placements only when no other fits.
-    time_point avoid_until;
-    time_point refuses_until; // The worker gets no placement before this time.
-    time_point added_at;      // When this leader first knew the incarnation.
-    // The last start, and those sent shortly before it.
-    std::vector<recent_start> recent_starts;
-    time_point last_contact; // The last answer of any kind.
-    // When the worker closed its connection, if it has not answered since.
-    std::optional<time_point> closed_at;
-    bool crash_recorded = false;
-    // A run that may crash the worker is on trial until then; no other start is
-    // sent to the worker.
-    time_point trial_until;
-};
-
 /// Tracks workers and their runs on the leader: it grants leases, sends orders,
 /// processes the lists of workers and ends the runs of expired leases.
 /// Everything that a later leader must know is committed to the replicated
@@ -482,6 +286,8 @@
     answer_counts answers_;          // Of all workers.
     // Open holds to workers that have not answered this leader yet.
     std::size_t open_confirmations_ = 0;
+    // Ids of workers that may have unknown runs.
+    std::set<std::string> workers_with_unknown_runs_;
     std::vector<departure> departures_; // Those that are not ready.
     // Ids of removed workers that are kept until their runs have ended.
     std::set<std::string> removed_workers_;
--- a/test/worker_departure-test.cpp
+++ b/test/worker_departure-test.cpp
@@ -466,5 +466,27 @@
     EXPECT_EQ(restored.apply(late), apply_result::changed);
 }
 
+// Guards against subtasks that wait for a long lease of a worker that has left
+// without listing their ends.
+TEST(worker_departure, lease_of_a_draining_worker_is_short)
+{
+    fleet_fixture fixture;
+    start_run(fixture);
+    fixture.drain("w1");
+    auto answer = lists_with_end(fixture, run_done);
+    answer.lists.ended.clear();
+    answer.lists.running.push_back({make_run("job", 0, 1), "", 10});
+    const auto hold = fixture.port.holds.front();
+    fixture.port.holds.clear();
+    hold.done(answer);
+    fixture.commit();
+    ASSERT_EQ(fixture.port.holds.size(), 1U);
+    const auto& order = fixture.port.holds.front().order;
+    ASSERT_TRUE(order.lease_end_ms.has_value());
+    EXPECT_LE(*order.lease_end_ms, fixture.worker_clock() + 3000);
+    // The lease is renewed long before its end.
+    EXPECT_LE(order.wait_limit_ms, 500);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
