--- a/src/coordination/fleet/lease_clock.hpp
+++ b/src/coordination/fleet/lease_clock.hpp
@@ -66,6 +66,12 @@
         inherited_ = inherited_ ? std::max(*inherited_, now) : now;
     }
 
+    /// Returns true when no lease that others granted is left.
+    bool inherited_leases_expired(time_point now) const
+    {
+        return !inherited_ || now >= inherited_expiry();
+    }
+
     /// Returns when every lease has expired even if the worker's clock runs as
     /// slow as allowed. Returns nothing when no lease is known, or when the
     /// only known lease was granted and the clock has not been read.
@@ -74,7 +80,7 @@
         std::optional<time_point> latest;
         if (inherited_)
         {
-            latest = *inherited_ + stretched(max_lease_.count()) + margin;
+            latest = inherited_expiry();
         }
         if (granted_end_ > 0 && bound_)
         {
@@ -98,6 +104,11 @@
     // Covers rounding and timers that fire late on the worker.
     static constexpr milliseconds margin{100};
 
+    time_point inherited_expiry() const
+    {
+        return *inherited_ + stretched(max_lease_.count()) + margin;
+    }
+
     // Returns the time on this host in which the slowest allowed worker clock
     // advances by `duration_ms`.
     milliseconds stretched(std::int64_t duration_ms) const
--- a/src/coordination/fleet/live_run.hpp
+++ b/src/coordination/fleet/live_run.hpp
@@ -53,8 +53,6 @@
     // The incarnation on which it was placed has listed it.
     bool listed_by_incarnation = false;
     int start_attempts = 0;
-    // The latest reading of the worker's clock when an order was last sent.
-    std::int64_t sent_reading_ms = 0;
     int stop_attempts = 0;
     time_point first_sent_at; // The first attempt to start it.
     // End of the lease that the attempts to start it grant, on the worker's
--- a/src/coordination/fleet/worker_availability.cpp
+++ b/src/coordination/fleet/worker_availability.cpp
@@ -113,8 +113,8 @@
     {
         return worker_availability::draining;
     }
-    if (!worker.clock.has_reading() || worker.unreachable || worker.succeeded ||
-        is_silent(worker, now))
+    if (!worker.clock.has_reading() || worker.unreachable ||
+        worker.replaced_at || is_silent(worker, now))
     {
         return worker_availability::unreachable;
     }
--- a/src/coordination/fleet/worker_departures.cpp
+++ b/src/coordination/fleet/worker_departures.cpp
@@ -31,6 +31,12 @@
            stop_margin;
 }
 
+// Returns true when runs, known or not, are or may be at work on the worker.
+bool occupies_resources(const worker_session& worker)
+{
+    return !worker.runs.empty() || !worker.unknown_runs.empty();
+}
+
 } // namespace
 
 void worker_fleet::begin_departure(const worker_incarnation& incarnation,
@@ -66,7 +72,7 @@
         {
             const auto* const worker = session_of(item.incarnation);
             return worker != nullptr && !worker->removed &&
-                   !worker->runs.empty() && worker->departing_since &&
+                   occupies_resources(*worker) && worker->departing_since &&
                    now - *worker->departing_since < departure_limit;
         });
     const std::vector<departure> ready(
@@ -105,7 +111,7 @@
     }
     end_proved_runs(worker, now);
     stop_all(worker, "worker_removed", now);
-    if (!worker.runs.empty() && !worker.unreachable && !worker.holding)
+    if (occupies_resources(worker) && !worker.unreachable && !worker.holding)
     {
         request_lists(worker, now);
     }
@@ -148,7 +154,7 @@
         {
             end_proved_runs(found->second, now);
         }
-        if (!replaced && !found->second.runs.empty())
+        if (!replaced && occupies_resources(found->second))
         {
             ++at;
             continue;
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -412,6 +412,9 @@
         return;
     }
     scanned_at_ = now;
+    newly_committed_.insert(newly_committed_.end(), waiting_starts_.begin(),
+                            waiting_starts_.end());
+    waiting_starts_.clear();
     open_confirmations_ = static_cast<std::size_t>(std::count_if(
         workers_.begin(), workers_.end(),
         [](const auto& entry)
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -189,16 +189,18 @@
     void start_committed(time_point now);
     void check_gang_placements();
     void send_start(live_run& run, worker_session& worker, time_point now);
-    void on_start_answer(const std::string& key, const order_answer& answer,
-                         time_point now);
+    void on_start_answer(const std::string& key, std::int64_t sent_reading_ms,
+                         const order_answer& answer, time_point now);
     void send_stop(live_run& run, time_point now);
-    void on_stop_answer(const std::string& key, const order_answer& answer,
-                        time_point now);
+    void on_stop_answer(const std::string& key, std::int64_t sent_reading_ms,
+                        const order_answer& answer, time_point now);
     using order_handler = void (worker_fleet::*)(const std::string&,
+                                                 std::int64_t,
                                                  const order_answer&,
                                                  time_point);
     std::function<void(const order_answer&)>
-    answer_handler(const std::string& key, order_handler handler);
+    answer_handler(const std::string& key, const worker_session& worker,
+                   order_handler handler);
     hold_order make_hold_order(const worker_session& worker) const;
     std::function<void(const hold_answer&)>
     list_handler(const worker_session& worker, bool is_hold, time_point sent);
@@ -218,7 +220,7 @@
     void end_missing(worker_session& worker, const std::set<std::string>& seen,
                      time_point sent, time_point now);
     void end_unstopped(worker_session& worker, const worker_lists& lists,
-                       const std::set<std::string>& seen);
+                       const std::set<std::string>& seen, time_point now);
     void retry_stops(time_point now);
     void advance_worker(worker_session& worker, time_point now);
     void remove_silent(worker_session& worker, time_point now);
@@ -239,10 +241,10 @@
     bool may_confirm(const worker_session& worker) const;
     bool is_silent(const worker_session& worker, time_point now) const;
     void close_connections(const worker_record& record, time_point now);
-    void end_incarnation(const worker_incarnation& incarnation,
-                         const char* reason);
+    void end_runs(const std::set<std::string>& keys,
+                  const worker_incarnation& incarnation, const char* reason);
     void move_run(live_run& run, worker_session& successor, time_point now);
-    void move_unproved_runs(const worker_incarnation& incarnation,
+    void move_unproved_runs(const std::set<std::string>& keys,
                             worker_session& successor, time_point now);
     void record_successor(worker_session& worker, time_point now);
     void record_owner(const worker_session& worker, time_point now);
@@ -280,6 +282,8 @@
     std::map<std::string, worker_session> workers_; // By worker id.
     std::map<std::string, live_run> runs_;          // By key.
     std::vector<std::string> newly_committed_;      // Keys of runs to start.
+    // Keys of runs whose start waits for the end of an unknown run.
+    std::vector<std::string> waiting_starts_;
     // Ids of workers that `advance` updates without waiting for the next scan.
     std::set<std::string> due_workers_;
     std::set<std::string> stopping_; // Keys of runs with a requested stop.
--- a/src/coordination/fleet/worker_incarnations.cpp
+++ b/src/coordination/fleet/worker_incarnations.cpp
@@ -33,23 +33,26 @@
     record_crash(found->second);
     const worker_incarnation earlier{record.id(),
                                      found->second.record.born_ms()};
+    const auto keys = found->second.runs;
     close_connections(found->second.record, now);
-    move_unproved_runs(earlier, add_session(record, now), now);
-    end_incarnation(earlier, "worker_born_again");
+    move_unproved_runs(keys, add_session(record, now), now);
+    end_runs(keys, earlier, "worker_born_again");
 }
 
-// Moves the runs to the next incarnation of their worker whose start that may
-// have received: it accepts orders for the earlier incarnation.
-void worker_fleet::move_unproved_runs(const worker_incarnation& incarnation,
+// Moves runs whose start may have reached the next incarnation of their worker
+// to that. A start reached the earlier one only if that has listed the run and
+// no other attempt is under way. The attempts of an earlier leader are unknown.
+void worker_fleet::move_unproved_runs(const std::set<std::string>& keys,
                                       worker_session& successor, time_point now)
 {
-    for (auto& [key, run] : runs_)
+    for (const auto& key : keys)
     {
+        auto& run = runs_.at(key);
         const bool sent = run.phase != run_phase::proposed &&
                           run.phase != run_phase::committed;
-        const bool proved =
-            run.listed_by_incarnation && run.start_attempts <= 1;
-        if (run.location == incarnation && sent && !proved && !run.end_proposed)
+        const bool reached_earlier_only =
+            run.listed_by_incarnation && run.start_attempts == 1;
+        if (sent && !reached_earlier_only && !run.end_proposed)
         {
             move_run(run, successor, now);
             send_stop(run, now);
@@ -84,13 +87,13 @@
 // accepted starts with its own longest lease.
 void worker_fleet::record_successor(worker_session& worker, time_point now)
 {
-    if (worker.succeeded)
+    if (worker.replaced_at)
     {
         return; // No start or lease was sent since the first such answer.
     }
-    worker.succeeded = true;
+    worker.replaced_at = now;
     worker.clock.inherit_leases(now);
-    log_event(log_level::warning, "worker_succeeded",
+    log_event(log_level::warning, "worker_replaced",
               {{"worker", worker.record.id()},
                {"born_ms", absl::StrCat(worker.record.born_ms())},
                {"runs", absl::StrCat(worker.runs.size())},
@@ -114,11 +117,14 @@
     }
 }
 
-void worker_fleet::end_incarnation(const worker_incarnation& incarnation,
-                                   const char* reason)
+// Ends those of the runs that are still on the incarnation.
+void worker_fleet::end_runs(const std::set<std::string>& keys,
+                            const worker_incarnation& incarnation,
+                            const char* reason)
 {
-    for (auto& [key, run] : runs_)
+    for (const auto& key : keys)
     {
+        auto& run = runs_.at(key);
         if (run.location == incarnation && run.phase != run_phase::proposed)
         {
             propose_end(run, run_lapsed, "", reason);
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -45,7 +45,7 @@
 std::uint64_t end_to_acknowledge(const worker_session& worker)
 {
     const bool may_have_restarted =
-        worker.succeeded || worker.missed_answers > 0;
+        worker.replaced_at.has_value() || worker.missed_answers > 0;
     return may_have_restarted || worker.acknowledged_end >= worker.committed_end
                ? 0
                : worker.committed_end;
@@ -108,7 +108,7 @@
     open_confirmations_ += worker.confirmed ? 0 : 1;
     auto order = make_hold_order(worker);
     const bool awaits_ends =
-        has_started_run(worker) && !worker.unreachable && !worker.succeeded;
+        has_started_run(worker) && !worker.unreachable && !worker.replaced_at;
     // An unreachable or leaving worker gets no new lease: this leader ends its
     // runs when the last granted lease has expired.
     const bool renews =
@@ -184,6 +184,11 @@
                    {"ended", absl::StrCat(answer.lists.ended.size())}});
     }
     worker->confirmed = true;
+    if (worker->replaced_at && answer.lists.born_ms != 0 &&
+        sent >= *worker->replaced_at)
+    {
+        worker->replaced_at.reset(); // The answer was misleading.
+    }
     worker->last_answer = now;
     record_owner(*worker, now);
     record_answer(*worker, now);
@@ -198,7 +203,7 @@
     if (answer.lists.ended.size() < ends_per_page)
     {
         end_missing(*worker, seen, sent, now);
-        end_unstopped(*worker, answer.lists, seen);
+        end_unstopped(*worker, answer.lists, seen, now);
         release_missing_runs(*worker, seen, sent);
     }
     worker->lists_time_ms =
@@ -368,15 +373,20 @@
 // only be stopping because of an order that was not answered.
 void worker_fleet::end_unstopped(worker_session& worker,
                                  const worker_lists& lists,
-                                 const std::set<std::string>& seen)
+                                 const std::set<std::string>& seen,
+                                 time_point now)
 {
     for (const auto& key : worker.runs)
     {
         auto& run = runs_.at(key);
+        // The starts of an earlier leader have leases that this one inherited.
+        const bool start_is_over =
+            run.start_lease_end_ms > 0
+                ? lists.worker_time_ms > run.start_lease_end_ms
+                : worker.clock.inherited_leases_expired(now);
         if (!run.stop_invalid || run.stop_acknowledged || run.end_proposed ||
-            run.start_lease_end_ms == 0 || !(run.location == run.incarnation) ||
-            seen.count(key) > 0 ||
-            lists.worker_time_ms <= run.start_lease_end_ms)
+            !(run.location == run.incarnation) || seen.count(key) > 0 ||
+            !start_is_over)
         {
             continue;
         }
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -106,7 +106,7 @@
                                     const worker_session& worker,
                                     time_point now) const
 {
-    return !worker.succeeded && !is_overfull(worker) &&
+    return !worker.replaced_at && !is_overfull(worker) &&
            !must_wait(run, unknown_subtasks()) &&
            (run.start_attempts < max_start_attempts ||
             (!worker.unreachable &&
@@ -164,7 +164,7 @@
             propose_end(found->second, run_never, "", "not_started");
             continue;
         }
-        if (worker->unreachable || worker->succeeded)
+        if (worker->unreachable || worker->replaced_at)
         {
             // The order would only grant a lease that nobody answers for.
             propose_end(found->second, run_never, "", "worker_unreachable");
@@ -177,7 +177,7 @@
         }
         if (must_wait(found->second, unknown))
         {
-            newly_committed_.push_back(key);
+            waiting_starts_.push_back(key);
             log_wait(found->second);
             continue;
         }
@@ -211,7 +211,6 @@
     }
     run.phase = run_phase::starting;
     run.changed_at = now;
-    run.sent_reading_ms = worker.clock.latest_reading();
     due_workers_.insert(run.incarnation.worker);
     ++run.start_attempts;
     start_order order;
@@ -236,25 +235,26 @@
     }
     port_.start(worker.record, order,
                 timeout_of_attempt(run.start_attempts, now),
-                answer_handler(key, &worker_fleet::on_start_answer));
+                answer_handler(key, worker, &worker_fleet::on_start_answer));
 }
 
 // Returns a callback that calls `handler` for the run, and that does nothing
 // once this leadership is over.
-std::function<void(const order_answer&)>
-worker_fleet::answer_handler(const std::string& key, order_handler handler)
+std::function<void(const order_answer&)> worker_fleet::answer_handler(
+    const std::string& key, const worker_session& worker, order_handler handler)
 {
-    return [this, key, handler,
+    return [this, key, handler, reading = worker.clock.latest_reading(),
             alive = std::weak_ptr<int>(alive_)](const order_answer& answer)
     {
         if (!alive.expired())
         {
-            (this->*handler)(key, answer, clock_());
+            (this->*handler)(key, reading, answer, clock_());
         }
     };
 }
 
 void worker_fleet::on_start_answer(const std::string& key,
+                                   std::int64_t sent_reading_ms,
                                    const order_answer& answer, time_point now)
 {
     const auto found = runs_.find(key);
@@ -272,7 +272,7 @@
         "order_ms", static_cast<double>((now - run.changed_at).count()));
     if (worker != nullptr)
     {
-        record_order_answer(*worker, run.sent_reading_ms, answer, now);
+        record_order_answer(*worker, sent_reading_ms, answer, now);
     }
     const auto refuse = [&](const char* reason, milliseconds pause)
     {
--- a/src/coordination/fleet/worker_session.hpp
+++ b/src/coordination/fleet/worker_session.hpp
@@ -66,9 +66,9 @@
     int missed_answers = 0;
     // The probability that a worker which is up leaves that many unanswered.
     double missed_probability = 1;
-    // A later incarnation has answered, which has not reported yet. The worker
+    // When a later incarnation answered that has not reported yet. The worker
     // gets no placements.
-    bool succeeded = false;
+    std::optional<time_point> replaced_at;
     // The missing answers suggest that the worker is down or disconnected. It
     // gets no placements and no new lease until it answers.
     bool unreachable = false;
--- a/src/coordination/fleet/worker_stops.cpp
+++ b/src/coordination/fleet/worker_stops.cpp
@@ -79,14 +79,15 @@
     }
     run.stop_sent = true;
     run.changed_at = now;
-    run.sent_reading_ms = worker->clock.latest_reading();
     ++run.stop_attempts;
     port_.stop(worker->record, run.ref, epoch_,
                timeout_of_attempt(run.stop_attempts, now),
-               answer_handler(key_of(run.ref), &worker_fleet::on_stop_answer));
+               answer_handler(key_of(run.ref), *worker,
+                              &worker_fleet::on_stop_answer));
 }
 
 void worker_fleet::on_stop_answer(const std::string& key,
+                                  std::int64_t sent_reading_ms,
                                   const order_answer& answer, time_point now)
 {
     const auto found = runs_.find(key);
@@ -98,7 +99,7 @@
     auto* const worker = session_of(run.location);
     if (worker != nullptr)
     {
-        record_order_answer(*worker, run.sent_reading_ms, answer, now);
+        record_order_answer(*worker, sent_reading_ms, answer, now);
     }
     if (answer.result == order_result::newer_epoch)
     {
--- a/test/unknown_run-test.cpp
+++ b/test/unknown_run-test.cpp
@@ -344,5 +344,75 @@
     EXPECT_EQ(fixture.counters.counter("subtasks_running_twice_total"), 1U);
 }
 
+// Guards against a second run of a subtask whose unknown run is on a worker
+// that leaves, because the worker is forgotten together with that run.
+TEST(unknown_run, unknown_run_of_leaving_worker_blocks_its_subtask)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.submit("job", make_step(2, 4));
+    fixture.schedule();
+    accept_starts(fixture);
+    fixture.port.starts.clear();
+    fixture.commit();
+    end_run(fixture, make_run("job", 0, 1), run_lapsed);
+    fixture.advance(milliseconds(200));
+    ASSERT_FALSE(fixture.port.holds.empty());
+    for (auto& hold : std::exchange(fixture.port.holds, {}))
+    {
+        auto answer = lists(fixture);
+        answer.lists.running.push_back({make_run("job", 0, 1), "", 10});
+        answer.lists.running.push_back({make_run("job", 1, 1), "", 10});
+        hold.done(answer);
+    }
+    fixture.commit();
+    ASSERT_EQ(fixture.workers->workers().at("w1").unknown_runs.size(), 1U);
+    fixture.add_worker("w2", "r2");
+    fixture.commit();
+    for (auto& hold : std::exchange(fixture.port.holds, {}))
+    {
+        if (hold.order.worker == "w2")
+        {
+            hold.done(lists(fixture));
+        }
+        else
+        {
+            fixture.port.holds.push_back(hold);
+        }
+    }
+    fixture.schedule();
+    fixture.advance(milliseconds(50));
+    ASSERT_EQ(fixture.workers->runs().count("job.0.0.0#2"), 1U);
+    EXPECT_TRUE(fixture.port.starts.empty()); // It waits.
+    // The stop of the unknown run is not answered. The other run ends.
+    fixture.drain("w1");
+    bool left = false;
+    fixture.depart("w1",
+                   [&left]
+                   {
+                       left = true;
+                   });
+    for (auto& hold : std::exchange(fixture.port.holds, {}))
+    {
+        auto answer = lists(fixture);
+        answer.lists.running.push_back({make_run("job", 0, 1), "", 10});
+        listed_end end;
+        end.number = 1;
+        end.run = make_run("job", 1, 1);
+        end.end = run_stopped;
+        answer.lists.ended.push_back(end);
+        hold.done(answer);
+    }
+    fixture.commit();
+    fixture.advance(milliseconds(50));
+    EXPECT_TRUE(fixture.port.starts.empty());
+    fixture.advance(milliseconds(600));
+    EXPECT_TRUE(left);
+    EXPECT_TRUE(fixture.port.starts.empty())
+        << "run " << fixture.port.starts.front().order.run.run()
+        << " was sent to " << fixture.port.starts.front().order.worker;
+    EXPECT_EQ(fixture.workers->workers().count("w1"), 1U);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
--- a/test/worker_restart-test.cpp
+++ b/test/worker_restart-test.cpp
@@ -288,7 +288,7 @@
                                             fixture.now),
               worker_availability::usable);
     answer_lists(fixture, 3);
-    EXPECT_TRUE(fixture.workers->workers().at("w1").succeeded);
+    EXPECT_TRUE(fixture.workers->workers().at("w1").replaced_at.has_value());
 }
 
 // Guards against an end of the next incarnation that the worker forgets because
--- a/test/worker_stop-test.cpp
+++ b/test/worker_stop-test.cpp
@@ -16,6 +16,15 @@
 
 const std::string stopped_run = "late.0.0.0#1";
 
+hold_answer empty_lists(const fleet_fixture& fixture)
+{
+    hold_answer answer;
+    answer.result = order_result::accepted;
+    answer.lists.worker_time_ms = fixture.worker_clock();
+    answer.lists.born_ms = 1;
+    return answer;
+}
+
 // Answers open holds and list requests with the run that is at work, and stops
 // as invalid.
 void answer_all(fleet_fixture& fixture)
@@ -27,10 +36,7 @@
     }
     for (const auto& request : lists)
     {
-        hold_answer answer;
-        answer.result = order_result::accepted;
-        answer.lists.worker_time_ms = fixture.worker_clock();
-        answer.lists.born_ms = 1;
+        auto answer = empty_lists(fixture);
         answer.lists.running.push_back({make_run("job", 0, 1), "", 10});
         request.done(answer);
     }
@@ -113,5 +119,39 @@
     }
 }
 
+// Guards against a run of an earlier leader that never ends because its stops
+// are answered as invalid.
+TEST(worker_stop, adopted_run_with_invalid_stop_ends)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.submit("job", make_step(1, 8));
+    fixture.schedule();
+    accept_starts(fixture);
+    fixture.port.starts.clear();
+    fixture.start_leader();
+    fixture.port.holds.clear();
+    fixture.port.list_requests.clear();
+    for (int i = 0; i < 600; ++i) // 60 s
+    {
+        fixture.advance(milliseconds(100));
+        fixture.report("w1");
+        for (auto& hold : std::exchange(fixture.port.holds, {}))
+        {
+            hold.done(empty_lists(fixture));
+        }
+        for (auto& hold : std::exchange(fixture.port.list_requests, {}))
+        {
+            hold.done(empty_lists(fixture));
+        }
+        for (auto& stop : std::exchange(fixture.port.stops, {}))
+        {
+            stop.done({order_result::invalid, fixture.worker_clock()});
+        }
+        fixture.commit();
+    }
+    EXPECT_EQ(fixture.workers->runs().count("job.0.0.0#1"), 0U);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
