Bound starts on new connections by the longest lease

Cause: the first start on an idle worker grants 1 s on the known clock. The next incarnation of a worker that restarted under its id has a lower clock and grants itself the longest lease. While its answers were missing, the leader ended the run as lapsed after 1.1 s and started it again. Change: only a connection opened after the restart leads to the next incarnation. Answers tell whether their order may have been sent over a connection opened for it. A run with such an unanswered attempt waits for the longest lease after it, unless a reading of the worker's clock shows that it was up then. The same holds for an attempt without an answer yet, until that comes. No further attempt is made once the lease has expired. Other attempts keep their bound. Why it works: a failed connect sends nothing, and an older connection leads to the earlier process. Tests: unanswered_start_waits_for_the_longest_lease now gets its lost answers, all with the flag, as the port gives one for each attempt; its bounds are the same. So does first_lease_bounds_a_worker_that_goes_on_reporting, which would otherwise not meet the flag. Starts without any answer are checked by open_attempt_counts_as_sent_to_the_next_incarnation. The model sets the flag by its connections, which end with their process or with an unanswered order.

--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -392,37 +392,6 @@
     return keys;
 }
 
-void worker_fleet::end_expired(worker_session& worker, time_point now)
-{
-    if (worker.runs.empty() && worker.unknown_runs.empty())
-    {
-        return;
-    }
-    const auto expiry = worker.clock.expiry_time();
-    if (!expiry || now < *expiry)
-    {
-        return;
-    }
-    while (!worker.unknown_runs.empty())
-    {
-        const auto key = worker.unknown_runs.begin()->first;
-        release_unknown_run(worker, key, "lease_over");
-    }
-    for (const auto& key : worker.runs)
-    {
-        auto& run = runs_.at(key);
-        if (run.phase == run_phase::starting && !run.end_proposed)
-        {
-            mark_unreachable(worker);
-        }
-        if (run.phase != run_phase::proposed &&
-            run.phase != run_phase::committed)
-        {
-            propose_end(run, run_lapsed, "", "lease_over");
-        }
-    }
-}
-
 void worker_fleet::advance_worker(worker_session& worker, time_point now)
 {
     end_expired(worker, now);
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -94,6 +94,14 @@
 /// Returns the name of the value for logs and metrics.
 const char* name_of(worker_availability availability);
 
+/// When an attempt to start a run is over at the latest, and the lowest likely
+/// time of the worker's clock then.
+struct attempt_end
+{
+    time_point at;
+    std::int64_t worker_time_ms = 0;
+};
+
 /// A run that is or may be present on a worker, as the leader sees it.
 struct live_run
 {
@@ -128,7 +136,10 @@
     // The latest reading of the worker's clock when an order was last sent.
     std::int64_t sent_reading_ms = 0;
     int stop_attempts = 0;
-    time_point first_sent_at; // The first attempt to start it.
+    time_point first_sent_at;                // The first attempt to start it.
+    std::optional<attempt_end> open_attempt; // The one without an answer yet.
+    // The last unanswered one on a connection that was opened for it.
+    std::optional<attempt_end> new_connection_attempt;
     // End of the lease that the attempts to start it grant, on the worker's
     // clock; 0: no attempt yet.
     std::int64_t start_lease_end_ms = 0;
@@ -387,6 +398,8 @@
     void send_start(live_run& run, worker_session& worker, time_point now);
     void on_start_answer(const std::string& key, const order_answer& answer,
                          time_point now);
+    void record_attempt_end(live_run& run, const order_answer& answer,
+                            time_point now);
     void send_stop(live_run& run, time_point now);
     void on_stop_answer(const std::string& key, const order_answer& answer,
                         time_point now);
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -24,6 +24,10 @@
 constexpr milliseconds short_order_timeout{100};
 constexpr int attempts_with_long_timeout = 3;
 
+// The longest time that an attempt to send an order takes, with the opening of
+// a connection.
+constexpr milliseconds longest_attempt{1000};
+
 // Time between two list requests for a stopped run that the worker has not
 // listed as ended.
 constexpr milliseconds list_request_interval{500};
@@ -148,7 +152,9 @@
                                     const worker_session& worker,
                                     time_point now) const
 {
-    return !is_overfull(worker) && !must_wait(run, unknown_subtasks()) &&
+    const auto expiry = worker.clock.expiry_time();
+    return (!expiry || now < *expiry) && !is_overfull(worker) &&
+           !must_wait(run, unknown_subtasks()) &&
            (run.start_attempts < max_start_attempts ||
             (!worker.unreachable &&
              now - run.first_sent_at < start_time_limit));
@@ -255,6 +261,9 @@
     run.sent_reading_ms = worker.clock.latest_reading();
     due_workers_.insert(run.incarnation.worker);
     ++run.start_attempts;
+    run.open_attempt =
+        attempt_end{now + longest_attempt,
+                    worker.clock.worker_time(now) + longest_attempt.count()};
     start_order order;
     order.run = run.ref;
     order.worker = worker.record.id();
@@ -295,10 +304,28 @@
     };
 }
 
+// Records the end of an attempt to start the run. An unanswered one on a new
+// connection may have reached the next incarnation of the worker.
+void worker_fleet::record_attempt_end(live_run& run, const order_answer& answer,
+                                      time_point now)
+{
+    run.open_attempt.reset();
+    if (answer.result == order_result::unknown && answer.on_new_connection)
+    {
+        const auto* const worker = session_of(run.location);
+        run.new_connection_attempt = attempt_end{
+            now, worker == nullptr ? 0 : worker->clock.worker_time(now)};
+    }
+}
+
 void worker_fleet::on_start_answer(const std::string& key,
                                    const order_answer& answer, time_point now)
 {
     const auto found = runs_.find(key);
+    if (found != runs_.end())
+    {
+        record_attempt_end(found->second, answer, now);
+    }
     if (found == runs_.end() || found->second.phase != run_phase::starting ||
         found->second.end_proposed ||
         !(found->second.location == found->second.incarnation))
--- a/src/protocol/external_protocol.hpp
+++ b/src/protocol/external_protocol.hpp
@@ -133,6 +133,9 @@
 {
     order_result result = order_result::unknown;
     std::int64_t worker_time_ms = 0; // Worker's steady clock; 0: not given.
+    // The order may have been sent over a connection that was opened for it:
+    // also to a process that began after the last answer.
+    bool on_new_connection = false;
 };
 
 /// An HTTP request to a worker or to the policy service.
--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -98,6 +98,7 @@
         }
         active_ = true;
         call_started_ = boot_now();
+        opened_for_call_ = stream_ == nullptr;
         if (!endpoint_)
         {
             boost::asio::post(io_,
@@ -193,7 +194,7 @@
         return false;
     }
 
-    void finish(const http_channel_answer& answer)
+    void finish(http_channel_answer answer)
     {
         if (closed_ || calls_.empty())
         {
@@ -201,6 +202,7 @@
         }
         const auto done = std::move(calls_.front().done);
         calls_.pop_front();
+        answer.on_new_connection = opened_for_call_;
         last_used_ = boot_now();
         const auto self = shared_from_this();
         active_ = false;
@@ -215,10 +217,11 @@
     beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::deque<call> calls_;
-    time_point call_started_; // When the first call became active.
-    time_point last_used_;    // When a call was queued or ended.
-    bool active_ = false;     // The first call is in progress.
-    bool closed_ = false;     // No further callback may be invoked.
+    time_point call_started_;      // When the first call became active.
+    time_point last_used_;         // When a call was queued or ended.
+    bool active_ = false;          // The first call is in progress.
+    bool opened_for_call_ = false; // Its connection was opened for it.
+    bool closed_ = false;          // No further callback may be invoked.
 };
 
 http_channel::http_channel(boost::asio::io_context& io,
--- a/src/transport/http_channel.hpp
+++ b/src/transport/http_channel.hpp
@@ -25,6 +25,8 @@
     // The receiver closed or refused the connection; otherwise, without an
     // answer, it was silent until the timeout.
     bool closed = false;
+    // The connection was opened for this call, or an attempt was made.
+    bool on_new_connection = false;
 };
 
 /// Sends HTTP/1.1 calls to one address, one after the other, over a persistent
--- a/src/transport/http_worker_port.cpp
+++ b/src/transport/http_worker_port.cpp
@@ -147,9 +147,11 @@
         call.method, call.target, call.headers, call.body, timeout,
         [this, done = std::move(done)](const http_channel_answer& answer)
         {
-            done(answer.status == 0
-                     ? order_answer()
-                     : protocol_.decode_order(answer.status, answer.body));
+            auto out = answer.status == 0
+                           ? order_answer()
+                           : protocol_.decode_order(answer.status, answer.body);
+            out.on_new_connection = answer.sent && answer.on_new_connection;
+            done(out);
         });
 }
 
--- a/test/http_channel-test.cpp
+++ b/test/http_channel-test.cpp
@@ -158,6 +158,25 @@
     }
 }
 
+// Guards against a call that counts as sent to the process of the calls before
+// although its connection was opened later.
+TEST_F(http_channel_test, call_tells_whether_its_connection_was_opened_for_it)
+{
+    http_channel channel(io, address);
+    std::vector<bool> opened;
+    for (const char* const target : {"/a", "/b", "/silent", "/silent", "/c"})
+    {
+        channel.send("GET", target, {}, "", std::chrono::milliseconds(50),
+                     [&opened](const http_channel_answer& answer)
+                     {
+                         opened.push_back(answer.on_new_connection);
+                     });
+    }
+    run();
+    // A call without an answer closes its connection.
+    EXPECT_EQ(opened, (std::vector<bool>{true, false, false, true, true}));
+}
+
 // Guards against reporting a call as sent when the connection was refused: the
 // caller could then not repeat it safely.
 TEST_F(http_channel_test, refused_connection_is_reported_as_not_sent)
--- a/test/http_worker_port-test.cpp
+++ b/test/http_worker_port-test.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 namespace limpetstack::fleet
 {
@@ -35,6 +36,11 @@
               [this](const http_server_request&, const http_responder& respond)
               {
                   ++calls;
+                  if (silent)
+                  {
+                      unanswered.push_back(respond);
+                      return;
+                  }
                   respond(
                       {200, R"({"clock_ms":1,"running":[],"ended":[]})", 0});
               })
@@ -62,10 +68,25 @@
         io.run_for(std::chrono::milliseconds(20));
     }
 
+    // Sends a start and returns its answer.
+    order_answer send_start(const worker_record& to)
+    {
+        order_answer seen;
+        port.start(to, {}, milliseconds(50),
+                   [&seen](const order_answer& answer)
+                   {
+                       seen = answer;
+                   });
+        io.run_for(std::chrono::milliseconds(100));
+        return seen;
+    }
+
     boost::asio::io_context io;
     std::string address;
     int calls = 0;
     int accepted = 0;
+    bool silent = false; // Orders get no answer.
+    std::vector<http_responder> unanswered;
     http_server server;
     platform::platform_protocol protocol;
     http_worker_port port;
@@ -98,6 +119,30 @@
     EXPECT_EQ(accepted, 12);
 }
 
+// Guards against an unanswered start that counts as sent to the known process
+// although its connection was opened for it.
+TEST_F(http_worker_port_test, start_tells_whether_it_was_on_a_new_connection)
+{
+    EXPECT_TRUE(send_start(worker(0)).on_new_connection);
+    EXPECT_FALSE(send_start(worker(0)).on_new_connection);
+    silent = true;
+    EXPECT_FALSE(send_start(worker(0)).on_new_connection);
+    const auto missing = send_start(worker(0));
+    EXPECT_EQ(missing.result, order_result::unknown);
+    EXPECT_TRUE(missing.on_new_connection);
+}
+
+// Guards against a start that counts as sent when its worker refused the
+// connection.
+TEST_F(http_worker_port_test, refused_start_was_on_no_connection)
+{
+    auto absent = worker(0);
+    absent.set_address(free_address(io));
+    const auto missing = send_start(absent);
+    EXPECT_EQ(missing.result, order_result::unknown);
+    EXPECT_FALSE(missing.on_new_connection);
+}
+
 // Guards against a call that loses its answer because its connection is closed
 // to make room.
 TEST_F(http_worker_port_test, connection_with_a_call_is_not_closed)
--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -265,6 +265,20 @@
     }
 }
 
+// Opens a connection for orders if the worker is up and has none of this
+// leader. Returns true when it opened one.
+bool model_workers::connect(const std::string& id)
+{
+    auto& worker = workers_[id];
+    if (worker.disconnected || worker.crashed ||
+        worker.connected_epoch == fixture_.epoch)
+    {
+        return false;
+    }
+    worker.connected_epoch = fixture_.epoch;
+    return true;
+}
+
 // Carries out an order and answers it, or reports a timeout when the answer is
 // lost.
 void model_workers::take_order(const std::string& id,
@@ -274,6 +288,7 @@
 {
     const auto result = std::make_shared<order_answer>();
     bool answered = false;
+    const bool opened = connect(id);
     deliver(
         id,
         [this, id, carry_out, result]
@@ -290,9 +305,13 @@
         done(*result);
         return;
     }
-    delayed_.push_back({fixture_.now + timeout, [done]
+    // A call without an answer closes its connection.
+    workers_[id].connected_epoch = 0;
+    delayed_.push_back({fixture_.now + timeout, [done, opened]
                         {
-                            done({});
+                            order_answer missing;
+                            missing.on_new_connection = opened;
+                            done(missing);
                         }});
 }
 
--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -124,6 +124,8 @@
         // may have ended these runs as lapsed.
         std::uint64_t expired_ends = 0;
         std::uint64_t epoch = 0;
+        // Epoch of the leader with an open connection for orders; 0: none.
+        std::uint64_t connected_epoch = 0;
         std::int64_t lease_until = 0; // In ms, on the worker's clock.
         bool disconnected = false;
         bool crashed = false; // It crashed or left.
@@ -145,6 +147,7 @@
     void finish(model_worker& worker, const std::string& key, run_end end);
     void deliver(const std::string& id, const std::function<void()>& carry_out,
                  const std::function<void()>& answer);
+    bool connect(const std::string& id);
     void take_order(const std::string& id,
                     const std::function<order_result()>& carry_out,
                     milliseconds timeout,
--- a/test/worker_restart-test.cpp
+++ b/test/worker_restart-test.cpp
@@ -209,6 +209,20 @@
     EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
 }
 
+// Leaves all attempts to start the run without an answer.
+void lose_starts(fleet_fixture& fixture, bool on_new_connection)
+{
+    order_answer missing;
+    missing.on_new_connection = on_new_connection;
+    while (!fixture.port.starts.empty())
+    {
+        const auto start = fixture.port.starts.front();
+        fixture.port.starts.pop_front();
+        start.done(missing);
+    }
+    fixture.commit();
+}
+
 // Guards against a second run of a subtask whose start the next incarnation
 // accepted, on a clock on which the short first lease is far ahead, when its
 // answer is lost.
@@ -216,6 +230,7 @@
 {
     fleet_fixture fixture;
     send_start(fixture);
+    lose_starts(fixture, true);
     for (int i = 0; i < 60; ++i)
     {
         fixture.advance(milliseconds(100));
@@ -228,12 +243,45 @@
     EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
 }
 
+// Guards against the same while an attempt is under way: it may still be
+// answered, over a new connection, after the short lease.
+TEST(worker_restart, open_attempt_counts_as_sent_to_the_next_incarnation)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    for (int i = 0; i < 60; ++i)
+    {
+        fixture.advance(milliseconds(100));
+        ASSERT_EQ(fixture.workers->runs().count(first_run), 1U) << i;
+    }
+    for (int i = 0; i < 15; ++i)
+    {
+        fixture.advance(milliseconds(100));
+    }
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
+}
+
+// Guards against a subtask that waits for the longest lease although its start
+// can only have reached the incarnation with the short lease.
+TEST(worker_restart, first_lease_bounds_a_start_on_an_open_connection)
+{
+    fleet_fixture fixture;
+    send_start(fixture);
+    lose_starts(fixture, false);
+    for (int i = 0; i < 12; ++i)
+    {
+        fixture.advance(milliseconds(100));
+    }
+    EXPECT_EQ(fixture.workers->runs().count(first_run), 0U);
+}
+
 // Guards against a subtask that waits for the longest lease although reports
 // show that its worker has not restarted.
 TEST(worker_restart, first_lease_bounds_a_worker_that_goes_on_reporting)
 {
     fleet_fixture fixture;
     send_start(fixture);
+    lose_starts(fixture, true);
     for (int i = 0; i < 12; ++i)
     {
         fixture.advance(milliseconds(100));
