--- a/src/coordination/fleet/live_run.hpp
+++ b/src/coordination/fleet/live_run.hpp
@@ -5,6 +5,7 @@
 #include "state/fleet_state.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace limpetstack::fleet
@@ -22,6 +23,14 @@
     adopted    // An earlier leader placed it; the worker has not listed it.
 };
 
+/// When an attempt to start a run is over at the latest, and the lowest likely
+/// time of the worker's clock then.
+struct attempt_end
+{
+    time_point at;
+    std::int64_t worker_time_ms = 0;
+};
+
 /// A run that is or may be present on a worker, as the leader sees it.
 struct live_run
 {
@@ -54,7 +63,10 @@
     bool listed_by_incarnation = false;
     int start_attempts = 0;
     int stop_attempts = 0;
-    time_point first_sent_at; // The first attempt to start it.
+    time_point first_sent_at;                // The first attempt to start it.
+    std::optional<attempt_end> open_attempt; // The one without an answer yet.
+    // The last unanswered one on a connection that was opened for it.
+    std::optional<attempt_end> new_connection_attempt;
     // End of the lease that the attempts to start it grant, on the worker's
     // clock; 0: no attempt yet.
     std::int64_t start_lease_end_ms = 0;
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -191,6 +191,8 @@
     void send_start(live_run& run, worker_session& worker, time_point now);
     void on_start_answer(const std::string& key, std::int64_t sent_reading_ms,
                          const order_answer& answer, time_point now);
+    void record_attempt_end(live_run& run, const order_answer& answer,
+                            time_point now);
     void send_stop(live_run& run, time_point now);
     void on_stop_answer(const std::string& key, std::int64_t sent_reading_ms,
                         const order_answer& answer, time_point now);
