--- a/src/coordination/consensus_election.cpp
+++ b/src/coordination/consensus_election.cpp
@@ -10,8 +10,10 @@
 
 bool consensus::has_live_leader() const
 {
+    // The contact counts also after a newer term was seen: the leader that
+    // this member answered may not know of that term.
     return role_ == role::leader ||
-           (leader_ != 0 && last_leader_contact_ &&
+           (last_leader_contact_ &&
             now_ - *last_leader_contact_ < options_.election_timeout);
 }
 
@@ -134,6 +136,7 @@
     peers_.clear();
     pending_reads_.clear();
     round_ = 0;
+    round_times_.clear();
     update_members();
     // Entries of earlier terms are committed only together with an entry of
     // this term, so the leader appends one at once.
--- a/src/coordination/fleet/lease_clock.hpp
+++ b/src/coordination/fleet/lease_clock.hpp
@@ -31,10 +31,7 @@
         {
             return;
         }
-        if (!latest_ || worker_time_ms >= latest_->worker_time_ms)
-        {
-            latest_ = reading{worker_time_ms, now};
-        }
+        latest_reading_ = std::max(latest_reading_, worker_time_ms);
         if (!bound_ || worker_time_ms >= earliest_time(now))
         {
             bound_ = reading{worker_time_ms, now};
@@ -42,16 +39,17 @@
     }
 
     /// Returns true when the worker's clock has been read.
-    bool has_reading() const { return latest_.has_value(); }
+    bool has_reading() const { return latest_reading_ > 0; }
+
+    /// Returns the highest reading in milliseconds, 0 without one.
+    std::int64_t latest_reading() const { return latest_reading_; }
 
-    /// Returns the lowest possible time of the worker's clock if both clocks
-    /// run at the same rate; 0 without a reading.
+    /// Returns a time that the worker's clock has reached even if it runs as
+    /// slow as allowed; 0 without a reading. A lease that counts from it is
+    /// over when a later leader expects, however old the reading is.
     std::int64_t worker_time(time_point now) const
     {
-        return latest_ ? std::max(latest_->worker_time_ms +
-                                      (now - latest_->at).count(),
-                                  earliest_time(now))
-                       : 0;
+        return bound_ ? earliest_time(now) : 0;
     }
 
     /// Records a lease up to `lease_end_ms` on the worker's clock. It counts
@@ -61,8 +59,18 @@
         granted_end_ = std::max(granted_end_, lease_end_ms);
     }
 
-    /// Records that an earlier leader may have granted leases up to `now`.
-    void inherit_leases(time_point now) { inherited_ = now; }
+    /// Records that others may have granted leases up to `now`: an earlier
+    /// leader, or this one to another incarnation of the worker.
+    void inherit_leases(time_point now)
+    {
+        inherited_ = inherited_ ? std::max(*inherited_, now) : now;
+    }
+
+    /// Returns true when no lease that others granted is left.
+    bool inherited_leases_expired(time_point now) const
+    {
+        return !inherited_ || now >= inherited_expiry();
+    }
 
     /// Returns when every lease has expired even if the worker's clock runs as
     /// slow as allowed. Returns nothing when no lease is known, or when the
@@ -72,7 +80,7 @@
         std::optional<time_point> latest;
         if (inherited_)
         {
-            latest = *inherited_ + stretched(max_lease_.count()) + margin;
+            latest = inherited_expiry();
         }
         if (granted_end_ > 0 && bound_)
         {
@@ -96,6 +104,11 @@
     // Covers rounding and timers that fire late on the worker.
     static constexpr milliseconds margin{100};
 
+    time_point inherited_expiry() const
+    {
+        return *inherited_ + stretched(max_lease_.count()) + margin;
+    }
+
     // Returns the time on this host in which the slowest allowed worker clock
     // advances by `duration_ms`.
     milliseconds stretched(std::int64_t duration_ms) const
@@ -116,7 +129,7 @@
 
     double max_drift_; // A fraction of the elapsed time.
     milliseconds max_lease_;
-    std::optional<reading> latest_; // The highest reading.
+    std::int64_t latest_reading_ = 0;
     // The reading from which the highest lower bound of the clock follows.
     std::optional<reading> bound_;
     std::int64_t granted_end_ = 0;
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -15,58 +15,14 @@
 // Time between two scans of all workers for timeouts that have expired.
 constexpr milliseconds scan_interval{40};
 
-// One accelerator counts as this many cores when amounts of work or capacity
-// are compared.
-constexpr std::int64_t cores_per_accelerator = 8;
-
 } // namespace
 
-resource_amounts operator+(const resource_amounts& a, const resource_amounts& b)
-{
-    return {a.cpu_milli + b.cpu_milli, a.memory_mb + b.memory_mb,
-            a.accelerators + b.accelerators};
-}
-
-resource_amounts operator-(const resource_amounts& a, const resource_amounts& b)
-{
-    return {a.cpu_milli - b.cpu_milli, a.memory_mb - b.memory_mb,
-            a.accelerators - b.accelerators};
-}
-
-resource_amounts to_amounts(const resources& value)
-{
-    return {value.cpu_milli(), value.memory_mb(), value.accelerators()};
-}
-
-resource_amounts counted_need(const step_spec& step)
-{
-    auto need = to_amounts(step.need());
-    if (step.filler())
-    {
-        need.cpu_milli = 0;
-    }
-    return need;
-}
-
-double weight_in_cores(const resource_amounts& amounts)
-{
-    return static_cast<double>(amounts.cpu_milli) / 1000.0 +
-           static_cast<double>(amounts.accelerators * cores_per_accelerator);
-}
-
 std::string subtask_key(const run_ref& run)
 {
     return absl::StrCat(run.job(), ".", run.occurrence(), ".", run.step(), ".",
                         run.index());
 }
 
-bool fits(const resource_amounts& need, const resource_amounts& available)
-{
-    return need.cpu_milli <= available.cpu_milli &&
-           need.memory_mb <= available.memory_mb &&
-           need.accelerators <= available.accelerators;
-}
-
 std::string worker_fleet::key_of(const run_ref& run)
 {
     return absl::StrCat(subtask_key(run), "#", run.run());
@@ -87,7 +43,12 @@
     const auto now = clock_();
     for (const auto& [id, record] : state_.workers())
     {
-        add_session(record, now).clock.inherit_leases(now);
+        add_session(record, now)
+            .clock.inherit_leases(now + options_.leadership_overlap);
+    }
+    for (auto& [address, owner] : address_owners_)
+    {
+        owner.seen_at = {};
     }
     for (const auto& [id, job] : state_.jobs())
     {
@@ -113,18 +74,24 @@
             }
         }
     }
-    // Runs on an incarnation that no longer exists ended together with it.
-    std::vector<std::string> orphaned;
-    for (const auto& [key, run] : runs_)
+    // Runs on an incarnation that is not in the state may be at the next one,
+    // which may have received their start.
+    for (auto& [key, run] : runs_)
     {
-        if (session_of(run.incarnation) == nullptr)
+        if (session_of(run.location) != nullptr)
         {
-            orphaned.push_back(key);
+            continue;
+        }
+        const auto found = workers_.find(run.location.worker);
+        if (found != workers_.end() &&
+            found->second.record.born_ms() > run.location.born_ms)
+        {
+            move_run(run, found->second, now);
+        }
+        else
+        {
+            orphan_run(key, now);
         }
-    }
-    for (const auto& key : orphaned)
-    {
-        propose_end(runs_.at(key), run_lapsed, "", "worker_gone");
     }
 }
 
@@ -142,8 +109,7 @@
     worker.last_report = now;
     worker.last_contact = now;
     worker.added_at = now;
-    auto& youngest = youngest_born_ms_[record.address()];
-    youngest = std::max(youngest, record.born_ms());
+    record_owner(worker, now);
     due_workers_.insert(record.id());
     return worker;
 }
@@ -156,6 +122,7 @@
     auto& live = runs_[key];
     live.ref = run;
     live.incarnation = incarnation;
+    live.location = incarnation;
     live.phase = phase;
     live.changed_at = now;
     live.started_at = now;
@@ -172,14 +139,20 @@
     }
     if (auto* const worker = session_of(incarnation))
     {
-        worker->runs.insert(key);
-        worker->used = worker->used + live.need;
-        worker->filler_runs += live.filler ? 1 : 0;
-        worker->serving_runs += live.serves_users ? 1 : 0;
+        occupy(*worker, live);
     }
     return live;
 }
 
+// Counts the run's resources on the worker.
+void worker_fleet::occupy(worker_session& worker, const live_run& run)
+{
+    worker.runs.insert(key_of(run.ref));
+    worker.used = worker.used + run.need;
+    worker.filler_runs += run.filler ? 1 : 0;
+    worker.serving_runs += run.serves_users ? 1 : 0;
+}
+
 worker_session* worker_fleet::session_of(const worker_incarnation& incarnation)
 {
     const auto found = workers_.find(incarnation.worker);
@@ -196,7 +169,7 @@
     {
         return;
     }
-    if (auto* const worker = session_of(found->second.incarnation);
+    if (auto* const worker = session_of(found->second.location);
         worker != nullptr && worker->runs.erase(key) > 0)
     {
         worker->used = worker->used - found->second.need;
@@ -204,6 +177,7 @@
         worker->serving_runs -= found->second.serves_users ? 1 : 0;
     }
     stopping_.erase(key);
+    orphans_.erase(key);
     runs_.erase(found);
 }
 
@@ -234,15 +208,7 @@
         return;
     }
     run.end_proposed = true;
-    counters_.add(
-        absl::StrCat("run_ends_total{end=\"", run_end_Name(end), "\"}"));
-    log_event(log_level::info, "run_ended",
-              {{"job", run.ref.job()},
-               {"run", key_of(run.ref)},
-               {"worker", run.incarnation.worker},
-               {"end", run_end_Name(end)},
-               {"reason", reason},
-               {"epoch", absl::StrCat(epoch_)}});
+    log_end(run, end, reason, clock_());
     fleet_command command;
     auto& ended = *command.mutable_end();
     *ended.mutable_run() = run.ref;
@@ -317,7 +283,12 @@
 {
     ended_before_start_ = false;
     const auto key = key_of(ended.run());
-    if (auto* const worker = session_of({ended.worker(), ended.born_ms()}))
+    const auto found = runs_.find(key);
+    const auto location =
+        found == runs_.end()
+            ? worker_incarnation{ended.worker(), ended.born_ms()}
+            : found->second.location;
+    if (auto* const worker = session_of(location))
     {
         due_workers_.insert(ended.worker());
         worker->pending_ends.erase(key);
@@ -330,7 +301,6 @@
     {
         stop_superseded(ended.run(), now);
     }
-    const auto found = runs_.find(key);
     if (found == runs_.end())
     {
         return;
@@ -378,37 +348,12 @@
     return keys;
 }
 
-void worker_fleet::end_expired(worker_session& worker, time_point now)
-{
-    if (worker.runs.empty())
-    {
-        return;
-    }
-    const auto expiry = worker.clock.expiry_time();
-    if (!expiry || now < *expiry)
-    {
-        return;
-    }
-    for (const auto& key : worker.runs)
-    {
-        auto& run = runs_.at(key);
-        if (run.phase == run_phase::starting && !run.end_proposed)
-        {
-            mark_unreachable(worker);
-        }
-        if (run.phase != run_phase::proposed &&
-            run.phase != run_phase::committed)
-        {
-            propose_end(run, run_lapsed, "", "lease_over");
-        }
-    }
-}
-
 void worker_fleet::advance_worker(worker_session& worker, time_point now)
 {
     end_expired(worker, now);
     remove_silent(worker, now);
     remove_displaced(worker, now);
+    retry_unknown_stops(worker, now);
     if (now >= worker.retry_at && needs_hold(worker, now) &&
         may_confirm(worker))
     {
@@ -423,6 +368,7 @@
         return;
     }
     start_committed(now);
+    finish_departures(now);
     for (const auto& id : std::exchange(due_workers_, {}))
     {
         if (const auto found = workers_.find(id); found != workers_.end())
@@ -435,6 +381,9 @@
         return;
     }
     scanned_at_ = now;
+    newly_committed_.insert(newly_committed_.end(), waiting_starts_.begin(),
+                            waiting_starts_.end());
+    waiting_starts_.clear();
     open_confirmations_ = static_cast<std::size_t>(std::count_if(
         workers_.begin(), workers_.end(),
         [](const auto& entry)
@@ -442,6 +391,7 @@
             return entry.second.holding && !entry.second.confirmed;
         }));
     finish_removals(now);
+    end_orphans(now);
     for (auto& [id, worker] : workers_)
     {
         advance_worker(worker, now);
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -3,12 +3,15 @@
 #include "base/clock.hpp"
 #include "base/metrics.hpp"
 #include "coordination/fleet/answer_loss.hpp"
-#include "coordination/fleet/lease_clock.hpp"
+#include "coordination/fleet/live_run.hpp"
+#include "coordination/fleet/resource_amounts.hpp"
+#include "coordination/fleet/worker_availability.hpp"
 #include "coordination/fleet/worker_port.hpp"
+#include "coordination/fleet/worker_session.hpp"
 #include "state/fleet_state.hpp"
 
-#include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,6 +30,9 @@
     milliseconds report_interval{1500}; // Time between a worker's reports.
     // The largest fraction by which a worker's clock may run slow.
     double max_clock_drift = 0.02;
+    // The longest time for which an earlier leader may send orders after a new
+    // leader has begun.
+    milliseconds leadership_overlap{0};
     milliseconds max_hold_wait{2000}; // The longest wait of a hold call.
     // The longest time that a worker takes to stop a run.
     milliseconds max_stop_time{900};
@@ -34,170 +40,20 @@
     milliseconds remove_silent_after{60000};
 };
 
-/// Amounts of one worker's resources: its capacity, the part that is free, or
-/// the need of a run.
-struct resource_amounts
+/// Why the leader ended a run, kept for a while after the end.
+struct ended_record
 {
-    std::int64_t cpu_milli = 0;
-    std::int64_t memory_mb = 0;
-    std::int64_t accelerators = 0;
-};
-
-resource_amounts operator+(const resource_amounts& a,
-                           const resource_amounts& b);
-resource_amounts operator-(const resource_amounts& a,
-                           const resource_amounts& b);
-resource_amounts to_amounts(const resources& value);
-
-/// Returns the resources that a run of one subtask of the step occupies in the
-/// accounting of its worker. The processor need of fillers is not counted.
-resource_amounts counted_need(const step_spec& step);
-
-/// Returns the processors and accelerators as a number of cores; an accelerator
-/// counts as several cores.
-double weight_in_cores(const resource_amounts& amounts);
-
-/// Returns a key that is unique for a subtask within the fleet.
-std::string subtask_key(const run_ref& run);
-
-/// Returns true when `need` does not exceed the `available` resources.
-bool fits(const resource_amounts& need, const resource_amounts& available);
-
-enum class run_phase
-{
-    proposed,  // The placement is proposed and not committed yet.
-    committed, // The placement is committed; the start has not been sent.
-    starting,  // The start has been sent and not answered yet.
-    present,   // The worker accepted the start or listed the run.
-    adopted    // An earlier leader placed it; the worker has not listed it.
-};
-
-/// Whether a worker may get placements, or why not.
-enum class worker_availability
-{
-    usable,
-    draining,   // It reported that it is about to leave.
-    avoided,    // Runs failed or stalled there a short time ago.
-    refusing,   // It refused a start, or did not answer it, just now.
-    unreachable // It does not report, or does not answer the leader.
-};
-
-inline constexpr std::array all_availabilities{
-    worker_availability::usable, worker_availability::draining,
-    worker_availability::avoided, worker_availability::refusing,
-    worker_availability::unreachable};
-
-/// Returns the name of the value for logs and metrics.
-const char* name_of(worker_availability availability);
-
-/// A run that is or may be present on a worker, as the leader sees it.
-struct live_run
-{
-    run_ref ref;
-    worker_incarnation incarnation;
-    resource_amounts need;
-    std::int64_t priority = 0;
-    bool gang = false;
-    bool checkpointable = false;
-    bool lasting = false;
-    bool filler = false;
-    bool serves_users = false;
-    run_phase phase = run_phase::proposed;
-    bool stop_requested = false;
-    bool stop_sent = false;
-    bool stop_acknowledged = false;
-    bool end_proposed = false;
-    std::string ticket; // From the queue's policy; empty without one.
-    bool worker_restarted = false; // Its worker restarted during the start.
-    int start_attempts = 0;
-    int stop_attempts = 0;
-    time_point first_sent_at; // The first attempt to start it.
-    // End of the lease that the attempts to start it grant, on the worker's
-    // clock; 0: no attempt yet.
-    std::int64_t start_lease_end_ms = 0;
-    // The last change of the phase or of the progress of the stop order.
-    time_point changed_at;
-    // When the worker's lists were last requested to see the end of the
-    // stopped run.
-    time_point lists_requested_at;
-    time_point started_at; // When the run became present.
-    std::string checkpoint;
-    // The estimated run time of the whole subtask; often far off.
-    std::int64_t estimate_ms = 0;
-    int percent = 0;      // Progress, as the worker listed it.
-    time_point listed_at; // When the worker last listed the run.
-    // The last rise of `percent` or change of the checkpoint.
-    time_point progressed_at;
-};
-
-/// A start that was sent to a worker a short time before another one.
-struct recent_start
-{
-    run_ref run;
+    std::string reason;
     time_point at;
 };
 
-/// The leader's view of one incarnation of a worker.
-struct worker_session
+/// The youngest incarnation that was known at an address.
+struct address_owner
 {
-    explicit worker_session(lease_clock leases)
-        : clock(leases)
-    {
-    }
-
-    worker_record record;
-    resource_amounts capacity;
-    resource_amounts used; // Sum of the needs of all live runs.
-    lease_clock clock;
-    std::set<std::string> runs; // Keys of the live runs on the worker.
-    // Number of live runs that use the processor time that others leave.
-    std::size_t filler_runs = 0;
-    // Number of live runs with a tail latency target.
-    std::size_t serving_runs = 0;
-    std::uint64_t last_sequence = 0; // Highest number of a report.
-    time_point last_report;          // When the last report arrived.
-    // The worker numbers the ends of its runs; ends up to this number are
-    // committed.
-    std::uint64_t committed_end = 0;
-    // The highest number of an end that the worker has listed.
-    std::uint64_t listed_end = 0;
-    // The highest `committed_end` that was sent in a hold or list request and
-    // answered by the worker.
-    std::uint64_t acknowledged_end = 0;
-    // Keys of runs whose end was listed and proposed, but is not committed.
-    std::set<std::string> pending_ends;
-    // The worker has answered under this leader's epoch.
-    bool confirmed = false;
-    bool holding = false; // A hold call has been sent and not answered.
-    bool removal_proposed = false; // Its removal from the state is proposed.
-    // When it was removed from the state with runs on it, whose ends may still
-    // be listed by an answer that is under way.
-    std::optional<time_point> removed_at;
-    // Orders and holds without an answer since the last answer of any kind.
-    int missed_answers = 0;
-    // The probability that a worker which is up leaves that many unanswered.
-    double missed_probability = 1;
-    // The missing answers suggest that the worker is down or disconnected. It
-    // gets no placements and no new lease until it answers.
-    bool unreachable = false;
-    // Holds wait only for the shortest time until then, after a failed hold.
-    time_point short_holds_until;
-    time_point retry_at; // No hold is sent before this time.
-    // The last accepted answer to a hold or list request.
-    time_point last_answer;
-    // Before this time the worker gets placements only when no other fits.
-    time_point avoid_until;
-    time_point refuses_until; // The worker gets no placement before this time.
-    time_point added_at;      // When this leader first knew the incarnation.
-    // The last start, and those sent shortly before it.
-    std::vector<recent_start> recent_starts;
-    time_point last_contact; // The last answer of any kind.
-    // When the worker closed its connection, if it has not answered since.
-    std::optional<time_point> closed_at;
-    bool crash_recorded = false;
-    // A run that may crash the worker is on trial until then; no other start is
-    // sent to the worker.
-    time_point trial_until;
+    std::int64_t born_ms = 0;
+    // When this leader learned of it, or it last answered; an incarnation that
+    // an earlier leader knew has not been seen until it answers.
+    time_point seen_at;
 };
 
 /// Tracks workers and their runs on the leader: it grants leases, sends orders,
@@ -209,6 +65,7 @@
 public:
     using proposer = std::function<void(fleet_command)>;
     using clock_reader = std::function<time_point()>;
+    using departure_handler = std::function<void(bool leading)>;
 
     worker_fleet(const worker_fleet_options& options, const fleet_state& state,
                  worker_port& port, proposer propose, clock_reader clock,
@@ -236,6 +93,16 @@
     /// Stops a run. Stopping a member of a gang stops the whole gang.
     void stop(const std::string& key, const char* reason, time_point now);
 
+    /// Stops the runs of a worker that is about to leave, so that their state
+    /// is saved. Calls `ready` with true when no run is left there, or after a
+    /// time limit; with false when this leadership ends before.
+    void begin_departure(const worker_incarnation& incarnation,
+                         departure_handler ready, time_point now);
+
+    /// Answers the departures that are not ready. Is called at the end of the
+    /// leadership.
+    void cancel_departures();
+
     /// Returns whether the worker may get placements now, or why not.
     worker_availability availability(const worker_session& worker,
                                      time_point now) const;
@@ -281,6 +148,12 @@
     static std::string key_of(const run_ref& run);
 
 private:
+    struct departure
+    {
+        worker_incarnation incarnation;
+        departure_handler ready;
+    };
+
     worker_session& add_session(const worker_record& record, time_point now);
     live_run& add_run(const run_ref& run, const worker_incarnation& incarnation,
                       run_phase phase, time_point now);
@@ -288,19 +161,48 @@
     worker_session* session_of(const worker_incarnation& incarnation);
     void propose_end(live_run& run, run_end end, const std::string& checkpoint,
                      const char* reason);
+    void log_end(const live_run& run, run_end end, const char* reason,
+                 time_point now);
+    const step_spec* find_spec(const run_ref& run) const;
+    resource_amounts need_on(const worker_session& worker,
+                             const run_ref& run) const;
+    void record_unknown_run(worker_session& worker, const run_ref& run,
+                            time_point now);
+    void report_second_runs(const worker_session& worker, const run_ref& run);
+    void stop_unknown_run(const worker_session& worker, unknown_run& run,
+                          time_point now);
+    void on_unknown_stop_answer(const worker_incarnation& incarnation,
+                                const std::string& key,
+                                std::int64_t sent_reading_ms,
+                                const order_answer& answer, time_point now);
+    std::set<std::string> unknown_subtasks() const;
+    bool must_wait(const live_run& run,
+                   const std::set<std::string>& unknown) const;
+    void log_wait(live_run& run) const;
+    static bool is_overfull(const worker_session& worker);
+    void retry_unknown_stops(worker_session& worker, time_point now);
+    void release_unknown_run(worker_session& worker, const std::string& key,
+                             const char* reason);
+    void release_missing_runs(worker_session& worker,
+                              const std::set<std::string>& seen,
+                              time_point sent);
     void start_committed(time_point now);
     void check_gang_placements();
     void send_start(live_run& run, worker_session& worker, time_point now);
-    void on_start_answer(const std::string& key, const order_answer& answer,
-                         time_point now);
+    void on_start_answer(const std::string& key, std::int64_t sent_reading_ms,
+                         const order_answer& answer, time_point now);
+    void record_attempt_end(live_run& run, const order_answer& answer,
+                            time_point now);
     void send_stop(live_run& run, time_point now);
-    void on_stop_answer(const std::string& key, const order_answer& answer,
-                        time_point now);
+    void on_stop_answer(const std::string& key, std::int64_t sent_reading_ms,
+                        const order_answer& answer, time_point now);
     using order_handler = void (worker_fleet::*)(const std::string&,
+                                                 std::int64_t,
                                                  const order_answer&,
                                                  time_point);
     std::function<void(const order_answer&)>
-    answer_handler(const std::string& key, order_handler handler);
+    answer_handler(const std::string& key, const worker_session& worker,
+                   order_handler handler);
     hold_order make_hold_order(const worker_session& worker) const;
     std::function<void(const hold_answer&)>
     list_handler(const worker_session& worker, bool is_hold, time_point sent);
@@ -319,22 +221,36 @@
                          std::set<std::string>& seen, time_point now);
     void end_missing(worker_session& worker, const std::set<std::string>& seen,
                      time_point sent, time_point now);
+    void end_unstopped(worker_session& worker, const worker_lists& lists,
+                       const std::set<std::string>& seen, time_point now);
     void retry_stops(time_point now);
     void advance_worker(worker_session& worker, time_point now);
     void remove_silent(worker_session& worker, time_point now);
     void propose_removal(worker_session& worker, const char* reason, bool gone);
     bool is_displaced(const worker_session& worker) const;
     void remove_displaced(worker_session& worker, time_point now);
+    void stop_all(const worker_session& worker, const char* reason,
+                  time_point now);
+    void finish_departures(time_point now);
     void begin_removal(worker_session& worker, time_point now);
-    bool removal_is_due(const worker_session& worker, time_point now) const;
+    void end_proved_runs(const worker_session& worker, time_point now);
     void finish_removals(time_point now);
+    void orphan_run(const std::string& key, time_point now);
+    void move_orphans(worker_session& successor, time_point now);
+    void end_orphans(time_point now);
     static bool needs_lists(const live_run& run, time_point now);
     bool needs_hold(const worker_session& worker, time_point now) const;
     bool may_confirm(const worker_session& worker) const;
     bool is_silent(const worker_session& worker, time_point now) const;
     void close_connections(const worker_record& record, time_point now);
-    void end_incarnation(const worker_incarnation& incarnation,
-                         const char* reason, time_point now);
+    void end_runs(const std::set<std::string>& keys,
+                  const worker_incarnation& incarnation, const char* reason);
+    void move_run(live_run& run, worker_session& successor, time_point now);
+    void move_unproved_runs(const std::set<std::string>& keys,
+                            worker_session& successor, time_point now);
+    void record_successor(worker_session& worker, time_point now);
+    void record_owner(const worker_session& worker, time_point now);
+    void occupy(worker_session& worker, const live_run& run);
     void end_expired(worker_session& worker, time_point now);
     void refresh_record(const worker_record& record, time_point now);
     static void record_start(const live_run& run, worker_session& worker,
@@ -347,10 +263,11 @@
                                    time_point now);
     bool has_started_run(const worker_session& worker) const;
     milliseconds timeout_of_attempt(int attempt, time_point now) const;
-    static bool may_repeat_start(const live_run& run,
-                                 const worker_session& worker, time_point now);
-    void record_order_answer(worker_session& worker, const order_answer& answer,
-                             time_point now);
+    bool may_repeat_start(const live_run& run, const worker_session& worker,
+                          time_point now) const;
+    void record_order_answer(worker_session& worker,
+                             std::int64_t sent_reading_ms,
+                             const order_answer& answer, time_point now);
     void record_answer(worker_session& worker, time_point now);
     void record_missing_answer(worker_session& worker, worker_question question,
                                time_point now);
@@ -367,16 +284,28 @@
     std::map<std::string, worker_session> workers_; // By worker id.
     std::map<std::string, live_run> runs_;          // By key.
     std::vector<std::string> newly_committed_;      // Keys of runs to start.
+    // Keys of runs whose start waits for the end of an unknown run.
+    std::vector<std::string> waiting_starts_;
     // Ids of workers that `advance` updates without waiting for the next scan.
     std::set<std::string> due_workers_;
     std::set<std::string> stopping_; // Keys of runs with a requested stop.
     answer_counts answers_;          // Of all workers.
     // Open holds to workers that have not answered this leader yet.
     std::size_t open_confirmations_ = 0;
-    // Ids of removed workers with runs whose ends may still be listed.
+    // Ids of workers that may have unknown runs.
+    std::set<std::string> workers_with_unknown_runs_;
+    std::vector<departure> departures_; // Those that are not ready.
+    // Ids of removed workers that are kept until their runs have ended.
     std::set<std::string> removed_workers_;
-    // Start time of the youngest incarnation that was known, by address.
-    std::map<std::string, std::int64_t> youngest_born_ms_;
+    // Keys of runs whose worker was removed from the state under an earlier
+    // leader, and when the leases of earlier leaders have expired.
+    std::set<std::string> orphans_;
+    time_point orphans_end_at_;
+    // Ends that this leader proposed, by the key of the run, and the keys in
+    // the order of the ends.
+    std::map<std::string, ended_record> recent_ends_;
+    std::deque<std::string> recent_end_keys_;
+    std::map<std::string, address_owner> address_owners_; // By address.
     time_point scanned_at_; // Last scan of all workers.
     bool deposed_ = false;
     bool ended_before_start_ = false;
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -13,9 +13,7 @@
 namespace
 {
 
-// Time before a failed hold is repeated, and the longest such time for a worker
-// without runs.
-constexpr milliseconds order_retry_delay{150};
+// The longest time before a failed hold to a worker without runs is repeated.
 constexpr milliseconds max_hold_retry_delay{1000};
 
 // The leader accepts this many hold answers per second from workers on which no
@@ -40,6 +38,19 @@
                     max_hold_retry_delay);
 }
 
+// Returns the number of the end up to which the next list request acknowledges
+// ends, 0 for none. The request may reach the next incarnation of the worker,
+// which numbers its ends anew, so it names only what needs an acknowledgement,
+// and nothing while an answer is missing.
+std::uint64_t end_to_acknowledge(const worker_session& worker)
+{
+    const bool may_have_restarted =
+        worker.replaced_at.has_value() || worker.missed_answers > 0;
+    return may_have_restarted || worker.acknowledged_end >= worker.committed_end
+               ? 0
+               : worker.committed_end;
+}
+
 } // namespace
 
 hold_order worker_fleet::make_hold_order(const worker_session& worker) const
@@ -47,7 +58,7 @@
     hold_order order;
     order.worker = worker.record.id();
     order.epoch = epoch_;
-    order.last_recorded_end = worker.committed_end;
+    order.last_recorded_end = end_to_acknowledge(worker);
     return order;
 }
 
@@ -59,7 +70,8 @@
 {
     const worker_incarnation incarnation{worker.record.id(),
                                          worker.record.born_ms()};
-    return [this, incarnation, is_hold, sent, sent_end = worker.committed_end,
+    return [this, incarnation, is_hold, sent,
+            sent_end = end_to_acknowledge(worker),
             alive = std::weak_ptr<int>(alive_)](const hold_answer& answer)
     {
         if (!alive.expired())
@@ -75,7 +87,7 @@
     const milliseconds wait_for_size(
         static_cast<std::int64_t>(workers_.size()) * 1000 /
         idle_holds_per_second);
-    return now < worker.short_holds_until
+    return now < worker.short_holds_until || worker.record.draining()
                ? shortest_hold_wait
                : std::clamp(wait_for_size, shortest_hold_wait,
                             options_.max_hold_wait);
@@ -95,16 +107,19 @@
     worker.holding = true;
     open_confirmations_ += worker.confirmed ? 0 : 1;
     auto order = make_hold_order(worker);
-    // An unreachable worker gets no new lease: this leader ends its runs when
-    // the last granted lease has expired.
-    const bool renews = has_started_run(worker) && !worker.unreachable;
+    const bool awaits_ends =
+        has_started_run(worker) && !worker.unreachable && !worker.replaced_at;
+    // An unreachable or leaving worker gets no new lease: this leader ends its
+    // runs when the last granted lease has expired.
+    const bool renews =
+        awaits_ends && !worker.departing_since && !worker.removed;
     if (renews && worker.clock.has_reading())
     {
         order.lease_end_ms = grant_lease(worker, now);
     }
     // After a missing answer the lists are requested without a wait, because a
     // further missing answer shows sooner then.
-    if (renews && worker.confirmed && worker.missed_answers == 0)
+    if (awaits_ends && worker.confirmed && worker.missed_answers == 0)
     {
         order.wait_limit_ms = hold_wait(worker, now).count();
     }
@@ -137,9 +152,17 @@
         deposed_ = true;
         return;
     }
-    if (answer.result != order_result::accepted ||
-        (answer.lists.born_ms != 0 && incarnation.born_ms != 0 &&
-         answer.lists.born_ms != incarnation.born_ms))
+    // Start times come from clocks that may be set back, so a lower one shows a
+    // later incarnation as well.
+    const bool from_successor = answer.result == order_result::accepted &&
+                                incarnation.born_ms != 0 &&
+                                answer.lists.born_ms != 0 &&
+                                answer.lists.born_ms != incarnation.born_ms;
+    if (from_successor)
+    {
+        record_successor(*worker, now);
+    }
+    if (answer.result != order_result::accepted || from_successor)
     {
         if (is_hold)
         {
@@ -161,7 +184,13 @@
                    {"ended", absl::StrCat(answer.lists.ended.size())}});
     }
     worker->confirmed = true;
+    if (worker->replaced_at && answer.lists.born_ms != 0 &&
+        sent >= *worker->replaced_at)
+    {
+        worker->replaced_at.reset(); // The answer was misleading.
+    }
     worker->last_answer = now;
+    record_owner(*worker, now);
     record_answer(*worker, now);
     worker->acknowledged_end = std::max(worker->acknowledged_end, sent_end);
     worker->clock.sample(answer.lists.worker_time_ms, now);
@@ -174,7 +203,11 @@
     if (answer.lists.ended.size() < ends_per_page)
     {
         end_missing(*worker, seen, sent, now);
+        end_unstopped(*worker, answer.lists, seen, now);
+        release_missing_runs(*worker, seen, sent);
     }
+    worker->lists_time_ms =
+        std::max(worker->lists_time_ms, answer.lists.worker_time_ms);
     if (worker->pending_ends.empty())
     {
         worker->committed_end = worker->listed_end;
@@ -187,15 +220,17 @@
 }
 
 // Returns true when a start on the worker was answered, or a run of an earlier
-// leader may be there: its lease must be renewed.
+// leader may be there: its lease must be renewed. Runs that were meant for an
+// earlier incarnation are stopped and need no lease.
 bool worker_fleet::has_started_run(const worker_session& worker) const
 {
     return std::any_of(worker.runs.begin(), worker.runs.end(),
                        [this](const std::string& key)
                        {
-                           const auto phase = runs_.at(key).phase;
-                           return phase == run_phase::present ||
-                                  phase == run_phase::adopted;
+                           const auto& run = runs_.at(key);
+                           return run.location == run.incarnation &&
+                                  (run.phase == run_phase::present ||
+                                   run.phase == run_phase::adopted);
                        });
 }
 
@@ -208,6 +243,7 @@
         worker.listed_end = std::max(worker.listed_end, item.number);
         const auto key = key_of(item.run);
         seen.insert(key);
+        release_unknown_run(worker, key, "listed");
         const auto found = runs_.find(key);
         if (found == runs_.end() ||
             (found->second.end_proposed && worker.pending_ends.count(key) == 0))
@@ -215,7 +251,7 @@
             propose_late_end(worker, item);
             continue;
         }
-        if (session_of(found->second.incarnation) != &worker)
+        if (session_of(found->second.location) != &worker)
         {
             continue;
         }
@@ -260,14 +296,13 @@
         seen.insert(key);
         const auto found = runs_.find(key);
         if (found == runs_.end() ||
-            session_of(found->second.incarnation) != &worker)
+            session_of(found->second.location) != &worker)
         {
-            log_event(log_level::warning, "unknown_run_stopped",
-                      {{"job", item.run.job()},
-                       {"run", key},
-                       {"worker", worker.record.id()}});
-            port_.stop(worker.record, item.run, epoch_, order_timeout,
-                       [](const order_answer&) {});
+            // Later lists may have shown the end of the run.
+            if (lists.worker_time_ms >= worker.lists_time_ms)
+            {
+                record_unknown_run(worker, item.run, now);
+            }
             continue;
         }
         auto& run = found->second;
@@ -283,6 +318,9 @@
             run.progressed_at = now;
         }
         run.listed_at = now;
+        run.listed_by_incarnation =
+            run.listed_by_incarnation ||
+            (lists.born_ms != 0 && lists.born_ms == run.incarnation.born_ms);
         run.percent = item.percent;
         if (!item.checkpoint.empty())
         {
@@ -330,6 +368,40 @@
     }
 }
 
+// Ends runs whose stops are answered as invalid. After the end of the lease of
+// its start, a run that is missing in the lists can not start any more; it may
+// only be stopping because of an order that was not answered.
+void worker_fleet::end_unstopped(worker_session& worker,
+                                 const worker_lists& lists,
+                                 const std::set<std::string>& seen,
+                                 time_point now)
+{
+    for (const auto& key : worker.runs)
+    {
+        auto& run = runs_.at(key);
+        // The starts of an earlier leader have leases that this one inherited.
+        const bool start_is_over =
+            run.start_lease_end_ms > 0
+                ? lists.worker_time_ms > run.start_lease_end_ms
+                : worker.clock.inherited_leases_expired(now);
+        if (!run.stop_invalid || run.stop_acknowledged || run.end_proposed ||
+            !(run.location == run.incarnation) || seen.count(key) > 0 ||
+            !start_is_over)
+        {
+            continue;
+        }
+        if (run.absent_since_ms == 0)
+        {
+            run.absent_since_ms = lists.worker_time_ms;
+        }
+        else if (lists.worker_time_ms - run.absent_since_ms >=
+                 options_.max_stop_time.count())
+        {
+            propose_end(run, run_lapsed, "", "absent_after_lease");
+        }
+    }
+}
+
 // Returns true when the worker's lists are needed to follow the run. A start is
 // usually answered by itself.
 bool worker_fleet::needs_lists(const live_run& run, time_point now)
@@ -358,6 +430,7 @@
         worker.missed_answers > 0 && !is_silent(worker, now);
     return !worker.holding && worker.pending_ends.empty() &&
            (!worker.confirmed || may_answer_again ||
+            !worker.unknown_runs.empty() ||
             worker.acknowledged_end < worker.committed_end ||
             std::any_of(worker.runs.begin(), worker.runs.end(),
                         [this, now](const std::string& key)
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -1,4 +1,4 @@
-// Start and stop orders of the worker fleet, and the answers to them.
+// Start orders of the worker fleet, and the answers to them.
 #include "coordination/fleet/worker_fleet.hpp"
 
 #include "base/log.hpp"
@@ -24,70 +24,29 @@
 constexpr milliseconds short_order_timeout{100};
 constexpr int attempts_with_long_timeout = 3;
 
-// Time before a failed stop is repeated.
-constexpr milliseconds order_retry_delay{150};
-
-// Time between two list requests for a stopped run that the worker has not
-// listed as ended.
-constexpr milliseconds list_request_interval{500};
+// The longest time that an attempt to send an order takes, with the opening of
+// a connection.
+constexpr milliseconds longest_attempt{1000};
 
 // Lease of a start on a worker that has no other runs, where few answers are
 // lost. A worker that does not answer delays the subtask by this time only:
 // afterwards it can not carry out the start any more.
 constexpr milliseconds first_lease{1000};
 
+// Lease of a worker that is about to leave. Runs that are on it when it leaves
+// end when the lease is over, unless the worker lists their ends.
+constexpr milliseconds leaving_lease{3000};
+
 // A worker that refused a start gets no placement for this time.
 constexpr milliseconds refusal_pause{1000};
 
 } // namespace
 
-void worker_fleet::abort_gang(const live_run& run, const char* reason,
-                              time_point now)
-{
-    for (const auto& key : gang_members(run.ref))
-    {
-        auto& member = runs_.at(key);
-        if (!member.stop_requested)
-        {
-            member.stop_requested = true;
-            stopping_.insert(key);
-            log_event(log_level::info, "run_stopping",
-                      {{"job", member.ref.job()},
-                       {"run", key},
-                       {"worker", member.incarnation.worker},
-                       {"reason", reason}});
-            send_stop(member, now);
-        }
-    }
-}
-
-void worker_fleet::stop(const std::string& key, const char* reason,
-                        time_point now)
-{
-    const auto found = runs_.find(key);
-    if (found == runs_.end() || found->second.stop_requested)
-    {
-        return;
-    }
-    if (found->second.gang)
-    {
-        abort_gang(found->second, reason, now);
-        return;
-    }
-    found->second.stop_requested = true;
-    stopping_.insert(key);
-    log_event(log_level::info, "run_stopping",
-              {{"job", found->second.ref.job()},
-               {"run", key},
-               {"worker", found->second.incarnation.worker},
-               {"reason", reason}});
-    send_stop(found->second, now);
-}
-
 std::int64_t worker_fleet::grant_lease(worker_session& worker, time_point now)
 {
-    const auto until =
-        worker.clock.worker_time(now) + options_.max_lease.count();
+    const auto lease =
+        worker.record.draining() ? leaving_lease : options_.max_lease;
+    const auto until = worker.clock.worker_time(now) + lease.count();
     worker.clock.grant(until);
     return until;
 }
@@ -110,9 +69,11 @@
     return run.start_lease_end_ms;
 }
 
-// Records the answer to an order or its absence. A worker that reports and
-// answers none is unreachable, also when no hold is due.
+// Records the answer to an order, or its absence. `sent_reading_ms` is the
+// latest reading of the worker's clock when the order was sent. A worker that
+// reports and answers none is unreachable, also when no hold is due.
 void worker_fleet::record_order_answer(worker_session& worker,
+                                       std::int64_t sent_reading_ms,
                                        const order_answer& answer,
                                        time_point now)
 {
@@ -124,6 +85,12 @@
     {
         record_answer(worker, now);
         worker.clock.sample(answer.worker_time_ms, now);
+        if (answer.worker_time_ms > 0 &&
+            answer.worker_time_ms < sent_reading_ms)
+        {
+            // A steady clock does not run backwards.
+            record_successor(worker, now);
+        }
         return;
     }
     record_missing_answer(worker, worker_question::order, now);
@@ -141,10 +108,14 @@
 // Returns true when a start that was not answered is attempted again.
 bool worker_fleet::may_repeat_start(const live_run& run,
                                     const worker_session& worker,
-                                    time_point now)
+                                    time_point now) const
 {
-    return run.start_attempts < max_start_attempts ||
-           (!worker.unreachable && now - run.first_sent_at < start_time_limit);
+    const auto expiry = worker.clock.expiry_time();
+    return (!expiry || now < *expiry) && !worker.replaced_at &&
+           !is_overfull(worker) && !must_wait(run, unknown_subtasks()) &&
+           (run.start_attempts < max_start_attempts ||
+            (!worker.unreachable &&
+             now - run.first_sent_at < start_time_limit));
 }
 
 // Marks members of gangs for a stop unless the whole gang can start: all
@@ -178,6 +149,11 @@
 {
     check_gang_placements();
     const auto keys = std::exchange(newly_committed_, {});
+    if (keys.empty())
+    {
+        return;
+    }
+    const auto unknown = unknown_subtasks();
     for (const auto& key : keys)
     {
         const auto found = runs_.find(key);
@@ -185,24 +161,49 @@
         {
             continue;
         }
-        auto* const worker = session_of(found->second.incarnation);
+        auto* const worker = session_of(found->second.location);
         const auto* const job = state_.find_job(found->second.ref.job());
-        if (worker == nullptr || found->second.stop_requested ||
-            job == nullptr || job->ended())
+        if (worker == nullptr || worker->removed ||
+            found->second.stop_requested || job == nullptr || job->ended())
         {
             propose_end(found->second, run_never, "", "not_started");
             continue;
         }
-        if (worker->unreachable)
+        if (worker->unreachable || worker->replaced_at)
         {
             // The order would only grant a lease that nobody answers for.
             propose_end(found->second, run_never, "", "worker_unreachable");
             continue;
         }
+        if (is_overfull(*worker))
+        {
+            propose_end(found->second, run_never, "", "worker_occupied");
+            continue;
+        }
+        if (must_wait(found->second, unknown))
+        {
+            waiting_starts_.push_back(key);
+            log_wait(found->second);
+            continue;
+        }
         send_start(found->second, *worker, now);
     }
 }
 
+// Logs the first time that the run waits for the end of an unknown run.
+void worker_fleet::log_wait(live_run& run) const
+{
+    if (!std::exchange(run.waits, true))
+    {
+        log_event(log_level::info, "run_waits",
+                  {{"job", run.ref.job()},
+                   {"run", key_of(run.ref)},
+                   {"worker", run.location.worker},
+                   {"reason", "unknown_run"},
+                   {"epoch", absl::StrCat(epoch_)}});
+    }
+}
+
 void worker_fleet::send_start(live_run& run, worker_session& worker,
                               time_point now)
 {
@@ -217,6 +218,9 @@
     run.changed_at = now;
     due_workers_.insert(run.incarnation.worker);
     ++run.start_attempts;
+    run.open_attempt =
+        attempt_end{now + longest_attempt,
+                    worker.clock.worker_time(now) + longest_attempt.count()};
     start_order order;
     order.run = run.ref;
     order.worker = worker.record.id();
@@ -239,42 +243,62 @@
     }
     port_.start(worker.record, order,
                 timeout_of_attempt(run.start_attempts, now),
-                answer_handler(key, &worker_fleet::on_start_answer));
+                answer_handler(key, worker, &worker_fleet::on_start_answer));
 }
 
 // Returns a callback that calls `handler` for the run, and that does nothing
 // once this leadership is over.
-std::function<void(const order_answer&)>
-worker_fleet::answer_handler(const std::string& key, order_handler handler)
+std::function<void(const order_answer&)> worker_fleet::answer_handler(
+    const std::string& key, const worker_session& worker, order_handler handler)
 {
-    return [this, key, handler,
+    return [this, key, handler, reading = worker.clock.latest_reading(),
             alive = std::weak_ptr<int>(alive_)](const order_answer& answer)
     {
         if (!alive.expired())
         {
-            (this->*handler)(key, answer, clock_());
+            (this->*handler)(key, reading, answer, clock_());
         }
     };
 }
 
+// Records the end of an attempt to start the run. An unanswered one on a new
+// connection may have reached the next incarnation of the worker.
+void worker_fleet::record_attempt_end(live_run& run, const order_answer& answer,
+                                      time_point now)
+{
+    run.open_attempt.reset();
+    if (answer.result == order_result::unknown && answer.on_new_connection)
+    {
+        const auto* const worker = session_of(run.location);
+        run.new_connection_attempt = attempt_end{
+            now, worker == nullptr ? 0 : worker->clock.worker_time(now)};
+    }
+}
+
 void worker_fleet::on_start_answer(const std::string& key,
+                                   std::int64_t sent_reading_ms,
                                    const order_answer& answer, time_point now)
 {
     const auto found = runs_.find(key);
+    if (found != runs_.end())
+    {
+        record_attempt_end(found->second, answer, now);
+    }
     if (found == runs_.end() || found->second.phase != run_phase::starting ||
-        found->second.end_proposed || found->second.worker_restarted)
+        found->second.end_proposed ||
+        !(found->second.location == found->second.incarnation))
     {
         return;
     }
     auto& run = found->second;
-    auto* const worker = session_of(run.incarnation);
+    auto* const worker = session_of(run.location);
     counters_.add(
         absl::StrCat("starts_total{result=\"", name_of(answer.result), "\"}"));
     counters_.observe_latency(
         "order_ms", static_cast<double>((now - run.changed_at).count()));
     if (worker != nullptr)
     {
-        record_order_answer(*worker, answer, now);
+        record_order_answer(*worker, sent_reading_ms, answer, now);
     }
     const auto refuse = [&](const char* reason, milliseconds pause)
     {
@@ -363,102 +387,4 @@
     }
 }
 
-void worker_fleet::send_stop(live_run& run, time_point now)
-{
-    if (run.end_proposed || run.phase == run_phase::proposed || run.stop_sent ||
-        run.stop_acknowledged)
-    {
-        return;
-    }
-    if (run.phase == run_phase::committed)
-    {
-        propose_end(run, run_never, "", "stopped_before_start");
-        return;
-    }
-    const auto found = workers_.find(run.incarnation.worker);
-    if (found == workers_.end())
-    {
-        propose_end(run, run_lapsed, "", "worker_gone");
-        return;
-    }
-    run.stop_sent = true;
-    run.changed_at = now;
-    ++run.stop_attempts;
-    port_.stop(found->second.record, run.ref, epoch_,
-               timeout_of_attempt(run.stop_attempts, now),
-               answer_handler(key_of(run.ref), &worker_fleet::on_stop_answer));
-}
-
-void worker_fleet::on_stop_answer(const std::string& key,
-                                  const order_answer& answer, time_point now)
-{
-    const auto found = runs_.find(key);
-    if (found == runs_.end() || found->second.end_proposed)
-    {
-        return;
-    }
-    auto& run = found->second;
-    auto* const worker = session_of(run.incarnation);
-    if (worker != nullptr)
-    {
-        record_order_answer(*worker, answer, now);
-    }
-    if (answer.result == order_result::newer_epoch)
-    {
-        deposed_ = true;
-        return;
-    }
-    if (answer.result == order_result::accepted ||
-        answer.result == order_result::old_run ||
-        answer.result == order_result::invalid)
-    {
-        run.stop_acknowledged = true;
-        run.changed_at = now;
-        if (run.worker_restarted)
-        {
-            propose_end(run, run_never, "", "displaced");
-        }
-        return;
-    }
-    run.stop_sent = false; // `advance` sends the stop again.
-    run.changed_at = now;
-    if (worker != nullptr && !worker->unreachable &&
-        !answers_are_reliable(lost_share(answers_, now)))
-    {
-        send_stop(run, now);
-    }
-}
-
-// Repeats stops that were not acknowledged, and requests the lists of workers
-// that should have listed the end of a stopped run by now.
-void worker_fleet::retry_stops(time_point now)
-{
-    std::set<std::string> list_requests;
-    for (const auto& key : stopping_)
-    {
-        auto& run = runs_.at(key);
-        if (now - run.changed_at >= order_retry_delay)
-        {
-            send_stop(run, now);
-        }
-        // The longest stop is over: if the run was present, the worker lists it
-        // as ended now.
-        if (run.stop_acknowledged && !run.end_proposed &&
-            !run.worker_restarted &&
-            now - run.changed_at >= options_.max_stop_time &&
-            now - run.lists_requested_at >= list_request_interval)
-        {
-            run.lists_requested_at = now;
-            list_requests.insert(run.incarnation.worker);
-        }
-    }
-    for (const auto& id : list_requests)
-    {
-        if (const auto found = workers_.find(id); found != workers_.end())
-        {
-            request_lists(found->second, now);
-        }
-    }
-}
-
 } // namespace limpetstack::fleet
--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -46,10 +46,34 @@
     /// with nothing on it.
     void crash(const std::string& id);
 
+    /// Lets the worker report that it leaves, call for its departure after some
+    /// seconds, and end: at the acknowledgement, or some seconds later when
+    /// that is lost. Another worker joins after that.
+    void depart(const std::string& id);
+
+    /// Crashes the worker. It is back after 0.05 to 2 s, under the same id and
+    /// with nothing on it. Its first report arrives 0 to 2 s later; until then
+    /// it takes orders that were meant for the earlier process.
+    void restart(const std::string& id);
+
+    /// Crashes the worker. Another one is at its address after 0.05 to 2 s,
+    /// whose start time comes from a clock that differs by up to 3 s.
+    void replace(const std::string& id);
+
+    /// Disconnects the worker for the time.
+    void disconnect_for(const std::string& id, milliseconds duration);
+
+    /// Reconnects all workers.
+    void reconnect_all();
+
+    /// Delivers a report of the worker if it is up and its first report has
+    /// arrived.
+    void report(const std::string& id);
+
     /// Delivers the reports of all workers that are up.
     void report_all();
 
-    /// Returns a worker that is up.
+    /// Returns a worker that is up, or any one if all are down.
     std::string random_worker();
 
     /// Makes all runs that end on the worker fail, or lets them succeed again.
@@ -68,6 +92,7 @@
     std::set<std::string> crashing;       // Subtasks that crash their workers.
     std::map<std::string, int> starts_of; // By subtask.
     std::size_t crashes = 0;
+    std::size_t departures = 0;
     bool reports_progress = false; // Otherwise runs are listed at 10%.
     milliseconds stop_time{300};   // Time that a worker takes to stop a run.
 
@@ -85,6 +110,10 @@
     };
     struct model_worker
     {
+        worker_record record;      // What it reports, with its own start time.
+        time_point clock_start;    // When its clock was 0.
+        std::uint64_t process = 0; // Number of the process under its id.
+        bool reporting = true;     // Its first report has arrived.
         std::map<std::string, model_run> runs; // By the key of the run.
         std::vector<listed_end> ended;
         // The highest run number that ended or was stopped, by subtask.
@@ -95,9 +124,12 @@
         // may have ended these runs as lapsed.
         std::uint64_t expired_ends = 0;
         std::uint64_t epoch = 0;
+        // Epoch of the leader with an open connection for orders; 0: none.
+        std::uint64_t connected_epoch = 0;
         std::int64_t lease_until = 0; // In ms, on the worker's clock.
         bool disconnected = false;
-        bool crashed = false;
+        bool crashed = false; // It crashed or left.
+        bool departing = false;
         bool failing = false;
     };
     struct delayed_action
@@ -115,13 +147,24 @@
     void finish(model_worker& worker, const std::string& key, run_end end);
     void deliver(const std::string& id, const std::function<void()>& carry_out,
                  const std::function<void()>& answer);
+    bool connect(const std::string& id);
     void take_order(const std::string& id,
                     const std::function<order_result()>& carry_out,
                     milliseconds timeout,
                     const fake_worker_port::order_callback& done);
     void take_orders();
     void advance_time();
+    void begin_successor(const std::string& id);
+    void call_departure(const std::string& id, std::uint64_t process,
+                        time_point ends_at, bool answered);
+    void leave(const std::string& id, std::uint64_t process);
     void end_gang(const run_ref& run, run_end end, const std::string& except);
+    std::int64_t clock_of(const model_worker& worker) const;
+    bool end_process(const std::string& id);
+    void begin_process(const std::string& id, const worker_record& record,
+                       time_point clock_start);
+    void begin_process_later(const worker_record& record,
+                             std::int64_t clock_difference_ms);
 
     fleet_fixture& fixture_;
     std::mt19937 random_;
