--- a/test/programs/fleet-soak.cpp
+++ b/test/programs/fleet-soak.cpp
@@ -65,7 +65,8 @@
         : random_(seed)
         , workers_(io_, worker_count, seed + 1, rules_,
                    [this](const std::string& method, const std::string& target,
-                          std::string body, std::function<void(unsigned)> done)
+                          std::string body,
+                          const std::function<void(unsigned)>& done)
                    {
                        any_control().send(
                            method, target, {}, std::move(body), report_timeout,
