Keep a worker reachable that answered after the lease of a start

Its starts are never answered; since the first lease may last longer they end only when a reading shows that the worker was up, and the worker was marked as unreachable again then, although it had just answered. Change: a start without an answer marks its worker only if the worker has not answered since the lease expired. The test commits between the answers and the next round, as the daemon does, so that the ended starts are placed again; its checks are the same, and it still failed before this change. Its comment had a line of another test.

--- a/src/coordination/fleet/lease_ends.cpp
+++ b/src/coordination/fleet/lease_ends.cpp
@@ -62,7 +62,7 @@
             may_be_at_successor(options_, worker, run.new_connection_attempt,
                                 now);
         if (run.phase == run_phase::starting && !run.end_proposed &&
-            (!waits || worker.last_contact <= run.changed_at))
+            worker.last_contact < *expiry)
         {
             mark_unreachable(worker);
         }
--- a/test/fleet_scheduler-test.cpp
+++ b/test/fleet_scheduler-test.cpp
@@ -119,7 +119,6 @@
     EXPECT_EQ(fixture.port.starts.size(), 2U);
 }
 
-// Guards against guaranteed work that waits until less urgent runs end by
 // Guards against urgent work that has to wait for preemption shortly after
 // other urgent work: capacity as large as recent urgent work took is not given
 // to lower queues at once.
@@ -143,6 +142,7 @@
         fixture.report(worker);
     }
     confirm_workers(fixture);
+    fixture.commit(); // Ends the starts that were not answered.
     fixture.schedule();
     EXPECT_EQ(used_accelerators(fixture), 32);
 }
