Log and count what less urgent work is given while a step waits

Callers saw large gangs of the middle queue wait for up to 41 s. The log lines on waiting steps counted all work below priority 0 together, so they did not show whether less urgent work passes a waiting gang, headroom keeps it back, or free capacity does not make whole workers.

--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -292,6 +292,7 @@
         item.step = step;
         item.since = ready_since(key, now);
         item.next_wait_log = now + wait_before_log(queue);
+        item.given_to_less_urgent = given_to_less_urgent(queue);
         item.account = job.job.account();
         item.order = job.order;
     }
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace limpetstack::fleet
@@ -120,12 +121,23 @@
 fleet_scheduler::capacity_of(const std::string& service)
 {
     return services_
-        .try_emplace(
-            service,
-            service_capacity{{}, {}, {}, {}, urgent_headroom(headroom_window)})
+        .try_emplace(service,
+                     service_capacity{
+                         {}, {}, {}, {}, urgent_headroom(headroom_window), {}})
         .first->second;
 }
 
+std::int64_t fleet_scheduler::given_to_less_urgent(const queue_config& queue)
+{
+    const auto& given = capacity_of(queue.service).given;
+    return std::accumulate(given.upper_bound(queue.priority), given.end(),
+                           std::int64_t{0},
+                           [](std::int64_t sum, const auto& entry)
+                           {
+                               return sum + entry.second;
+                           });
+}
+
 void fleet_scheduler::change_free(placement_candidate& candidate,
                                   const resource_amounts& change)
 {
@@ -219,15 +231,20 @@
                        ticket == nullptr ? std::string() : *ticket, now);
         auto& candidate = candidates_[chosen[i]];
         change_free(candidate, resource_amounts{} - request.need);
-        auto& used = capacity_of(request.service).used;
-        used = used + request.need;
+        auto& capacity = capacity_of(request.service);
+        capacity.used = capacity.used + request.need;
+        capacity.given[item.queue.priority] += request.need.accelerators;
         if (item.queue.priority == 0)
         {
-            capacity_of(request.service).headroom.record(request.need, now);
+            capacity.headroom.record(request.need, now);
         }
         candidate.has_fillers = candidate.has_fillers || request.filler;
         candidate.serves_users = candidate.serves_users || request.serves_users;
     }
+    counters_.add(absl::StrCat("accelerators_given_total{priority=\"",
+                               item.queue.priority, "\"}"),
+                  static_cast<std::uint64_t>(request.need.accelerators) *
+                      chosen.size());
     counters_.observe_latency(
         absl::StrCat("placement_wait_ms{queue=\"", item.queue.name, "\"}"),
         static_cast<double>((now - item.since).count()));
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -106,6 +106,8 @@
         std::int64_t urgent_other = 0;
         std::int64_t lower = 0;
         std::int64_t stopping = 0;
+        // The part of `lower` by priority.
+        std::map<std::int64_t, std::int64_t> by_priority;
     };
 
     // A step that is ready to run, with its subtasks that are not placed yet.
@@ -127,6 +129,9 @@
         std::uint32_t plans = 0;  // Preemptions made for the step.
         time_point next_wait_log; // When the next log line on its wait is due.
         time_point tried_at;      // The last attempt to place it.
+        // Accelerators that less urgent work of the service had been given
+        // when the step became ready.
+        std::int64_t given_to_less_urgent = 0;
         bool all_or_nothing() const { return spec->gang(); }
     };
     using pending_step_key =
@@ -165,6 +170,8 @@
         resource_amounts installed;
         resource_amounts used;
         urgent_headroom headroom;
+        // Accelerators of all runs that were placed, by priority.
+        std::map<std::int64_t, std::int64_t> given;
     };
 
     // Why a job can not be done.
@@ -194,6 +201,9 @@
                                   time_point now) const;
     void refresh_candidates(time_point now);
     service_capacity& capacity_of(const std::string& service);
+    // Returns the accelerators that work of the queue's service which is less
+    // urgent than the queue has been given since this leader began.
+    std::int64_t given_to_less_urgent(const queue_config& queue);
     void change_free(placement_candidate& candidate,
                      const resource_amounts& change);
     void update_reserved(const reservation& item, int sign);
--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -101,6 +101,10 @@
                            : &use.urgent_other;
             }
             *part += run.need.accelerators;
+            if (part == &use.lower)
+            {
+                use.by_priority[priority_of(*job)] += run.need.accelerators;
+            }
         }
     }
     return services;
@@ -145,6 +149,11 @@
     {
         most_in_rack = std::max(most_in_rack, fitting);
     }
+    std::int64_t used_less_urgent = 0;
+    for (const auto& [priority, accelerators] : use.by_priority)
+    {
+        used_less_urgent += priority > item.queue.priority ? accelerators : 0;
+    }
     const auto& service = capacity_of(request.service);
     const auto obstacle = [&item]
     {
@@ -216,6 +225,10 @@
          {"used_urgent_guaranteed", absl::StrCat(use.urgent_guaranteed)},
          {"used_urgent_other", absl::StrCat(use.urgent_other)},
          {"used_lower", absl::StrCat(use.lower)},
+         {"used_less_urgent", absl::StrCat(used_less_urgent)},
+         {"given_to_less_urgent",
+          absl::StrCat(given_to_less_urgent(item.queue) -
+                       item.given_to_less_urgent)},
          {"used_stopping", absl::StrCat(use.stopping)},
          {"document", absl::StrCat(state_.document().version())}});
 }
--- a/test/fleet_waits-test.cpp
+++ b/test/fleet_waits-test.cpp
@@ -66,6 +66,21 @@
               "workers{state=\"unreachable\"} 1");
 }
 
+// Guards against a step that waits while less urgent work starts, without a
+// trace of it in the metrics.
+TEST(fleet_waits, accelerators_given_to_each_priority_are_counted)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.submit("gang", make_step(2, 8, true), "normal");
+    fixture.submit("low", make_step(3, 2), "low");
+    fixture.schedule();
+    EXPECT_EQ(gauge_line(fixture, "accelerators_given_total{priority=\"2\"}"),
+              "accelerators_given_total{priority=\"2\"} 6");
+    EXPECT_EQ(gauge_line(fixture, "accelerators_given_total{priority=\"1\"}"),
+              "");
+}
+
 // Accepts the starts that were sent since the last call, and forgets them.
 void accept_new_starts(fleet_fixture& fixture)
 {
