Reserve capacity for waiting gangs and keep a share for each queue

Cause: backfilling without a reservation. A gang needs all of its capacity at one moment, single subtasks of less urgent queues take each part of it as it becomes free. The log lines on waits show it: in 754 of 759 lines with obstacle=headroom as many accelerators were free as the gang needs.

Change: less urgent work leaves the need of gangs that could not start free, up to an eighth of the service; each priority keeps a sixth of the service, which gangs do not hold back and more urgent queues leave free while its work waits; and for the gang of a service that has waited longest, workers are kept from less urgent work until it starts.

--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -18,16 +18,6 @@
 // work.
 constexpr milliseconds headroom_window{4000};
 
-// Returns `free` with negative amounts replaced by zero. The free capacity of a
-// worker is negative when more is reserved than the stopped runs have released
-// so far.
-resource_amounts non_negative(const resource_amounts& free)
-{
-    return {std::max<std::int64_t>(free.cpu_milli, 0),
-            std::max<std::int64_t>(free.memory_mb, 0),
-            std::max<std::int64_t>(free.accelerators, 0)};
-}
-
 // Returns a key that is equal for requests that fit on the same candidates.
 std::string shape_of(const placement_request& request, bool last_resort)
 {
@@ -121,9 +111,10 @@
 fleet_scheduler::capacity_of(const std::string& service)
 {
     return services_
-        .try_emplace(service,
-                     service_capacity{
-                         {}, {}, {}, {}, urgent_headroom(headroom_window), {}})
+        .try_emplace(
+            service,
+            service_capacity{
+                {}, {}, {}, {}, urgent_headroom(headroom_window), {}, {}})
         .first->second;
 }
 
@@ -170,6 +161,17 @@
             }
         }
     }
+    const auto hold = gang_holds_.find(item.queue.service);
+    if (hold != gang_holds_.end() && is_kept_off(hold->second, item))
+    {
+        for (const auto& [id, held] : hold->second.held)
+        {
+            if (auto* const candidate = find_candidate(candidates, id))
+            {
+                candidate->free = candidate->free - held;
+            }
+        }
+    }
     if (item.spec->max_per_worker() > 0)
     {
         const auto prefix =
@@ -238,6 +240,12 @@
         {
             capacity.headroom.record(request.need, now);
         }
+        else if (!item.spec->lasting())
+        {
+            capacity.backfill.add_used(item.queue.priority, request.need);
+            capacity.backfill.add_waiting(item.queue.priority,
+                                          resource_amounts{} - request.need);
+        }
         candidate.has_fillers = candidate.has_fillers || request.filler;
         candidate.serves_users = candidate.serves_users || request.serves_users;
     }
@@ -292,35 +300,6 @@
     tickets_.ask(key, *item.queue.policy, policy_candidates, now);
 }
 
-// Reduces the request to the subtasks that leave the headroom free. Returns
-// false when the step can not start beside the headroom.
-bool fleet_scheduler::limit_to_headroom(const pending_step& item,
-                                        placement_request& request)
-{
-    // Lasting steps may use the headroom: they start wherever there is free
-    // capacity, however full the service is.
-    if (item.queue.priority == 0 || item.spec->lasting())
-    {
-        return true;
-    }
-    const auto& service = capacity_of(request.service);
-    auto allowed = service.headroom.count_allowed(service.free, request.need,
-                                                  request.count);
-    // On a half-empty service the headroom may be all that is free of a
-    // resource. It does not keep a job there from having anything at work.
-    if (request.preferences_expired && !has_live_run(item.job))
-    {
-        allowed =
-            std::max(allowed, request.all_or_nothing ? request.count : 1U);
-    }
-    if (allowed == 0 || (request.all_or_nothing && allowed < request.count))
-    {
-        return false;
-    }
-    request.count = allowed;
-    return true;
-}
-
 // Places as many subtasks of the step as fit. Returns true when none remains.
 // A subtask under which a worker crashed starts alone on its worker, so that
 // another crash can be put down to it, and one such subtask at a time.
@@ -403,9 +382,8 @@
     {
         return;
     }
-    if (!limit_to_headroom(item, request))
+    if (!limit_to_reserves(item, request))
     {
-        item.obstacle = placement_obstacle::headroom;
         return;
     }
     const auto candidates = candidates_for(key, item);
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -369,6 +369,10 @@
     {
         reclaim(key, item, now);
     }
+    else if (item.all_or_nothing() && !item.spec->lasting())
+    {
+        reserve_for_gang(item, now);
+    }
     return false;
 }
 
@@ -391,6 +395,8 @@
     }
     urgent_accelerators_ = urgent_use();
     refresh_candidates(now);
+    refresh_backfill_limits();
+    refresh_gang_holds(now);
     std::size_t failed_placements = 0;
     std::vector<pending_step_map::iterator> further;
     for (const auto at : ranked_by_urgency())
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "base/metrics.hpp"
+#include "coordination/fleet/backfill_limit.hpp"
+#include "coordination/fleet/gang_hold.hpp"
 #include "coordination/fleet/placement_choice.hpp"
 #include "coordination/fleet/policy_tickets.hpp"
 #include "coordination/fleet/urgent_headroom.hpp"
@@ -85,6 +87,7 @@
     {
         not_tried, // No round has reached the step yet.
         headroom,  // The free capacity is reserved for urgent work.
+        backfill,  // It is reserved for waiting work of other queues.
         capacity,  // No choice of workers has enough free capacity.
         policy     // The queue's policy has not allowed enough workers.
     };
@@ -170,6 +173,7 @@
         resource_amounts installed;
         resource_amounts used;
         urgent_headroom headroom;
+        backfill_limit backfill;
         // Accelerators of all runs that were placed, by priority.
         std::map<std::int64_t, std::int64_t> given;
     };
@@ -200,6 +204,15 @@
     placement_request request_for(const pending_step& item,
                                   time_point now) const;
     void refresh_candidates(time_point now);
+    void refresh_backfill_limits();
+    void reserve_for_gang(const pending_step& item, time_point now);
+    // Chooses the gang of each service for which workers are held.
+    void refresh_gang_holds(time_point now);
+    bool hold_workers(const pending_step& item, gang_hold& current,
+                      time_point now);
+    bool may_hold_workers(const pending_step& item, time_point now);
+    static bool is_kept_off(const gang_hold& hold, const pending_step& item);
+    bool could_fit(const placement_request& request) const;
     service_capacity& capacity_of(const std::string& service);
     // Returns the accelerators that work of the queue's service which is less
     // urgent than the queue has been given since this leader began.
@@ -218,8 +231,7 @@
     void ask_policy(const pending_step_key& key, const pending_step& item,
                     placement_request request, time_point now);
     bool try_step(pending_step_map::iterator at, time_point now);
-    bool limit_to_headroom(const pending_step& item,
-                           placement_request& request);
+    bool limit_to_reserves(pending_step& item, placement_request& request);
     bool place(const pending_step_key& key, pending_step& item, time_point now);
     void place_subtasks(const pending_step_key& key, pending_step& item,
                         placement_request request, time_point now);
@@ -289,6 +301,9 @@
     // resort, sorted by id.
     std::vector<placement_candidate> candidates_;
     std::map<std::string, service_capacity> services_; // Keyed by service name.
+    // Needs of lasting runs by worker, in this round.
+    amounts_by_worker lasting_use_;
+    std::map<std::string, gang_hold> gang_holds_; // Keyed by service name.
     policy_tickets tickets_;
     // Request shapes that did not fit in this round.
     std::set<std::string> unplaceable_shapes_;
--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -161,6 +161,8 @@
         {
         case placement_obstacle::headroom:
             return "headroom";
+        case placement_obstacle::backfill:
+            return "backfill";
         case placement_obstacle::capacity:
             return "capacity";
         case placement_obstacle::policy:
@@ -203,6 +205,12 @@
          {"free_accelerators", absl::StrCat(service.free.accelerators)},
          {"headroom_accelerators",
           absl::StrCat(service.headroom.reserved().accelerators)},
+         {"gang_reserve_accelerators",
+          absl::StrCat(service.backfill.reserved_for_gangs(item.queue.priority)
+                           .accelerators)},
+         {"shares_reserve_accelerators",
+          absl::StrCat(service.backfill.reserved_for_shares(item.queue.priority)
+                           .accelerators)},
          {"free_memory_mb", absl::StrCat(service.free.memory_mb)},
          {"headroom_memory_mb",
           absl::StrCat(service.headroom.reserved().memory_mb)},
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -158,22 +158,10 @@
                 labels.end());
 }
 
-std::uint32_t count_within(const resource_amounts& free,
-                           const resource_amounts& need, std::uint32_t count)
+bool is_limited_to_one_rack(const placement_request& request)
 {
-    std::int64_t fitting = count;
-    const auto limit = [&fitting](std::int64_t available, std::int64_t wanted)
-    {
-        if (wanted > 0)
-        {
-            fitting = std::min(fitting,
-                               std::max<std::int64_t>(available, 0) / wanted);
-        }
-    };
-    limit(free.cpu_milli, need.cpu_milli);
-    limit(free.memory_mb, need.memory_mb);
-    limit(free.accelerators, need.accelerators);
-    return static_cast<std::uint32_t>(fitting);
+    return !request.other_racks_allowed &&
+           (request.same_rack || !request.preferred_rack.empty());
 }
 
 std::uint32_t count_fitting(const placement_candidate& candidate,
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -63,9 +63,8 @@
 bool is_eligible(const placement_candidate& candidate,
                  const placement_request& request);
 
-/// Returns how many times `need` fits into `free`, at most `count`.
-std::uint32_t count_within(const resource_amounts& free,
-                           const resource_amounts& need, std::uint32_t count);
+/// Returns true when all subtasks of the request must be in one rack.
+bool is_limited_to_one_rack(const placement_request& request);
 
 /// Returns how many subtasks of the request fit into `free`, at most its count.
 std::uint32_t count_fitting(const placement_candidate& candidate,
--- a/test/fleet_waits-test.cpp
+++ b/test/fleet_waits-test.cpp
@@ -163,6 +163,52 @@
     EXPECT_TRUE(started);
 }
 
+// Guards against a queue that gets nothing on a full service because gangs of a
+// more urgent queue always wait.
+TEST(fleet_waits, less_urgent_work_keeps_a_share_beside_waiting_gangs)
+{
+    fleet_fixture fixture;
+    const std::vector<std::string> ids{"w1", "w2", "w3", "w4"};
+    for (const auto& id : ids)
+    {
+        add_ready_worker(fixture, id, "r1");
+    }
+    constexpr int gangs = 40;
+    for (int i = 0; i < gangs; ++i)
+    {
+        fixture.submit("gang" + std::to_string(i), make_step(2, 4, true),
+                       "normal");
+    }
+    fixture.schedule();
+    accept_new_starts(fixture);
+    ASSERT_EQ(used_accelerators(fixture), 32);
+    fixture.submit("low", make_step(500, 1), "low");
+    constexpr milliseconds step_time{1000};
+    int next_gang = 0;
+    for (milliseconds waited{0}; waited < milliseconds(20000);
+         waited += step_time)
+    {
+        fixture.advance(step_time);
+        for (const auto& id : ids)
+        {
+            fixture.report(id);
+        }
+        list_runs(fixture);
+        const auto gang = "gang" + std::to_string(next_gang++);
+        end_oldest_run(fixture, gang);
+        end_oldest_run(fixture, gang);
+        fixture.schedule();
+        accept_new_starts(fixture);
+    }
+    std::int64_t low_accelerators = 0;
+    for (const auto& [key, run] : fixture.workers->runs())
+    {
+        low_accelerators += run.ref.job() == "low" ? 1 : 0;
+    }
+    // A sixth of 32 accelerators, in whole ones.
+    EXPECT_GE(low_accelerators, 5);
+}
+
 // Guards against a gang that is too large for the service and keeps all less
 // urgent work from starting.
 TEST(fleet_waits, gang_that_can_not_fit_holds_no_capacity)
