--- a/src/coordination/fleet/backfill_limit.cpp
+++ b/src/coordination/fleet/backfill_limit.cpp
@@ -34,10 +34,17 @@
 }
 
 void backfill_limit::add_waiting(std::int64_t priority,
-                                 const resource_amounts& amounts)
+                                 const resource_amounts& need,
+                                 std::uint32_t count, bool all_or_nothing)
 {
-    auto& waiting = priorities_[priority].waiting;
-    waiting = waiting + amounts;
+    auto& amounts = priorities_[priority];
+    const auto fitting =
+        count_within(capacity_ / share_divisor - amounts.used - amounts.waiting,
+                     need, count);
+    if (!all_or_nothing || fitting == count)
+    {
+        amounts.waiting = amounts.waiting + need * fitting;
+    }
 }
 
 void backfill_limit::add_waiting_gang(std::int64_t priority,
@@ -54,6 +61,11 @@
     held = held + amounts;
 }
 
+void backfill_limit::clear_held(std::int64_t priority)
+{
+    priorities_[priority].held = {};
+}
+
 bool backfill_limit::is_gang_reserve_full(std::int64_t priority) const
 {
     const auto found = priorities_.find(priority);
--- a/src/coordination/fleet/backfill_limit.hpp
+++ b/src/coordination/fleet/backfill_limit.hpp
@@ -16,7 +16,8 @@
 ///   reserve, single subtasks of less urgent queues take each part of it as it
 ///   becomes free.
 /// - Shares: each priority keeps a share of a sixth of the capacity. Its work
-///   within the share does not wait for gangs, and more urgent work leaves free
+///   within the share is not held back for gangs, except from workers that are
+///   held for one, and more urgent work leaves free
 ///   what its waiting work lacks of the share, but at most a quarter of the
 ///   capacity for all less urgent priorities together.
 ///
@@ -31,9 +32,11 @@
     /// Records capacity that work of the priority uses.
     void add_used(std::int64_t priority, const resource_amounts& amounts);
 
-    /// Records the need of work of the priority that waits. The amounts are
-    /// negative when it does not wait any longer.
-    void add_waiting(std::int64_t priority, const resource_amounts& amounts);
+    /// Records the need of a step of the priority that waits: `count` subtasks
+    /// of `need`, which start together or one by one. What does not fit into
+    /// the rest of the share is not counted.
+    void add_waiting(std::int64_t priority, const resource_amounts& need,
+                     std::uint32_t count, bool all_or_nothing);
 
     /// Records the need of a gang that could not start in this round.
     void add_waiting_gang(std::int64_t priority,
@@ -43,6 +46,9 @@
     /// priority. Less urgent work leaves it free as well.
     void add_held(std::int64_t priority, const resource_amounts& amounts);
 
+    /// Ends the hold of a gang of the priority.
+    void clear_held(std::int64_t priority);
+
     /// Returns true when the waiting gangs of the priority already need as much
     /// as is left free for them.
     bool is_gang_reserve_full(std::int64_t priority) const;
--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -292,10 +292,14 @@
         item.step = step;
         item.since = ready_since(key, now);
         item.next_wait_log = now + wait_before_log(queue);
-        item.given_to_less_urgent = given_to_less_urgent(queue);
         item.account = job.job.account();
         item.order = job.order;
     }
+    if (added || item.queue.service != queue.service ||
+        item.queue.priority != queue.priority)
+    {
+        item.given_to_less_urgent = given_to_less_urgent(queue);
+    }
     item.spec = &spec;
     item.queue = queue;
     item.indices = std::move(pending_indices);
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -26,9 +26,9 @@
         request.preferred_rack, "/", request.need.cpu_milli, "/",
         request.need.memory_mb, "/", request.need.accelerators, "/",
         request.all_or_nothing ? request.count : 0, "/", request.same_rack, "/",
-        request.other_racks_allowed, "/", request.max_per_worker, "/",
-        request.filler, "/", request.serves_users, "/", request.isolated, "/",
-        last_resort);
+        request.other_racks_allowed, "/", request.held_workers_allowed, "/",
+        request.max_per_worker, "/", request.filler, "/", request.serves_users,
+        "/", request.isolated, "/", last_resort);
 }
 
 } // namespace
@@ -147,7 +147,8 @@
 // this step counts as free.
 std::vector<placement_candidate>
 fleet_scheduler::candidates_for(const pending_step_key& key,
-                                const pending_step& item) const
+                                const pending_step& item,
+                                const placement_request& request) const
 {
     auto candidates = candidates_;
     const auto found = reservations_.find(key);
@@ -162,7 +163,7 @@
         }
     }
     const auto hold = gang_holds_.find(item.queue.service);
-    if (hold != gang_holds_.end() && is_kept_off(hold->second, item))
+    if (hold != gang_holds_.end() && !request.held_workers_allowed)
     {
         for (const auto& [id, held] : hold->second.held)
         {
@@ -243,8 +244,6 @@
         else if (!item.spec->lasting())
         {
             capacity.backfill.add_used(item.queue.priority, request.need);
-            capacity.backfill.add_waiting(item.queue.priority,
-                                          resource_amounts{} - request.need);
         }
         candidate.has_fillers = candidate.has_fillers || request.filler;
         candidate.serves_users = candidate.serves_users || request.serves_users;
@@ -386,7 +385,7 @@
     {
         return;
     }
-    const auto candidates = candidates_for(key, item);
+    const auto candidates = candidates_for(key, item, request);
     auto chosen = choose_workers(candidates, request);
     if (chosen.empty() && last_resort)
     {
--- a/src/coordination/fleet/fleet_preemption.cpp
+++ b/src/coordination/fleet/fleet_preemption.cpp
@@ -98,7 +98,7 @@
                      (run.gang ? gang_costs[gang_of(run)] : cost_of(run))});
         }
     }
-    return choose_victims(candidates_for(key, item), victims, request);
+    return choose_victims(candidates_for(key, item, request), victims, request);
 }
 
 void fleet_scheduler::reclaim(const pending_step_key& key, pending_step& item,
--- a/src/coordination/fleet/fleet_preferences.cpp
+++ b/src/coordination/fleet/fleet_preferences.cpp
@@ -154,6 +154,9 @@
     request.preferences_expired = preferences_expired(item, request, now);
     request.other_racks_allowed =
         request.other_racks_allowed || request.preferences_expired;
+    request.held_workers_allowed =
+        !is_kept_off_held_workers(item) ||
+        (request.preferences_expired && !has_live_run(item.job));
     if (item.queue.policy)
     {
         request.allowed.emplace();
--- a/src/coordination/fleet/fleet_reserves.cpp
+++ b/src/coordination/fleet/fleet_reserves.cpp
@@ -38,7 +38,8 @@
     }
     lasting_use_.clear();
     const job_state* job = nullptr;
-    queue_config queue;
+    std::int64_t priority = 0;
+    backfill_limit* backfill = nullptr;
     for (const auto& [key, run] : workers_.runs())
     {
         if (run.lasting)
@@ -48,34 +49,32 @@
             continue;
         }
         // The runs of a job are neighbours, because their keys begin with its
-        // id.
+        // id, and all are on workers of one service.
         if (job == nullptr || job->job.id() != run.ref.job())
         {
             job = state_.find_job(run.ref.job());
-            queue = job == nullptr ? queue_config() : queue_of(*job);
+            priority = job == nullptr ? 0 : priority_of(*job);
+            const auto worker = workers_.workers().find(run.location.worker);
+            backfill =
+                worker == workers_.workers().end()
+                    ? nullptr
+                    : &capacity_of(worker->second.record.service()).backfill;
         }
-        if (job != nullptr && queue.priority > 0)
+        if (priority > 0 && backfill != nullptr)
         {
-            capacity_of(queue.service)
-                .backfill.add_used(queue.priority, run.need);
+            backfill->add_used(priority, run.need);
         }
     }
     for (const auto& [key, item] : pending_)
     {
-        // Other steps wait for something else than the reserves of more urgent
-        // queues.
-        const bool waits_for_reserves =
-            item.obstacle == placement_obstacle::not_tried ||
-            item.obstacle == placement_obstacle::headroom ||
-            item.obstacle == placement_obstacle::backfill;
         if (item.queue.priority > 0 && !item.spec->lasting() &&
-            waits_for_reserves)
+            item.obstacle != placement_obstacle::policy)
         {
             capacity_of(item.queue.service)
                 .backfill.add_waiting(
-                    item.queue.priority,
-                    counted_need(*item.spec) *
-                        static_cast<std::int64_t>(item.indices.size()));
+                    item.queue.priority, counted_need(*item.spec),
+                    static_cast<std::uint32_t>(item.indices.size()),
+                    item.all_or_nothing());
         }
     }
 }
@@ -108,7 +107,7 @@
 void fleet_scheduler::reserve_for_gang(const pending_step& item, time_point now)
 {
     auto& backfill = capacity_of(item.queue.service).backfill;
-    if (item.obstacle == placement_obstacle::policy ||
+    if (item.obstacle == placement_obstacle::policy || holds_workers(item) ||
         backfill.is_gang_reserve_full(item.queue.priority))
     {
         return;
@@ -130,19 +129,39 @@
                       static_cast<std::int64_t>(item.indices.size());
     return item.queue.priority > 0 && item.all_or_nothing() &&
            !item.spec->lasting() && !item.queue.policy &&
+           item.no_hold_until <= now &&
            static_cast<double>((now - item.since).count()) >=
                hold_wait_share * allowed_delay_ms(item.queue, *item.spec) &&
            fits(need, capacity_of(item.queue.service).total / max_hold_divisor);
 }
 
+bool fleet_scheduler::is_for(const gang_hold& hold, const pending_step& item)
+{
+    return hold.job == item.job && hold.occurrence == item.occurrence &&
+           hold.step == item.step;
+}
+
+// Returns true when workers are held for the step.
+bool fleet_scheduler::holds_workers(const pending_step& item) const
+{
+    const auto hold = gang_holds_.find(item.queue.service);
+    return hold != gang_holds_.end() && is_for(hold->second, item);
+}
+
 // Holds workers for the gang. Returns false when it does not fit on the usable
-// workers.
-bool fleet_scheduler::hold_workers(const pending_step& item, gang_hold& current,
+// workers, or when its hold has lasted as long as its queue allows the step to
+// be delayed. Then workers are held for other gangs for the same time.
+bool fleet_scheduler::hold_workers(pending_step& item, gang_hold& current,
                                    time_point now)
 {
-    const bool same = current.job == item.job &&
-                      current.occurrence == item.occurrence &&
-                      current.step == item.step;
+    const bool same = is_for(current, item);
+    const milliseconds longest_hold(
+        static_cast<std::int64_t>(allowed_delay_ms(item.queue, *item.spec)));
+    if (same && now - current.begun_at > longest_hold)
+    {
+        item.no_hold_until = now + longest_hold;
+        return false;
+    }
     auto chosen = choose_workers_to_hold(
         candidates_, lasting_use_, request_for(item, now),
         same ? current.held : amounts_by_worker());
@@ -160,7 +179,9 @@
                    {"workers", absl::StrCat(chosen.size())},
                    {"waited_ms", absl::StrCat((now - item.since).count())}});
     }
-    current = {item.job, item.occurrence, item.step, item.queue.priority,
+    current = {item.job,         item.occurrence,
+               item.step,        item.queue.priority,
+               item.order,       same ? current.begun_at : now,
                std::move(chosen)};
     return true;
 }
@@ -169,8 +190,8 @@
 // they become free for it together.
 void fleet_scheduler::refresh_gang_holds(time_point now)
 {
-    std::map<std::string, std::vector<const pending_step*>> gangs;
-    for (const auto& [key, item] : pending_)
+    std::map<std::string, std::vector<pending_step*>> gangs;
+    for (auto& [key, item] : pending_)
     {
         if (may_hold_workers(item, now))
         {
@@ -188,34 +209,57 @@
         items.resize(std::min(items.size(), max_hold_attempts_per_round));
         auto& hold = before[service];
         if (std::any_of(items.begin(), items.end(),
-                        [&](const pending_step* item)
+                        [&](pending_step* item)
                         {
                             return hold_workers(*item, hold, now);
                         }))
         {
+            add_held_capacity(service, hold);
             gang_holds_[service] = std::move(hold);
         }
     }
-    for (const auto& [service, hold] : gang_holds_)
+}
+
+// Lets less urgent work leave the capacity free that is free on held workers.
+void fleet_scheduler::add_held_capacity(const std::string& service,
+                                        const gang_hold& hold)
+{
+    for (const auto& [id, held] : hold.held)
     {
-        for (const auto& [id, held] : hold.held)
+        if (const auto* const candidate = find_candidate(candidates_, id))
         {
-            if (const auto* const candidate = find_candidate(candidates_, id))
-            {
-                capacity_of(service).backfill.add_held(
-                    hold.priority,
-                    non_negative(smaller_amounts(candidate->free, held)));
-            }
+            capacity_of(service).backfill.add_held(
+                hold.priority,
+                non_negative(smaller_amounts(candidate->free, held)));
         }
     }
 }
 
-// Returns true when the step is less urgent than the gang, so that it may not
-// use what is held.
-bool fleet_scheduler::is_kept_off(const gang_hold& hold,
-                                  const pending_step& item)
+// Ends the hold of a gang that has started.
+void fleet_scheduler::release_hold(const pending_step& item)
+{
+    if (holds_workers(item))
+    {
+        gang_holds_.erase(item.queue.service);
+        capacity_of(item.queue.service)
+            .backfill.clear_held(item.queue.priority);
+    }
+}
+
+// Returns true when the step may not use the workers that are held for a gang
+// of its service: it is less urgent, or takes capacity piece by piece and was
+// accepted after the gang.
+bool fleet_scheduler::is_kept_off_held_workers(const pending_step& item) const
 {
-    return item.queue.priority > hold.priority && !item.spec->lasting();
+    const auto found = gang_holds_.find(item.queue.service);
+    if (found == gang_holds_.end() || item.spec->lasting())
+    {
+        return false;
+    }
+    const auto& hold = found->second;
+    return item.queue.priority > hold.priority ||
+           (item.queue.priority == hold.priority && !item.all_or_nothing() &&
+            item.order > hold.order);
 }
 
 // Reduces the request to the subtasks that leave free what is reserved for
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -361,6 +361,7 @@
     if (place(key, item, now))
     {
         unreserve(key);
+        release_hold(item);
         placed_[key] = {item.since};
         pending_.erase(at);
         return true;
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -132,6 +132,7 @@
         std::uint32_t plans = 0;  // Preemptions made for the step.
         time_point next_wait_log; // When the next log line on its wait is due.
         time_point tried_at;      // The last attempt to place it.
+        time_point no_hold_until; // No workers are held for it before.
         // Accelerators that less urgent work of the service had been given
         // when the step became ready.
         std::int64_t given_to_less_urgent = 0;
@@ -208,10 +209,13 @@
     void reserve_for_gang(const pending_step& item, time_point now);
     // Chooses the gang of each service for which workers are held.
     void refresh_gang_holds(time_point now);
-    bool hold_workers(const pending_step& item, gang_hold& current,
-                      time_point now);
+    bool hold_workers(pending_step& item, gang_hold& current, time_point now);
     bool may_hold_workers(const pending_step& item, time_point now);
-    static bool is_kept_off(const gang_hold& hold, const pending_step& item);
+    static bool is_for(const gang_hold& hold, const pending_step& item);
+    bool holds_workers(const pending_step& item) const;
+    void add_held_capacity(const std::string& service, const gang_hold& hold);
+    bool is_kept_off_held_workers(const pending_step& item) const;
+    void release_hold(const pending_step& item);
     bool could_fit(const placement_request& request) const;
     service_capacity& capacity_of(const std::string& service);
     // Returns the accelerators that work of the queue's service which is less
@@ -227,7 +231,8 @@
                          const std::vector<std::string>& workers,
                          const resource_amounts& need);
     std::vector<placement_candidate>
-    candidates_for(const pending_step_key& key, const pending_step& item) const;
+    candidates_for(const pending_step_key& key, const pending_step& item,
+                   const placement_request& request) const;
     void ask_policy(const pending_step_key& key, const pending_step& item,
                     placement_request request, time_point now);
     bool try_step(pending_step_map::iterator at, time_point now);
--- a/src/coordination/fleet/gang_hold.cpp
+++ b/src/coordination/fleet/gang_hold.cpp
@@ -12,6 +12,10 @@
 // capacity is smaller by this part of a worker.
 constexpr double exchange_threshold = 0.3;
 
+// A gang of which more subtasks fit on one worker finds capacity without a
+// hold. The limit bounds the time of a choice.
+constexpr std::uint32_t max_slots_per_worker = 8;
+
 // Capacity for one subtask on a worker, which may still be in use.
 struct worker_slot
 {
@@ -49,7 +53,8 @@
     }
     std::vector<worker_slot> slots;
     auto free = candidate.free;
-    const auto count = count_fitting(candidate, usable, request);
+    const auto count = std::min(count_fitting(candidate, usable, request),
+                                max_slots_per_worker);
     for (std::uint32_t i = 0; i < count; ++i)
     {
         slots.push_back({index, missing_part(request.need, free, capacity) -
--- a/src/coordination/fleet/gang_hold.hpp
+++ b/src/coordination/fleet/gang_hold.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.hpp"
 #include "coordination/fleet/placement_choice.hpp"
 #include "coordination/fleet/resource_amounts.hpp"
 
@@ -13,14 +14,17 @@
 
 using amounts_by_worker = std::map<std::string, resource_amounts>;
 
-/// Workers that take no less urgent work until a gang can start on them.
+/// Workers that take no less urgent work, and no later single subtasks of the
+/// gang's own priority, until the gang can start on them.
 struct gang_hold
 {
     std::string job;
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
     std::int64_t priority = 0;
-    amounts_by_worker held; // By worker id.
+    std::uint64_t order = 0; // Order of acceptance of the job.
+    time_point begun_at;
+    amounts_by_worker held; // What the gang needs of each worker.
 };
 
 /// Chooses the workers on which the gang of the request can start soonest:
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -45,6 +45,7 @@
     // Preferences delay the step no longer.
     bool preferences_expired = false;
     bool last_resort_allowed = false; // Candidates of last resort are eligible.
+    bool held_workers_allowed = true; // May use workers held for a gang.
     // The subtasks may crash their workers: they start only on quiet workers,
     // first on steady ones with the least work to lose.
     bool isolated = false;
--- a/test/backfill_limit-test.cpp
+++ b/test/backfill_limit-test.cpp
@@ -19,25 +19,25 @@
 class backfill_limit_test : public ::testing::Test
 {
 protected:
-    backfill_limit_test() { limit_.begin_round(service_capacity); }
+    backfill_limit_test() { limit.begin_round(service_capacity); }
 
     // Returns how many subtasks of the priority the reserves allow when the
     // capacity for `free` of them is free.
     std::uint32_t count_allowed(std::int64_t priority, std::int64_t free)
     {
-        return limit_.count_allowed(priority, subtask * free, no_headroom,
-                                    subtask, all_subtasks);
+        return limit.count_allowed(priority, subtask * free, no_headroom,
+                                   subtask, all_subtasks);
     }
 
-    backfill_limit limit_;
+    backfill_limit limit;
 };
 
 // Guards against subtasks of a less urgent queue that take what a gang waits
 // for.
 TEST_F(backfill_limit_test, less_urgent_work_leaves_the_need_of_gangs_free)
 {
-    limit_.add_used(2, subtask * 100);
-    limit_.add_waiting_gang(1, subtask * 12);
+    limit.add_used(2, subtask * 100);
+    limit.add_waiting_gang(1, subtask * 12);
     EXPECT_EQ(count_allowed(2, 20), 8U);
     EXPECT_EQ(count_allowed(2, 12), 0U);
     EXPECT_EQ(count_allowed(1, 20), all_subtasks);
@@ -47,14 +47,14 @@
 // Guards against a service that stays idle because many gangs wait.
 TEST_F(backfill_limit_test, gangs_reserve_at_most_an_eighth_of_the_capacity)
 {
-    limit_.add_used(3, subtask * 100);
+    limit.add_used(3, subtask * 100);
     for (int i = 0; i < 10; ++i)
     {
-        limit_.add_waiting_gang(1, subtask * 12);
-        limit_.add_waiting_gang(2, subtask * 12);
+        limit.add_waiting_gang(1, subtask * 12);
+        limit.add_waiting_gang(2, subtask * 12);
     }
-    EXPECT_TRUE(limit_.is_gang_reserve_full(1));
-    EXPECT_FALSE(limit_.is_gang_reserve_full(3));
+    EXPECT_TRUE(limit.is_gang_reserve_full(1));
+    EXPECT_FALSE(limit.is_gang_reserve_full(3));
     EXPECT_EQ(count_allowed(3, 40), 10U);
 }
 
@@ -62,57 +62,68 @@
 // urgent one wait.
 TEST_F(backfill_limit_test, work_within_its_share_does_not_wait_for_gangs)
 {
-    limit_.add_waiting_gang(1, subtask * 30);
-    limit_.add_used(2, subtask * 35);
+    limit.add_waiting_gang(1, subtask * 30);
+    limit.add_used(2, subtask * 35);
     EXPECT_EQ(count_allowed(2, 20), 5U);
-    limit_.add_used(2, subtask * 5);
+    limit.add_used(2, subtask * 5);
     EXPECT_EQ(count_allowed(2, 20), 0U);
 }
 
 // Guards against a more urgent queue that takes all that becomes free.
 TEST_F(backfill_limit_test, work_leaves_the_shares_of_waiting_queues_free)
 {
-    limit_.add_used(1, subtask * 60);
-    limit_.add_used(2, subtask * 30);
+    limit.add_used(1, subtask * 60);
+    limit.add_used(2, subtask * 30);
     EXPECT_EQ(count_allowed(1, 20), all_subtasks);
-    limit_.add_waiting(2, subtask * 4);
+    limit.add_waiting(2, subtask, 4, false);
     EXPECT_EQ(count_allowed(1, 20), 16U);
-    limit_.add_waiting(2, subtask * 20);
+    limit.add_waiting(2, subtask, 20, false);
     EXPECT_EQ(count_allowed(1, 20), 10U);
-    limit_.add_used(2, subtask * 10);
+    limit.add_used(2, subtask * 10);
     EXPECT_EQ(count_allowed(1, 20), all_subtasks);
 }
 
+// Guards against capacity that is left free for work that never starts in it.
+TEST_F(backfill_limit_test, share_is_not_kept_for_work_that_exceeds_it)
+{
+    limit.add_used(2, subtask * 30);
+    limit.add_waiting(2, subtask * 12, 1, false);
+    limit.add_waiting(2, subtask * 4, 3, true);
+    EXPECT_EQ(limit.reserved_for_shares(1), resource_amounts{});
+    limit.add_waiting(2, subtask * 4, 3, false);
+    EXPECT_EQ(limit.reserved_for_shares(1), subtask * 8);
+}
+
 // Guards against many queues whose shares leave no capacity for the others.
 TEST_F(backfill_limit_test, shares_reserve_at_most_a_quarter_of_the_capacity)
 {
-    limit_.add_used(1, subtask * 60);
+    limit.add_used(1, subtask * 60);
     for (const auto priority : {2, 3, 4, 5, 6})
     {
-        limit_.add_waiting(priority, subtask * 100);
+        limit.add_waiting(priority, subtask, 100, false);
     }
-    EXPECT_EQ(limit_.reserved_for_shares(1), service_capacity / 4);
+    EXPECT_EQ(limit.reserved_for_shares(1), service_capacity / 4);
 }
 
 // Guards against reserves that take the place of the headroom for urgent work.
 TEST_F(backfill_limit_test, headroom_comes_on_top_of_the_reserves)
 {
-    limit_.add_used(2, subtask * 100);
-    limit_.add_waiting_gang(1, subtask * 10);
-    EXPECT_EQ(limit_.count_allowed(2, subtask * 30, subtask * 15, subtask,
-                                   all_subtasks),
+    limit.add_used(2, subtask * 100);
+    limit.add_waiting_gang(1, subtask * 10);
+    EXPECT_EQ(limit.count_allowed(2, subtask * 30, subtask * 15, subtask,
+                                  all_subtasks),
               5U);
-    limit_.begin_round(service_capacity);
-    EXPECT_EQ(limit_.count_allowed(2, subtask * 10, subtask * 15, subtask,
-                                   all_subtasks),
+    limit.begin_round(service_capacity);
+    EXPECT_EQ(limit.count_allowed(2, subtask * 10, subtask * 15, subtask,
+                                  all_subtasks),
               0U);
 }
 
 // Guards against less urgent work that counts free capacity on held workers.
 TEST_F(backfill_limit_test, held_capacity_is_left_free_beyond_the_gang_reserve)
 {
-    limit_.add_used(2, subtask * 100);
-    limit_.add_held(1, subtask * 60);
+    limit.add_used(2, subtask * 100);
+    limit.add_held(1, subtask * 60);
     EXPECT_EQ(count_allowed(2, 70), 10U);
     EXPECT_EQ(count_allowed(1, 70), all_subtasks);
 }
--- a/test/gang_hold-test.cpp
+++ b/test/gang_hold-test.cpp
@@ -24,23 +24,23 @@
 protected:
     gang_hold_test()
     {
-        request_.count = 2;
-        request_.need = whole_worker;
-        request_.all_or_nothing = true;
-        request_.other_racks_allowed = true;
-        request_.service = "service";
+        request.count = 2;
+        request.need = whole_worker;
+        request.all_or_nothing = true;
+        request.other_racks_allowed = true;
+        request.service = "service";
     }
 
     // Adds a worker on which runs use that many accelerators.
     void add(const std::string& id, const std::string& rack, std::int64_t used)
     {
         auto& worker =
-            sessions_.emplace_back(lease_clock(0.02, milliseconds(6000)));
+            sessions.emplace_back(lease_clock(0.02, milliseconds(6000)));
         worker.record.set_id(id);
         worker.record.set_rack(rack);
         worker.record.set_service("service");
         worker.capacity = worker_capacity;
-        candidates_.push_back(
+        candidates.push_back(
             {&worker,
              worker_capacity - resource_amounts{1000, 1000, 1} * used});
     }
@@ -48,8 +48,8 @@
     std::vector<std::string> choose(const amounts_by_worker& previous = {})
     {
         std::vector<std::string> ids;
-        for (const auto& [id, amounts] : choose_workers_to_hold(
-                 candidates_, lasting_use_, request_, previous))
+        for (const auto& [id, amounts] :
+             choose_workers_to_hold(candidates, lasting_use, request, previous))
         {
             EXPECT_EQ(amounts, whole_worker);
             ids.push_back(id);
@@ -57,10 +57,10 @@
         return ids;
     }
 
-    std::deque<worker_session> sessions_;
-    std::vector<placement_candidate> candidates_;
-    amounts_by_worker lasting_use_;
-    placement_request request_;
+    std::deque<worker_session> sessions;
+    std::vector<placement_candidate> candidates;
+    amounts_by_worker lasting_use;
+    placement_request request;
 };
 
 using ids = std::vector<std::string>;
@@ -78,14 +78,14 @@
 // Guards against a gang for one rack whose held workers are in several.
 TEST_F(gang_hold_test, gang_for_one_rack_holds_workers_of_one_rack)
 {
-    request_.same_rack = true;
-    request_.other_racks_allowed = false;
+    request.same_rack = true;
+    request.other_racks_allowed = false;
     add("w1", "r1", 5);
     add("w2", "r1", 1);
     add("w3", "r2", 3);
     add("w4", "r2", 2);
     EXPECT_EQ(choose(), (ids{"w3", "w4"}));
-    request_.preferred_rack = "r1";
+    request.preferred_rack = "r1";
     EXPECT_EQ(choose(), (ids{"w1", "w2"}));
 }
 
@@ -107,10 +107,10 @@
     add("w1", "r1", 0);
     add("w2", "r1", 0);
     EXPECT_EQ(choose(), (ids{"w1", "w2"}));
-    lasting_use_["w2"] = {1000, 1000, 1};
+    lasting_use["w2"] = {1000, 1000, 1};
     EXPECT_TRUE(choose().empty());
-    lasting_use_.clear();
-    request_.count = 3;
+    lasting_use.clear();
+    request.count = 3;
     EXPECT_TRUE(choose().empty());
 }
 
