Keep later gangs of a queue off the workers of an overdue one

Once a gang has waited for the delay that its queue allows, its held workers take no later gang of its priority either. A hold may last three times that delay, since with one delay wide gangs lost it too soon.

--- a/src/coordination/fleet/fleet_reserves.cpp
+++ b/src/coordination/fleet/fleet_reserves.cpp
@@ -19,6 +19,10 @@
 // its queue allows.
 constexpr double hold_wait_share = 0.4;
 
+// Workers are held for a gang for at most this many times the delay that its
+// queue allows, and then not for the same time, so that other gangs get a turn.
+constexpr double longest_hold_factor = 3;
+
 // A gang for which workers are held needs at most the service's capacity
 // divided by this number.
 constexpr std::int64_t max_hold_divisor = 2;
@@ -149,14 +153,14 @@
 }
 
 // Holds workers for the gang. Returns false when it does not fit on the usable
-// workers, or when its hold has lasted as long as its queue allows the step to
-// be delayed. Then workers are held for other gangs for the same time.
+// workers, or when its hold has lasted too long.
 bool fleet_scheduler::hold_workers(pending_step& item, gang_hold& current,
                                    time_point now)
 {
     const bool same = is_for(current, item);
+    const auto allowed_delay = allowed_delay_ms(item.queue, *item.spec);
     const milliseconds longest_hold(
-        static_cast<std::int64_t>(allowed_delay_ms(item.queue, *item.spec)));
+        static_cast<std::int64_t>(longest_hold_factor * allowed_delay));
     if (same && now - current.begun_at > longest_hold)
     {
         item.no_hold_until = now + longest_hold;
@@ -179,9 +183,13 @@
                    {"workers", absl::StrCat(chosen.size())},
                    {"waited_ms", absl::StrCat((now - item.since).count())}});
     }
-    current = {item.job,         item.occurrence,
-               item.step,        item.queue.priority,
-               item.order,       same ? current.begun_at : now,
+    current = {item.job,
+               item.occurrence,
+               item.step,
+               item.queue.priority,
+               item.order,
+               same ? current.begun_at : now,
+               static_cast<double>((now - item.since).count()) >= allowed_delay,
                std::move(chosen)};
     return true;
 }
@@ -247,8 +255,8 @@
 }
 
 // Returns true when the step may not use the workers that are held for a gang
-// of its service: it is less urgent, or takes capacity piece by piece and was
-// accepted after the gang.
+// of its service: it is less urgent, or it was accepted after the gang and
+// takes capacity piece by piece or the gang is overdue.
 bool fleet_scheduler::is_kept_off_held_workers(const pending_step& item) const
 {
     const auto found = gang_holds_.find(item.queue.service);
@@ -258,7 +266,8 @@
     }
     const auto& hold = found->second;
     return item.queue.priority > hold.priority ||
-           (item.queue.priority == hold.priority && !item.all_or_nothing() &&
+           (item.queue.priority == hold.priority &&
+            (!item.all_or_nothing() || hold.overdue) &&
             item.order > hold.order);
 }
 
--- a/src/coordination/fleet/gang_hold.hpp
+++ b/src/coordination/fleet/gang_hold.hpp
@@ -15,7 +15,8 @@
 using amounts_by_worker = std::map<std::string, resource_amounts>;
 
 /// Workers that take no less urgent work, and no later single subtasks of the
-/// gang's own priority, until the gang can start on them.
+/// gang's own priority, until the gang can start on them. When the gang is
+/// overdue, they take no later gangs of its priority either.
 struct gang_hold
 {
     std::string job;
@@ -24,6 +25,7 @@
     std::int64_t priority = 0;
     std::uint64_t order = 0; // Order of acceptance of the job.
     time_point begun_at;
+    bool overdue = false;   // It has waited longer than its queue allows.
     amounts_by_worker held; // What the gang needs of each worker.
 };
 
--- a/test/fleet_reserves-test.cpp
+++ b/test/fleet_reserves-test.cpp
@@ -120,6 +120,42 @@
     EXPECT_TRUE(gang_starts_beside("low", "low"));
 }
 
+// Guards against a wide gang that smaller gangs of its own queue, accepted
+// later, pass without end.
+TEST(fleet_reserves, wide_gang_starts_beside_later_small_gangs_of_its_queue)
+{
+    fleet_fixture fixture;
+    const auto ids = add_workers(fixture, 4);
+    constexpr int small_gangs = 8;
+    int next = 0;
+    const auto submit_small = [&fixture, &next]
+    {
+        fixture.submit("small" + std::to_string(next++), make_step(2, 2, true),
+                       "normal");
+    };
+    for (int i = 0; i < small_gangs; ++i)
+    {
+        submit_small();
+    }
+    fixture.schedule();
+    accept_new_starts(fixture);
+    ASSERT_EQ(used_accelerators(fixture), 32);
+    fixture.submit("wide", make_step(2, 8, true), "normal");
+    // Each of the gangs runs for its estimate, so one ends after each step.
+    constexpr milliseconds step_time{5000 / small_gangs};
+    for (int ended = 0; ended < 100 && live_runs(fixture, "wide") == 0; ++ended)
+    {
+        submit_small();
+        pass(fixture, ids, step_time);
+        const auto job = "small" + std::to_string(ended);
+        end_oldest_run(fixture, job);
+        end_oldest_run(fixture, job);
+        fixture.schedule();
+        accept_new_starts(fixture);
+    }
+    EXPECT_EQ(live_runs(fixture, "wide"), 2);
+}
+
 // Guards against an urgent gang outside any guarantee that later urgent single
 // subtasks pass.
 TEST(fleet_reserves, urgent_gang_starts_beside_later_urgent_singles)
