--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -7,6 +7,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
+#include <string>
 #include <utility>
 
 namespace limpetstack::fleet
@@ -29,11 +31,16 @@
 constexpr std::uint32_t max_conclusive_crashes = 2;
 constexpr std::uint32_t max_crashes = 3;
 
-bool crashes_workers(const subtask_state& subtask)
+bool has_crashing_subtask(const step_state& step)
 {
-    return !subtask.done &&
-           (subtask.conclusive_crashes >= max_conclusive_crashes ||
-            subtask.crashes >= max_crashes);
+    return std::any_of(step.crashed.begin(), step.crashed.end(),
+                       [&step](std::uint32_t index)
+                       {
+                           const auto& subtask = step.subtasks.at(index);
+                           return subtask.conclusive_crashes >=
+                                      max_conclusive_crashes ||
+                                  subtask.crashes >= max_crashes;
+                       });
 }
 
 bool has_exhausted_attempts(const step_spec& spec, const step_state& step,
@@ -43,18 +50,14 @@
     {
         return false;
     }
-    if (spec.gang())
-    {
-        return !is_done(step) && step.failures >= queue.attempts;
-    }
-    return std::any_of(step.subtasks.begin(), step.subtasks.end(),
-                       [&queue](const subtask_state& subtask)
-                       {
-                           return !subtask.done &&
-                                  subtask.failures >= queue.attempts;
-                       });
+    return spec.gang() ? !is_done(step) && step.failures >= queue.attempts
+                       : most_failures(step) >= queue.attempts;
 }
 
+// A refresh takes up occurrences of a job until it has looked at this many
+// steps; the others follow when these are done.
+constexpr std::size_t max_steps_per_refresh = 1024;
+
 } // namespace
 
 void fleet_scheduler::drop_pending(const std::string& job)
@@ -97,8 +100,7 @@
             const auto& spec = job.job.spec().steps(static_cast<int>(s));
             const auto& step = occurrence.steps[s];
             const auto step_number = static_cast<std::uint32_t>(s);
-            if (std::any_of(step.subtasks.begin(), step.subtasks.end(),
-                            crashes_workers))
+            if (has_crashing_subtask(step))
             {
                 return job_failure{"a subtask crashes its workers", number,
                                    step_number};
@@ -209,8 +211,12 @@
         }
         return;
     }
+    drop_ended_occurrences(job);
     const auto& spec = job.job.spec();
-    for (std::uint32_t k = 0; k < occurrence_count(spec); ++k)
+    std::size_t steps = 0;
+    for (auto k = job.ended_occurrences.first_missing(0);
+         k < occurrence_count(spec) && steps < max_steps_per_refresh;
+         k = job.ended_occurrences.first_missing(k + 1))
     {
         if (spec.repeat_count() > 0)
         {
@@ -229,6 +235,7 @@
         {
             continue;
         }
+        steps += static_cast<std::size_t>(spec.steps_size());
         for (std::uint32_t s = 0;
              s < static_cast<std::uint32_t>(spec.steps_size()); ++s)
         {
@@ -244,40 +251,69 @@
     }
 }
 
+// Drops what is held for the steps of occurrences that have ended.
+void fleet_scheduler::drop_ended_occurrences(const job_state& job)
+{
+    const auto& id = job.job.id();
+    const pending_step_key first{id, 0, 0};
+    const pending_step_key last{id + '\0', 0, 0};
+    const auto has_ended = [&job](const pending_step_key& key)
+    {
+        return job.ended_occurrences.contains(std::get<1>(key));
+    };
+    for (auto at = pending_.lower_bound(first);
+         at != pending_.end() && at->first < last;)
+    {
+        const auto item = at++;
+        if (has_ended(item->first))
+        {
+            unreserve(item->first);
+            pending_.erase(item);
+        }
+    }
+    for (auto at = placed_.lower_bound(first);
+         at != placed_.end() && at->first < last;)
+    {
+        at = has_ended(at->first) ? placed_.erase(at) : std::next(at);
+    }
+}
+
+// Returns the subtasks of the step that are neither done nor have a live run.
+index_set fleet_scheduler::pending_indices(const pending_step_key& key,
+                                           const step_spec& spec,
+                                           const step_state* state) const
+{
+    index_set indices(0, spec.subtask_count());
+    if (state != nullptr)
+    {
+        indices.erase(state->done);
+        indices.erase(state->active);
+    }
+    // The placement of a live run may be proposed but not yet applied to the
+    // replicated state.
+    const auto& [job, occurrence, step] = key;
+    const auto prefix = absl::StrCat(job, ".", occurrence, ".", step, ".");
+    for (auto at = workers_.runs().lower_bound(prefix);
+         at != workers_.runs().end() &&
+         at->first.compare(0, prefix.size(), prefix) == 0;
+         ++at)
+    {
+        indices.erase(at->second.ref.index());
+    }
+    return indices;
+}
+
 void fleet_scheduler::refresh_step(const job_state& job,
                                    std::uint32_t occurrence, std::uint32_t step,
                                    const step_state* state,
                                    const queue_config& queue, time_point now)
 {
     const auto& spec = job.job.spec().steps(static_cast<int>(step));
-    std::vector<std::uint32_t> pending_indices;
-    for (std::uint32_t i = 0; i < spec.subtask_count(); ++i)
-    {
-        if (state == nullptr ||
-            (!state->subtasks[i].done && state->subtasks[i].active.empty()))
-        {
-            run_ref ref;
-            ref.set_job(job.job.id());
-            ref.set_occurrence(occurrence);
-            ref.set_step(step);
-            ref.set_index(i);
-            ref.set_run((state == nullptr ? 0 : state->subtasks[i].last_run) +
-                        1);
-            // Skips subtasks that have a live run: its placement may be
-            // proposed but not yet applied to the replicated state.
-            const auto prefix = subtask_key(ref) + "#";
-            const auto live = workers_.runs().lower_bound(prefix);
-            if (live == workers_.runs().end() ||
-                live->first.compare(0, prefix.size(), prefix) != 0)
-            {
-                pending_indices.push_back(i);
-            }
-        }
-    }
     const pending_step_key key{job.job.id(), occurrence, step};
+    auto indices = pending_indices(key, spec, state);
     // A gang starts again only after every member of its last run has ended.
-    if (pending_indices.empty() ||
-        (spec.gang() && pending_indices.size() < spec.subtask_count()))
+    if (indices.empty() ||
+        (spec.gang() && indices.size() < spec.subtask_count()))
     {
         unreserve(key);
         pending_.erase(key);
@@ -302,13 +338,16 @@
     }
     item.spec = &spec;
     item.queue = queue;
-    item.indices = std::move(pending_indices);
-    item.suspects.clear();
-    for (const auto index : item.indices)
+    item.indices = std::move(indices);
+    item.suspects = {};
+    if (state != nullptr)
     {
-        if (state != nullptr && state->subtasks[index].crashes > 0)
+        for (const auto index : state->crashed)
         {
-            item.suspects.insert(index);
+            if (item.indices.contains(index))
+            {
+                item.suspects.insert(index);
+            }
         }
     }
 }
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -31,6 +31,22 @@
         "/", request.isolated, "/", last_resort);
 }
 
+// Returns the lowest `count` indices of the set.
+std::vector<std::uint32_t> first_of(const index_set& indices, std::size_t count)
+{
+    std::vector<std::uint32_t> first;
+    first.reserve(count);
+    for (const auto& [range_first, range_end] : indices.ranges())
+    {
+        for (auto index = range_first;
+             index < range_end && first.size() < count; ++index)
+        {
+            first.push_back(index);
+        }
+    }
+    return first;
+}
+
 } // namespace
 
 void fleet_scheduler::refresh_candidates(time_point now)
@@ -191,7 +207,8 @@
     return candidates;
 }
 
-void fleet_scheduler::commit(pending_step& item,
+// Places the first subtasks of `indices`, one on each chosen candidate.
+void fleet_scheduler::commit(pending_step& item, const index_set& indices,
                              const placement_request& request,
                              const std::vector<placement_candidate>& candidates,
                              const std::vector<std::size_t>& chosen,
@@ -206,18 +223,20 @@
     const auto* const step = state_.find_step(ref);
     if (item.all_or_nothing() && step != nullptr)
     {
-        for (const auto& subtask : step->subtasks)
+        for (const auto& [index, subtask] : step->subtasks)
         {
             gang_run = std::max(gang_run, subtask.last_run + 1);
         }
     }
+    placements_left_ -= std::min(placements_left_, chosen.size());
+    const auto placed = first_of(indices, chosen.size());
     for (std::size_t i = 0; i < chosen.size(); ++i)
     {
-        const auto index = item.indices[i];
-        ref.set_index(index);
+        ref.set_index(placed[i]);
+        const auto* const subtask = state_.find_subtask(ref);
         ref.set_run(item.all_or_nothing() ? gang_run
-                    : step == nullptr     ? 1
-                                          : step->subtasks[index].last_run + 1);
+                    : subtask == nullptr  ? 1
+                                          : subtask->last_run + 1);
         const auto& worker = *candidates[chosen[i]].worker;
         log_event(log_level::info, "run_placed",
                   {{"job", item.job},
@@ -255,9 +274,11 @@
     counters_.observe_latency(
         absl::StrCat("placement_wait_ms{queue=\"", item.queue.name, "\"}"),
         static_cast<double>((now - item.since).count()));
-    item.indices.erase(item.indices.begin(),
-                       item.indices.begin() +
-                           static_cast<std::ptrdiff_t>(chosen.size()));
+    for (const auto index : placed)
+    {
+        item.indices.erase(index);
+        item.suspects.erase(index);
+    }
 }
 
 // Asks the queue's policy about the workers that could take the step: workers
@@ -306,45 +327,34 @@
                             time_point now)
 {
     auto request = request_for(item, now);
+    const auto indices = item.indices;
     if (item.suspects.empty() || request.preferences_expired)
     {
-        place_subtasks(key, item, std::move(request), now);
+        place_subtasks(key, item, indices, std::move(request), now);
     }
     else if (item.all_or_nothing())
     {
         request.isolated = true;
-        place_subtasks(key, item, std::move(request), now);
+        place_subtasks(key, item, indices, std::move(request), now);
     }
     else
     {
-        move_suspects(item, true);
         auto trial = request;
         trial.isolated = true;
         trial.count = 1;
-        place_subtasks(key, item, std::move(trial), now);
-        request.count = move_suspects(item, false);
+        const auto suspects = item.suspects;
+        place_subtasks(key, item, suspects, std::move(trial), now);
+        auto others = indices;
+        others.erase(suspects);
+        request.count = others.size();
         if (request.count > 0)
         {
-            place_subtasks(key, item, std::move(request), now);
+            place_subtasks(key, item, others, std::move(request), now);
         }
     }
     return item.indices.empty();
 }
 
-// Moves the suspects among the indices of the step to the front or to the end.
-// Returns the number of the other indices.
-std::uint32_t fleet_scheduler::move_suspects(pending_step& item, bool to_front)
-{
-    const auto others = std::stable_partition(
-        item.indices.begin(), item.indices.end(),
-        [&item, to_front](std::uint32_t index)
-        {
-            return (item.suspects.count(index) > 0) == to_front;
-        });
-    return static_cast<std::uint32_t>(to_front ? item.indices.end() - others
-                                               : others - item.indices.begin());
-}
-
 // Keeps other starts away from workers that run a suspect.
 void fleet_scheduler::begin_trials(const std::vector<std::string>& workers,
                                    time_point now)
@@ -359,10 +369,10 @@
     }
 }
 
-// Places as many subtasks of the request as fit, in the order of the step's
-// indices.
+// Places as many subtasks of the request as fit, the lowest of `indices` first.
 void fleet_scheduler::place_subtasks(const pending_step_key& key,
                                      pending_step& item,
+                                     const index_set& indices,
                                      placement_request request, time_point now)
 {
     const auto found = reservations_.find(key);
@@ -381,10 +391,15 @@
     {
         return;
     }
-    if (!limit_to_reserves(item, request))
+    if (placements_left_ == 0 || !limit_to_reserves(item, request))
     {
         return;
     }
+    if (!request.all_or_nothing)
+    {
+        request.count = static_cast<std::uint32_t>(
+            std::min<std::size_t>(request.count, placements_left_));
+    }
     const auto candidates = candidates_for(key, item, request);
     auto chosen = choose_workers(candidates, request);
     if (chosen.empty() && last_resort)
@@ -410,7 +425,7 @@
     {
         used.push_back(candidates[i].worker->record.id());
     }
-    commit(item, request, candidates, chosen, now);
+    commit(item, indices, request, candidates, chosen, now);
     use_reservation(key, used, request.need);
     if (request.isolated)
     {
--- a/src/coordination/fleet/fleet_preferences.cpp
+++ b/src/coordination/fleet/fleet_preferences.cpp
@@ -125,7 +125,7 @@
 {
     const auto& spec = *item.spec;
     placement_request request;
-    request.count = static_cast<std::uint32_t>(item.indices.size());
+    request.count = item.indices.size();
     request.need = counted_need(spec);
     request.all_or_nothing = spec.gang();
     request.same_rack = spec.same_rack() && spec.gang();
@@ -170,18 +170,15 @@
             }
         }
     }
-    run_ref ref;
-    ref.set_job(item.job);
-    ref.set_occurrence(item.occurrence);
-    ref.set_step(item.step);
-    for (const auto index : item.indices)
+    for (auto at = failed_workers_.lower_bound(
+             {item.job, item.occurrence, item.step, 0});
+         at != failed_workers_.end() &&
+         at->first < subtask_id(item.job, item.occurrence, item.step + 1, 0);
+         ++at)
     {
-        ref.set_index(index);
-        const auto found = failed_workers_.find(subtask_key(ref));
-        if (found != failed_workers_.end())
+        if (item.indices.contains(std::get<3>(at->first)))
         {
-            request.failed_workers.insert(found->second.begin(),
-                                          found->second.end());
+            request.failed_workers.insert(at->second.begin(), at->second.end());
         }
     }
     return request;
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -44,6 +44,17 @@
 constexpr std::size_t max_failed_placements_per_round = 200;
 constexpr std::size_t max_further_steps_per_round = 100;
 
+// An attempt to place a step looks at each worker that may get placements. A
+// round looks at about this many, and keeps a third for the steps whose last
+// attempt is longest ago.
+constexpr std::size_t max_candidates_per_round = 200000;
+constexpr std::size_t min_attempts_per_round = 30;
+constexpr std::size_t further_attempts_divisor = 3;
+
+// A round places at most this many subtasks, apart from the rest of a gang. The
+// next round follows when the placements are committed.
+constexpr std::size_t max_placements_per_round = 1000;
+
 } // namespace
 
 fleet_scheduler::fleet_scheduler(const fleet_scheduler_options& options,
@@ -197,12 +208,12 @@
 void fleet_scheduler::record_end(const ended_run& ended, time_point now)
 {
     auto& history = failure_histories_[ended.worker()];
-    const auto key = subtask_key(ended.run());
+    const auto id = id_of(ended.run());
     if (ended.end() == run_done)
     {
         history.failed_jobs.clear();
         history.pauses = 0;
-        failed_workers_.erase(key);
+        failed_workers_.erase(id);
         return;
     }
     if (ended.end() == run_never)
@@ -217,7 +228,7 @@
     {
         return;
     }
-    failed_workers_[key].insert(ended.worker());
+    failed_workers_[id].insert(ended.worker());
     history.failed_jobs.insert(ended.run().job());
     if (history.failed_jobs.size() >= failed_jobs_before_pause)
     {
@@ -233,12 +244,15 @@
     }
 }
 
+fleet_scheduler::subtask_id fleet_scheduler::id_of(const run_ref& run)
+{
+    return {run.job(), run.occurrence(), run.step(), run.index()};
+}
+
 void fleet_scheduler::forget_failures(const std::string& job)
 {
-    // The keys of a job's subtasks begin with the job's id and a dot; a slash
-    // is the character after the dot.
-    failed_workers_.erase(failed_workers_.lower_bound(job + "."),
-                          failed_workers_.lower_bound(job + "/"));
+    failed_workers_.erase(failed_workers_.lower_bound({job, 0, 0, 0}),
+                          failed_workers_.lower_bound({job + '\0', 0, 0, 0}));
 }
 
 void fleet_scheduler::stop_job(const std::string& job, const char* reason,
@@ -345,12 +359,22 @@
     for (const auto& key : stalled)
     {
         const auto& run = workers_.runs().at(key);
-        failed_workers_[subtask_key(run.ref)].insert(run.incarnation.worker);
+        failed_workers_[id_of(run.ref)].insert(run.incarnation.worker);
         workers_.avoid(run.incarnation.worker, now + 2 * first_pause);
         workers_.stop(key, "no_progress", now);
     }
 }
 
+// Returns true when the gang needs more than all present workers of its service
+// have: it can not start until the workers change.
+bool fleet_scheduler::exceeds_service(const pending_step& item)
+{
+    return item.all_or_nothing() &&
+           !fits(counted_need(*item.spec) *
+                     static_cast<std::int64_t>(item.indices.size()),
+                 capacity_of(item.queue.service).installed);
+}
+
 // Tries to place the step, or to preempt runs for it if it is urgent. Returns
 // true, and removes the step, when it is placed completely.
 bool fleet_scheduler::try_step(pending_step_map::iterator at, time_point now)
@@ -366,6 +390,10 @@
         pending_.erase(at);
         return true;
     }
+    if (placements_left_ == 0)
+    {
+        return false; // The step may fit, but has to wait for the next round.
+    }
     if (item.queue.priority == 0)
     {
         reclaim(key, item, now);
@@ -398,17 +426,29 @@
     refresh_candidates(now);
     refresh_backfill_limits();
     refresh_gang_holds(now);
+    placements_left_ = max_placements_per_round;
+    auto attempts_left =
+        std::max(min_attempts_per_round,
+                 max_candidates_per_round /
+                     std::max<std::size_t>(candidates_.size(), 1));
+    const auto further_attempts = attempts_left / further_attempts_divisor;
     std::size_t failed_placements = 0;
     std::vector<pending_step_map::iterator> further;
     for (const auto at : ranked_by_urgency())
     {
-        if (failed_placements >= max_failed_placements_per_round)
+        if (exceeds_service(at->second))
+        {
+            at->second.obstacle = placement_obstacle::capacity;
+        }
+        else if (failed_placements >= max_failed_placements_per_round ||
+                 attempts_left <= further_attempts || placements_left_ == 0)
         {
             further.push_back(at);
         }
-        else if (!try_step(at, now))
+        else
         {
-            ++failed_placements;
+            --attempts_left;
+            failed_placements += try_step(at, now) ? 0 : 1;
         }
     }
     // The steps whose last attempt is longest ago come first, so that each is
@@ -418,10 +458,14 @@
                      {
                          return a->second.tried_at < b->second.tried_at;
                      });
-    further.resize(std::min(further.size(), max_further_steps_per_round));
+    further.resize(
+        std::min({further.size(), max_further_steps_per_round, attempts_left}));
     for (const auto at : further)
     {
-        try_step(at, now);
+        if (placements_left_ > 0)
+        {
+            try_step(at, now);
+        }
     }
     report_waits(now);
 }
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -10,6 +10,7 @@
 #include "coordination/fleet/worker_fleet.hpp"
 #include "protocol/external_protocol.hpp"
 #include "state/fleet_state.hpp"
+#include "state/index_set.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -120,9 +121,9 @@
         std::uint32_t occurrence = 0;
         std::uint32_t step = 0;
         const step_spec* spec = nullptr;
-        std::vector<std::uint32_t> indices;
+        index_set indices;
         // Those of the indices under which a worker has crashed.
-        std::set<std::uint32_t> suspects;
+        index_set suspects;
         std::string account;
         queue_config queue;
         std::uint64_t order = 0; // Order of acceptance of the job.
@@ -143,6 +144,10 @@
 
     using pending_step_map = std::map<pending_step_key, pending_step>;
 
+    // Job, occurrence, step and index of a subtask.
+    using subtask_id =
+        std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint32_t>;
+
     // The wait of a step that was placed completely. It goes on when a start
     // fails, so that the step does not wait for its preferences again.
     struct placed_step
@@ -193,6 +198,10 @@
     void refresh_step(const job_state& job, std::uint32_t occurrence,
                       std::uint32_t step, const step_state* state,
                       const queue_config& queue, time_point now);
+    index_set pending_indices(const pending_step_key& key,
+                              const step_spec& spec,
+                              const step_state* state) const;
+    void drop_ended_occurrences(const job_state& job);
     static std::optional<job_failure> failure_of(const job_state& job,
                                                  const queue_config& queue);
     time_point ready_since(const pending_step_key& key, time_point now);
@@ -239,12 +248,14 @@
     bool limit_to_reserves(pending_step& item, placement_request& request);
     bool place(const pending_step_key& key, pending_step& item, time_point now);
     void place_subtasks(const pending_step_key& key, pending_step& item,
-                        placement_request request, time_point now);
-    static std::uint32_t move_suspects(pending_step& item, bool to_front);
+                        const index_set& indices, placement_request request,
+                        time_point now);
     void begin_trials(const std::vector<std::string>& workers, time_point now);
-    void commit(pending_step& item, const placement_request& request,
+    void commit(pending_step& item, const index_set& indices,
+                const placement_request& request,
                 const std::vector<placement_candidate>& candidates,
                 const std::vector<std::size_t>& chosen, time_point now);
+    bool exceeds_service(const pending_step& item);
     std::int64_t priority_of(const job_state& job) const;
     bool fits_in_one_rack(const placement_request& request) const;
     bool may_use_last_resort(const pending_step& item,
@@ -310,12 +321,15 @@
     amounts_by_worker lasting_use_;
     std::map<std::string, gang_hold> gang_holds_; // Keyed by service name.
     policy_tickets tickets_;
+    std::size_t placements_left_ = 0; // In this round.
     // Request shapes that did not fit in this round.
     std::set<std::string> unplaceable_shapes_;
     // Accelerators needed by open jobs of priority 0, by account.
     std::map<std::string, std::int64_t> urgent_accelerators_;
-    // Workers on which a subtask has failed, by subtask key.
-    std::map<std::string, std::set<std::string>> failed_workers_;
+    static subtask_id id_of(const run_ref& run);
+
+    // Workers on which a subtask has failed.
+    std::map<subtask_id, std::set<std::string>> failed_workers_;
     struct failure_history
     {
         std::set<std::string> failed_jobs; // Since the last success or pause.
--- a/src/coordination/fleet/worker_crashes.cpp
+++ b/src/coordination/fleet/worker_crashes.cpp
@@ -29,12 +29,10 @@
                                 time_point now)
 {
     auto& starts = worker.recent_starts;
-    starts.erase(std::remove_if(starts.begin(), starts.end(),
-                                [now](const recent_start& start)
-                                {
-                                    return now - start.at > crash_window;
-                                }),
-                 starts.end());
+    while (!starts.empty() && now - starts.front().at > crash_window)
+    {
+        starts.pop_front();
+    }
     starts.push_back({run.ref, now});
 }
 
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -56,21 +56,8 @@
         {
             for (std::size_t s = 0; s < occurrence.steps.size(); ++s)
             {
-                const auto& subtasks = occurrence.steps[s].subtasks;
-                for (std::size_t i = 0; i < subtasks.size(); ++i)
-                {
-                    for (const auto& active : subtasks[i].active)
-                    {
-                        run_ref ref;
-                        ref.set_job(id);
-                        ref.set_occurrence(number);
-                        ref.set_step(static_cast<std::uint32_t>(s));
-                        ref.set_index(static_cast<std::uint32_t>(i));
-                        ref.set_run(active.run);
-                        add_run(ref, active.incarnation, run_phase::adopted,
-                                now);
-                    }
-                }
+                adopt_runs(id, number, static_cast<std::uint32_t>(s),
+                           occurrence.steps[s], now);
             }
         }
     }
@@ -95,6 +82,29 @@
     }
 }
 
+// Takes over the runs of the step that earlier leaders placed.
+void worker_fleet::adopt_runs(const std::string& job, std::uint32_t occurrence,
+                              std::uint32_t step, const step_state& state,
+                              time_point now)
+{
+    run_ref ref;
+    ref.set_job(job);
+    ref.set_occurrence(occurrence);
+    ref.set_step(step);
+    for (const auto& [first, end] : state.active.ranges())
+    {
+        for (auto index = first; index < end; ++index)
+        {
+            ref.set_index(index);
+            for (const auto& active : state.subtasks.at(index).active)
+            {
+                ref.set_run(active.run);
+                add_run(ref, active.incarnation, run_phase::adopted, now);
+            }
+        }
+    }
+}
+
 worker_session& worker_fleet::add_session(const worker_record& record,
                                           time_point now)
 {
@@ -319,7 +329,7 @@
 void worker_fleet::stop_superseded(const run_ref& done, time_point now)
 {
     const auto* const subtask = state_.find_subtask(done);
-    if (subtask == nullptr || !subtask->done)
+    if (subtask == nullptr || !state_.is_subtask_done(done))
     {
         return;
     }
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -155,6 +155,9 @@
     };
 
     worker_session& add_session(const worker_record& record, time_point now);
+    void adopt_runs(const std::string& job, std::uint32_t occurrence,
+                    std::uint32_t step, const step_state& state,
+                    time_point now);
     live_run& add_run(const run_ref& run, const worker_incarnation& incarnation,
                       run_phase phase, time_point now);
     void remove_run(const std::string& key);
@@ -187,6 +190,7 @@
                               const std::set<std::string>& seen,
                               time_point sent);
     void start_committed(time_point now);
+    bool is_gang_complete(const live_run& run) const;
     void check_gang_placements();
     void send_start(live_run& run, worker_session& worker, time_point now);
     void on_start_answer(const std::string& key, std::int64_t sent_reading_ms,
@@ -259,8 +263,7 @@
     void record_crash(worker_session& worker);
     void record_crash_behind(const worker_record& successor, time_point now);
     std::int64_t grant_lease(worker_session& worker, time_point now);
-    std::int64_t grant_start_lease(live_run& run, worker_session& worker,
-                                   time_point now);
+    milliseconds start_lease(bool has_started_run, time_point now) const;
     bool has_started_run(const worker_session& worker) const;
     milliseconds timeout_of_attempt(int attempt, time_point now) const;
     bool may_repeat_start(const live_run& run, const worker_session& worker,
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -266,8 +266,8 @@
 void worker_fleet::propose_late_end(worker_session& worker,
                                     const listed_end& item)
 {
-    const auto* const subtask = state_.find_subtask(item.run);
-    if (item.end != run_done || subtask == nullptr || subtask->done ||
+    if (item.end != run_done || state_.find_subtask(item.run) == nullptr ||
+        state_.is_subtask_done(item.run) ||
         !worker.pending_ends.insert(key_of(item.run)).second)
     {
         return;
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -6,6 +6,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
 
 namespace limpetstack::fleet
@@ -40,6 +42,13 @@
 // A worker that refused a start gets no placement for this time.
 constexpr milliseconds refusal_pause{1000};
 
+// Returns a key that the members of one run of a gang share.
+std::string gang_key(const run_ref& run)
+{
+    return absl::StrCat(run.job(), ".", run.occurrence(), ".", run.step(), "#",
+                        run.run());
+}
+
 } // namespace
 
 std::int64_t worker_fleet::grant_lease(worker_session& worker, time_point now)
@@ -51,22 +60,14 @@
     return until;
 }
 
-// Grants the lease of a start. All attempts share it, so that a worker that
+// Returns the lease of a start. All attempts share it, so that a worker that
 // answers none of them delays the subtask by one lease.
-std::int64_t worker_fleet::grant_start_lease(live_run& run,
-                                             worker_session& worker,
-                                             time_point now)
+milliseconds worker_fleet::start_lease(bool has_started_run,
+                                       time_point now) const
 {
-    if (run.start_lease_end_ms == 0)
-    {
-        const bool is_first = !has_started_run(worker) &&
-                              answers_are_reliable(lost_share(answers_, now));
-        run.start_lease_end_ms =
-            worker.clock.worker_time(now) +
-            (is_first ? first_lease : options_.max_lease).count();
-    }
-    worker.clock.grant(run.start_lease_end_ms);
-    return run.start_lease_end_ms;
+    const bool is_first =
+        !has_started_run && answers_are_reliable(lost_share(answers_, now));
+    return is_first ? first_lease : options_.max_lease;
 }
 
 // Records the answer to an order, or its absence. `sent_reading_ms` is the
@@ -118,10 +119,25 @@
              now - run.first_sent_at < start_time_limit));
 }
 
-// Marks members of gangs for a stop unless the whole gang can start: all
-// placements must be committed, and no member may have a requested stop.
+// Returns true when the whole gang of the run can start: all its placements are
+// committed, and no member has a requested stop.
+bool worker_fleet::is_gang_complete(const live_run& run) const
+{
+    const auto* const step = state_.find_step(run.ref);
+    const auto members = gang_members(run.ref);
+    return step != nullptr && members.size() == step->subtask_count &&
+           std::none_of(members.begin(), members.end(),
+                        [this](const std::string& member)
+                        {
+                            return runs_.at(member).stop_requested;
+                        });
+}
+
+// Marks the newly committed members of gangs that can not start for a stop.
+// The members of a gang are committed together, so each gang is checked once.
 void worker_fleet::check_gang_placements()
 {
+    std::map<std::string, bool> complete_gangs;
     for (const auto& key : newly_committed_)
     {
         const auto found = runs_.find(key);
@@ -129,16 +145,14 @@
         {
             continue;
         }
-        const auto* const step = state_.find_step(found->second.ref);
-        const auto members = gang_members(found->second.ref);
-        const bool complete =
-            step != nullptr && members.size() == step->subtasks.size() &&
-            std::none_of(members.begin(), members.end(),
-                         [this](const std::string& member)
-                         {
-                             return runs_.at(member).stop_requested;
-                         });
-        if (!complete)
+        const auto& run = found->second;
+        const auto [checked, added] =
+            complete_gangs.try_emplace(gang_key(run.ref));
+        if (added)
+        {
+            checked->second = is_gang_complete(run);
+        }
+        if (!checked->second)
         {
             found->second.stop_requested = true;
         }
@@ -154,6 +168,7 @@
         return;
     }
     const auto unknown = unknown_subtasks();
+    std::map<std::string, bool> started_workers;
     for (const auto& key : keys)
     {
         const auto found = runs_.find(key);
@@ -186,6 +201,17 @@
             log_wait(found->second);
             continue;
         }
+        // No start is answered meanwhile, so this is the same for all runs of
+        // a worker.
+        const auto [has_started, added] =
+            started_workers.try_emplace(worker->record.id());
+        if (added)
+        {
+            has_started->second = has_started_run(*worker);
+        }
+        found->second.start_lease_end_ms =
+            worker->clock.worker_time(now) +
+            start_lease(has_started->second, now).count();
         send_start(found->second, *worker, now);
     }
 }
@@ -225,7 +251,8 @@
     order.run = run.ref;
     order.worker = worker.record.id();
     order.payload = job->job.spec().payload();
-    order.lease_end_ms = grant_start_lease(run, worker, now);
+    order.lease_end_ms = run.start_lease_end_ms;
+    worker.clock.grant(run.start_lease_end_ms);
     order.epoch = epoch_;
     order.checkpoint = run.gang ? step->checkpoint : subtask->checkpoint;
     order.ticket = run.ticket;
--- a/src/coordination/fleet/worker_session.hpp
+++ b/src/coordination/fleet/worker_session.hpp
@@ -6,6 +6,7 @@
 #include "coordination/fleet/unknown_run.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -81,8 +82,8 @@
     time_point avoid_until;
     time_point refuses_until; // The worker gets no placement before this time.
     time_point added_at;      // When this leader first knew the incarnation.
-    // The last start, and those sent shortly before it.
-    std::vector<recent_start> recent_starts;
+    // The last start, and those sent shortly before it; oldest first.
+    std::deque<recent_start> recent_starts;
     time_point last_contact; // The last answer of any kind.
     // When the worker closed its connection, if it has not answered since.
     std::optional<time_point> closed_at;
--- /dev/null
+++ b/src/state/fleet_snapshot.cpp
@@ -0,0 +1,205 @@
+// Writes the fleet's replicated state to a snapshot and reads it back.
+#include "state/fleet_state.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+template <typename Ranges>
+void save_ranges(const index_set& set, Ranges& ranges)
+{
+    for (const auto& [first, end] : set.ranges())
+    {
+        auto& range = *ranges.Add();
+        range.set_first(first);
+        range.set_end(end);
+    }
+}
+
+template <typename Ranges>
+index_set load_ranges(const Ranges& ranges)
+{
+    index_set set;
+    for (const auto& range : ranges)
+    {
+        set.insert(range.first(), range.end());
+    }
+    return set;
+}
+
+void save_subtask(const subtask_state& subtask, subtask_snapshot& saved)
+{
+    saved.set_last_run(subtask.last_run);
+    saved.set_failures(subtask.failures);
+    saved.set_crashes(subtask.crashes);
+    saved.set_conclusive_crashes(subtask.conclusive_crashes);
+    saved.set_last_crashed_run(subtask.last_crashed_run);
+    saved.set_checkpoint(subtask.checkpoint);
+    for (const auto& active : subtask.active)
+    {
+        auto& run = *saved.add_active();
+        run.mutable_run()->set_run(active.run);
+        run.set_worker(active.incarnation.worker);
+        run.set_born_ms(active.incarnation.born_ms);
+    }
+}
+
+subtask_state load_subtask(const subtask_snapshot& saved)
+{
+    subtask_state subtask;
+    subtask.last_run = saved.last_run();
+    subtask.failures = saved.failures();
+    subtask.crashes = saved.crashes();
+    subtask.conclusive_crashes = saved.conclusive_crashes();
+    subtask.last_crashed_run = saved.last_crashed_run();
+    subtask.checkpoint = saved.checkpoint();
+    for (const auto& run : saved.active())
+    {
+        subtask.active.push_back(
+            {run.run().run(), {run.worker(), run.born_ms()}});
+    }
+    return subtask;
+}
+
+void save_step(const step_state& step, step_snapshot& saved)
+{
+    saved.set_failures(step.failures);
+    saved.set_last_failed_run(step.last_failed_run);
+    saved.set_checkpoint(step.checkpoint);
+    save_ranges(step.done, *saved.mutable_done());
+    for (const auto& [index, subtask] : step.subtasks)
+    {
+        auto& item = *saved.add_recorded_subtasks();
+        item.set_index(index);
+        save_subtask(subtask, item);
+    }
+}
+
+void load_step(const step_snapshot& saved, step_state& step)
+{
+    step.failures = saved.failures();
+    step.last_failed_run = saved.last_failed_run();
+    step.checkpoint = saved.checkpoint();
+    step.done = load_ranges(saved.done());
+    for (const auto& item : saved.recorded_subtasks())
+    {
+        add_subtask(step, item.index(), load_subtask(item));
+    }
+    // Snapshots of earlier versions hold all subtasks.
+    std::uint32_t index = 0;
+    for (const auto& item : saved.subtasks())
+    {
+        if (item.done())
+        {
+            step.done.insert(index);
+        }
+        add_subtask(step, index, load_subtask(item));
+        ++index;
+    }
+}
+
+} // namespace
+
+std::string fleet_state::snapshot() const
+{
+    fleet_snapshot out;
+    *out.mutable_document() = document_;
+    std::vector<const job_state*> ordered;
+    for (const auto& [id, job] : jobs_)
+    {
+        ordered.push_back(&job);
+    }
+    std::sort(ordered.begin(), ordered.end(),
+              [](const job_state* a, const job_state* b)
+              {
+                  return a->order < b->order;
+              });
+    for (const auto* job : ordered)
+    {
+        auto& saved = *out.add_jobs();
+        *saved.mutable_job() = job->job;
+        saved.set_cancelled(job->cancelled);
+        saved.set_failed(job->failed);
+        saved.set_complete(job->complete);
+        saved.set_started(job->started);
+        saved.set_finished_ms(job->finished_ms);
+        for (const auto& [number, occurrence] : job->occurrences)
+        {
+            auto& saved_occurrence = *saved.add_occurrences();
+            saved_occurrence.set_occurrence(number);
+            saved_occurrence.set_done(occurrence.done);
+            for (const auto& step : occurrence.steps)
+            {
+                save_step(step, *saved_occurrence.add_steps());
+            }
+        }
+        save_ranges(job->ended_occurrences, *saved.mutable_ended_occurrences());
+    }
+    for (const auto& [id, worker] : workers_)
+    {
+        *out.add_workers() = worker;
+    }
+    for (const auto& incarnation : gone_workers_)
+    {
+        auto& saved = *out.add_gone_workers();
+        saved.set_id(incarnation.worker);
+        saved.set_born_ms(incarnation.born_ms);
+        saved.set_gone(true);
+    }
+    return out.SerializeAsString();
+}
+
+bool fleet_state::restore(const std::string& data)
+{
+    fleet_snapshot in;
+    if (!in.ParseFromString(data))
+    {
+        return false;
+    }
+    *this = fleet_state();
+    document_ = in.document();
+    for (const auto& saved : in.jobs())
+    {
+        auto& job = jobs_[saved.job().id()];
+        job.job = saved.job();
+        job.order = next_order_++;
+        job.cancelled = saved.cancelled();
+        job.failed = saved.failed();
+        job.complete = saved.complete();
+        job.started = saved.started();
+        job.finished_ms = saved.finished_ms();
+        job.ended_occurrences = load_ranges(saved.ended_occurrences());
+        job.done_occurrences = job.ended_occurrences.size();
+        for (const auto& saved_occurrence : saved.occurrences())
+        {
+            auto& steps = occurrence(job, saved_occurrence.occurrence()).steps;
+            const auto count = std::min(
+                steps.size(),
+                static_cast<std::size_t>(saved_occurrence.steps_size()));
+            for (std::size_t s = 0; s < count; ++s)
+            {
+                load_step(saved_occurrence.steps(static_cast<int>(s)),
+                          steps[s]);
+            }
+            record_occurrence_end(job, saved_occurrence.occurrence());
+        }
+    }
+    for (const auto& worker : in.workers())
+    {
+        workers_[worker.id()] = worker;
+    }
+    for (const auto& worker : in.gone_workers())
+    {
+        remember_gone({worker.id(), worker.born_ms()});
+    }
+    return true;
+}
+
+} // namespace limpetstack::fleet
--- a/src/state/fleet_state.cpp
+++ b/src/state/fleet_state.cpp
@@ -4,16 +4,12 @@
 
 namespace limpetstack::fleet
 {
+
 std::uint32_t occurrence_count(const job_spec& spec)
 {
     return std::max(spec.repeat_count(), 1U);
 }
 
-bool is_done(const step_state& step)
-{
-    return step.done_count == step.subtasks.size();
-}
-
 apply_result fleet_state::apply(const fleet_command& command)
 {
     switch (command.body_case())
@@ -94,15 +90,34 @@
     const auto [found, added] = job.occurrences.try_emplace(number);
     if (added)
     {
-        for (const auto& spec : job.job.spec().steps())
-        {
-            found->second.steps.emplace_back();
-            found->second.steps.back().subtasks.resize(spec.subtask_count());
-        }
+        found->second.steps = new_steps(job.job.spec());
     }
     return found->second;
 }
 
+// Counts the occurrence when it is done, and forgets its state when no run of
+// it may be present any more.
+void fleet_state::record_occurrence_end(job_state& job, std::uint32_t number)
+{
+    const auto at = job.occurrences.find(number);
+    auto& occurrence = at->second;
+    const auto& steps = occurrence.steps;
+    if (!occurrence.done && std::all_of(steps.begin(), steps.end(), is_done))
+    {
+        occurrence.done = true;
+        ++job.done_occurrences;
+    }
+    if (occurrence.done && std::all_of(steps.begin(), steps.end(),
+                                       [](const step_state& step)
+                                       {
+                                           return step.active.empty();
+                                       }))
+    {
+        job.ended_occurrences.insert(at->first);
+        job.occurrences.erase(at);
+    }
+}
+
 apply_result fleet_state::place(const placement& placed)
 {
     const auto& run = placed.run();
@@ -110,8 +125,9 @@
     const auto worker = workers_.find(placed.worker());
     if (found == jobs_.end() || found->second.ended() ||
         worker == workers_.end() ||
-        worker->second.born_ms() != placed.born_ms() ||
+        worker->second.born_ms() != placed.born_ms() || run.run() == 0 ||
         run.occurrence() >= occurrence_count(found->second.job.spec()) ||
+        found->second.ended_occurrences.contains(run.occurrence()) ||
         run.step() >=
             static_cast<std::uint32_t>(found->second.job.spec().steps_size()))
     {
@@ -119,49 +135,22 @@
     }
     auto& job = found->second;
     auto& step = occurrence(job, run.occurrence()).steps[run.step()];
-    if (run.index() >= step.subtasks.size())
+    if (run.index() >= step.subtask_count || step.done.contains(run.index()))
     {
         return apply_result::refused;
     }
     auto& subtask = step.subtasks[run.index()];
-    if (subtask.done || run.run() <= subtask.last_run)
+    if (run.run() <= subtask.last_run)
     {
         return apply_result::refused;
     }
     subtask.last_run = run.run();
     subtask.active.push_back({run.run(), {placed.worker(), placed.born_ms()}});
-    ++step.active_count;
+    step.active.insert(run.index());
     job.started = true;
     return apply_result::changed;
 }
 
-void fleet_state::record_done(job_state& job, occurrence_state& occurrence,
-                              step_state& step, const step_spec& spec,
-                              subtask_state& subtask)
-{
-    if (spec.gang())
-    {
-        // The members of a gang end together, so the first listed end completes
-        // all of them.
-        for (auto& member : step.subtasks)
-        {
-            member.done = true;
-        }
-        step.done_count = static_cast<std::uint32_t>(step.subtasks.size());
-    }
-    else if (!subtask.done)
-    {
-        subtask.done = true;
-        ++step.done_count;
-    }
-    if (!occurrence.done &&
-        std::all_of(occurrence.steps.begin(), occurrence.steps.end(), is_done))
-    {
-        occurrence.done = true;
-        ++job.done_occurrences;
-    }
-}
-
 apply_result fleet_state::end(const ended_run& ended)
 {
     const auto& run = ended.run();
@@ -171,14 +160,23 @@
         return apply_result::refused;
     }
     auto& job = found->second;
+    if (job.ended_occurrences.contains(run.occurrence()))
+    {
+        return apply_result::unchanged;
+    }
     const auto at = job.occurrences.find(run.occurrence());
     if (at == job.occurrences.end() || run.step() >= at->second.steps.size() ||
-        run.index() >= at->second.steps[run.step()].subtasks.size())
+        run.index() >= at->second.steps[run.step()].subtask_count)
     {
         return apply_result::refused;
     }
     auto& step = at->second.steps[run.step()];
-    auto& subtask = step.subtasks[run.index()];
+    const auto recorded = step.subtasks.find(run.index());
+    if (recorded == step.subtasks.end())
+    {
+        return apply_result::unchanged;
+    }
+    auto& subtask = recorded->second;
     const worker_incarnation incarnation{ended.worker(), ended.born_ms()};
     const auto active = std::find_if(
         subtask.active.begin(), subtask.active.end(),
@@ -190,16 +188,21 @@
     if (active == subtask.active.end())
     {
         // The run was ended as lapsed before its worker listed that it is done.
-        if (ended.end() != run_done || spec.lasting() || subtask.done ||
-            run.run() == 0 || run.run() > subtask.last_run)
+        if (ended.end() != run_done || spec.lasting() ||
+            step.done.contains(run.index()) || run.run() == 0 ||
+            run.run() > subtask.last_run)
         {
             return apply_result::unchanged;
         }
-        record_done(job, at->second, step, spec, subtask);
+        record_done(step, spec, run.index());
+        record_occurrence_end(job, run.occurrence());
         return apply_result::changed;
     }
     subtask.active.erase(active);
-    --step.active_count;
+    if (subtask.active.empty())
+    {
+        step.active.erase(run.index());
+    }
     if (!ended.checkpoint().empty())
     {
         subtask.checkpoint = ended.checkpoint();
@@ -207,17 +210,19 @@
     }
     if (ended.end() == run_done && !spec.lasting())
     {
-        record_done(job, at->second, step, spec, subtask);
+        record_done(step, spec, run.index());
     }
     else if (ended.end() == run_failed)
     {
-        ++subtask.failures;
+        record_failure(step, run.index());
         if (run.run() > step.last_failed_run)
         {
             step.last_failed_run = run.run();
             ++step.failures;
         }
     }
+    drop_if_ended(step, run.index());
+    record_occurrence_end(job, run.occurrence());
     return apply_result::changed;
 }
 
@@ -269,17 +274,23 @@
         }
         const auto at = found->second.occurrences.find(run.occurrence());
         if (at == found->second.occurrences.end() ||
-            run.step() >= at->second.steps.size() ||
-            run.index() >= at->second.steps[run.step()].subtasks.size())
+            run.step() >= at->second.steps.size())
+        {
+            continue;
+        }
+        auto& step = at->second.steps[run.step()];
+        const auto recorded = step.subtasks.find(run.index());
+        if (recorded == step.subtasks.end() || step.done.contains(run.index()))
         {
             continue;
         }
-        auto& subtask = at->second.steps[run.step()].subtasks[run.index()];
-        if (subtask.done || run.run() > subtask.last_run ||
+        auto& subtask = recorded->second;
+        if (run.run() > subtask.last_run ||
             run.run() <= subtask.last_crashed_run)
         {
             continue;
         }
+        step.crashed.insert(run.index());
         subtask.last_crashed_run = run.run();
         ++subtask.crashes;
         subtask.conclusive_crashes += crash.conclusive() ? 1 : 0;
@@ -312,9 +323,23 @@
 const subtask_state* fleet_state::find_subtask(const run_ref& run) const
 {
     const auto* const step = find_step(run);
-    return step == nullptr || run.index() >= step->subtasks.size()
-               ? nullptr
-               : &step->subtasks[run.index()];
+    if (step == nullptr)
+    {
+        return nullptr;
+    }
+    const auto found = step->subtasks.find(run.index());
+    return found == step->subtasks.end() ? nullptr : &found->second;
+}
+
+bool fleet_state::is_subtask_done(const run_ref& run) const
+{
+    const auto* const job = find_job(run.job());
+    if (job != nullptr && job->ended_occurrences.contains(run.occurrence()))
+    {
+        return true;
+    }
+    const auto* const step = find_step(run);
+    return step != nullptr && step->done.contains(run.index());
 }
 
 bool fleet_state::is_active(const run_ref& run,
@@ -330,135 +355,4 @@
                        });
 }
 
-std::string fleet_state::snapshot() const
-{
-    fleet_snapshot out;
-    *out.mutable_document() = document_;
-    std::vector<const job_state*> ordered;
-    for (const auto& [id, job] : jobs_)
-    {
-        ordered.push_back(&job);
-    }
-    std::sort(ordered.begin(), ordered.end(),
-              [](const job_state* a, const job_state* b)
-              {
-                  return a->order < b->order;
-              });
-    for (const auto* job : ordered)
-    {
-        auto& saved = *out.add_jobs();
-        *saved.mutable_job() = job->job;
-        saved.set_cancelled(job->cancelled);
-        saved.set_failed(job->failed);
-        saved.set_complete(job->complete);
-        saved.set_started(job->started);
-        saved.set_finished_ms(job->finished_ms);
-        for (const auto& [number, occurrence] : job->occurrences)
-        {
-            auto& saved_occurrence = *saved.add_occurrences();
-            saved_occurrence.set_occurrence(number);
-            saved_occurrence.set_done(occurrence.done);
-            for (const auto& step : occurrence.steps)
-            {
-                auto& saved_step = *saved_occurrence.add_steps();
-                saved_step.set_failures(step.failures);
-                saved_step.set_last_failed_run(step.last_failed_run);
-                saved_step.set_checkpoint(step.checkpoint);
-                for (const auto& subtask : step.subtasks)
-                {
-                    auto& item = *saved_step.add_subtasks();
-                    item.set_done(subtask.done);
-                    item.set_last_run(subtask.last_run);
-                    item.set_failures(subtask.failures);
-                    item.set_crashes(subtask.crashes);
-                    item.set_conclusive_crashes(subtask.conclusive_crashes);
-                    item.set_last_crashed_run(subtask.last_crashed_run);
-                    item.set_checkpoint(subtask.checkpoint);
-                    for (const auto& active : subtask.active)
-                    {
-                        auto& run = *item.add_active();
-                        run.mutable_run()->set_run(active.run);
-                        run.set_worker(active.incarnation.worker);
-                        run.set_born_ms(active.incarnation.born_ms);
-                    }
-                }
-            }
-        }
-    }
-    for (const auto& [id, worker] : workers_)
-    {
-        *out.add_workers() = worker;
-    }
-    for (const auto& incarnation : gone_workers_)
-    {
-        auto& saved = *out.add_gone_workers();
-        saved.set_id(incarnation.worker);
-        saved.set_born_ms(incarnation.born_ms);
-        saved.set_gone(true);
-    }
-    return out.SerializeAsString();
-}
-
-bool fleet_state::restore(const std::string& data)
-{
-    fleet_snapshot in;
-    if (!in.ParseFromString(data))
-    {
-        return false;
-    }
-    *this = fleet_state();
-    document_ = in.document();
-    for (const auto& saved : in.jobs())
-    {
-        auto& job = jobs_[saved.job().id()];
-        job.job = saved.job();
-        job.order = next_order_++;
-        job.cancelled = saved.cancelled();
-        job.failed = saved.failed();
-        job.complete = saved.complete();
-        job.started = saved.started();
-        job.finished_ms = saved.finished_ms();
-        for (const auto& saved_occurrence : saved.occurrences())
-        {
-            auto& occurrence = job.occurrences[saved_occurrence.occurrence()];
-            occurrence.done = saved_occurrence.done();
-            job.done_occurrences += occurrence.done ? 1 : 0;
-            for (const auto& saved_step : saved_occurrence.steps())
-            {
-                auto& step = occurrence.steps.emplace_back();
-                step.failures = saved_step.failures();
-                step.last_failed_run = saved_step.last_failed_run();
-                step.checkpoint = saved_step.checkpoint();
-                for (const auto& item : saved_step.subtasks())
-                {
-                    auto& subtask = step.subtasks.emplace_back();
-                    subtask.done = item.done();
-                    subtask.last_run = item.last_run();
-                    subtask.failures = item.failures();
-                    subtask.crashes = item.crashes();
-                    subtask.conclusive_crashes = item.conclusive_crashes();
-                    subtask.last_crashed_run = item.last_crashed_run();
-                    subtask.checkpoint = item.checkpoint();
-                    step.done_count += subtask.done ? 1 : 0;
-                    for (const auto& run : item.active())
-                    {
-                        subtask.active.push_back(
-                            {run.run().run(), {run.worker(), run.born_ms()}});
-                        ++step.active_count;
-                    }
-                }
-            }
-        }
-    }
-    for (const auto& worker : in.workers())
-    {
-        workers_[worker.id()] = worker;
-    }
-    for (const auto& worker : in.gone_workers())
-    {
-        remember_gone({worker.id(), worker.born_ms()});
-    }
-    return true;
-}
-
 } // namespace limpetstack::fleet
--- a/src/state/fleet_state.hpp
+++ b/src/state/fleet_state.hpp
@@ -1,65 +1,18 @@
 #pragma once
 
 #include "fleet.pb.h"
+#include "state/index_set.hpp"
+#include "state/step_state.hpp"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
-#include <tuple>
 #include <vector>
 
 namespace limpetstack::fleet
 {
 
-/// Identifies one incarnation of a worker: the worker's id and the start time
-/// of its process.
-struct worker_incarnation
-{
-    std::string worker;
-    std::int64_t born_ms = 0;
-};
-
-inline bool operator==(const worker_incarnation& a, const worker_incarnation& b)
-{
-    return a.born_ms == b.born_ms && a.worker == b.worker;
-}
-inline bool operator<(const worker_incarnation& a, const worker_incarnation& b)
-{
-    return std::tie(a.worker, a.born_ms) < std::tie(b.worker, b.born_ms);
-}
-
-/// A run that may be present on a worker.
-struct active_run
-{
-    std::uint32_t run = 0;
-    worker_incarnation incarnation;
-};
-
-struct subtask_state
-{
-    bool done = false;
-    std::uint32_t last_run = 0;
-    std::uint32_t failures = 0;
-    // Workers that crashed soon after they had started the subtask, and how
-    // many of these crashes have no other explanation.
-    std::uint32_t crashes = 0;
-    std::uint32_t conclusive_crashes = 0;
-    std::uint32_t last_crashed_run = 0;
-    std::string checkpoint;
-    std::vector<active_run> active;
-};
-
-struct step_state
-{
-    std::vector<subtask_state> subtasks;
-    std::uint32_t failures = 0; // Failed runs of a gang, each counted once.
-    std::uint32_t last_failed_run = 0;
-    std::string checkpoint; // Last checkpoint of any member of a gang.
-    std::uint32_t done_count = 0;
-    std::uint32_t active_count = 0;
-};
-
 struct occurrence_state
 {
     std::vector<step_state> steps;
@@ -76,6 +29,9 @@
     bool started = false;
     std::int64_t finished_ms = 0;
     std::uint32_t done_occurrences = 0;
+    // Occurrences that are done and of which no run is present.
+    index_set ended_occurrences;
+    // The other occurrences of which a subtask has been placed.
     std::map<std::uint32_t, occurrence_state> occurrences;
 
     bool ended() const { return cancelled || failed || complete; }
@@ -120,8 +76,14 @@
 
     const job_state* find_job(const std::string& id) const;
     const step_state* find_step(const run_ref& run) const;
+
+    /// Returns the subtask's state; nothing if it was never placed, or if it is
+    /// done and no run of it is present.
     const subtask_state* find_subtask(const run_ref& run) const;
 
+    /// Returns true when the run's subtask is done.
+    bool is_subtask_done(const run_ref& run) const;
+
     /// Returns true when the run may be present on that incarnation of a
     /// worker.
     bool is_active(const run_ref& run,
@@ -139,10 +101,8 @@
     apply_result fail(const finished_job& job);
     apply_result finish(const finished_job& job);
     apply_result record_crash(const worker_crash& crash);
-    occurrence_state& occurrence(job_state& job, std::uint32_t number);
-    static void record_done(job_state& job, occurrence_state& occurrence,
-                            step_state& step, const step_spec& spec,
-                            subtask_state& subtask);
+    static occurrence_state& occurrence(job_state& job, std::uint32_t number);
+    static void record_occurrence_end(job_state& job, std::uint32_t number);
 
     stored_document document_;
     std::map<std::string, job_state> jobs_;
@@ -156,7 +116,4 @@
 /// Returns the number of occurrences of a job, at least 1.
 std::uint32_t occurrence_count(const job_spec& spec);
 
-/// Returns true when every subtask of the step is done.
-bool is_done(const step_state& step);
-
 } // namespace limpetstack::fleet
--- a/test/fleet_progress_model-test.cpp
+++ b/test/fleet_progress_model-test.cpp
@@ -264,8 +264,9 @@
         const auto at = job.occurrences.find(0);
         const auto is_step_done = [&](std::uint32_t step)
         {
-            return at != job.occurrences.end() &&
-                   is_done(at->second.steps[step]);
+            return job.ended_occurrences.contains(0) ||
+                   (at != job.occurrences.end() &&
+                    is_done(at->second.steps[step]));
         };
         const auto& steps = job.job.spec().steps();
         for (std::uint32_t s = 0; s < static_cast<std::uint32_t>(steps.size());
--- a/test/fleet_shares_model-test.cpp
+++ b/test/fleet_shares_model-test.cpp
@@ -169,15 +169,16 @@
         const auto& step = job.job.spec().steps(0);
         const auto need = step.need().accelerators();
         const auto at = job.occurrences.find(0);
-        std::int64_t open = step.subtask_count();
+        std::int64_t open =
+            job.done_occurrences == 1 ? 0 : step.subtask_count();
         std::int64_t active = 0;
-        if (at != job.occurrences.end())
+        if (at != job.occurrences.end() && open > 0)
         {
-            for (const auto& subtask : at->second.steps[0].subtasks)
-            {
-                open -= subtask.done ? 1 : 0;
-                active += !subtask.done && !subtask.active.empty() ? 1 : 0;
-            }
+            const auto& placed = at->second.steps[0];
+            auto at_work = placed.active;
+            at_work.erase(placed.done);
+            open -= placed.done.size();
+            active = at_work.size();
         }
         auto& amounts = now_[job.job.queue()];
         amounts.given += need * active;
--- a/test/fleet_state-test.cpp
+++ b/test/fleet_state-test.cpp
@@ -140,12 +140,58 @@
     fleet_state restored;
     ASSERT_TRUE(restored.restore(fixture.state.snapshot()));
     EXPECT_EQ(restored.snapshot(), fixture.state.snapshot());
-    EXPECT_EQ(restored.find_step(make_run("job", 0, 1))->done_count, 1U);
-    EXPECT_EQ(restored.find_step(make_run("job", 0, 1))->active_count, 1U);
+    EXPECT_EQ(restored.find_step(make_run("job", 0, 1))->done.size(), 1U);
+    EXPECT_EQ(restored.find_step(make_run("job", 0, 1))->active.size(), 1U);
     EXPECT_EQ(restored.find_step(make_run("gang", 0, 1))->failures, 1U);
     EXPECT_FALSE(restored.restore("no snapshot"));
 }
 
+// Guards against a host that can not read the snapshot of an earlier version,
+// which holds all subtasks of a step in order.
+TEST(fleet_state, snapshot_of_an_earlier_version_is_restored)
+{
+    fleet_fixture fixture;
+    fixture.add_worker("w1", "r1");
+    fixture.submit("job", make_step(3, 1));
+    fixture.submit("ended", make_step(1, 1));
+    fleet_snapshot earlier;
+    ASSERT_TRUE(earlier.ParseFromString(fixture.state.snapshot()));
+    for (auto& job : *earlier.mutable_jobs())
+    {
+        auto& occurrence = *job.add_occurrences();
+        auto& step = *occurrence.add_steps();
+        auto& done = *step.add_subtasks();
+        done.set_done(true);
+        done.set_last_run(2);
+        occurrence.set_done(job.job().id() == "ended");
+        if (occurrence.done())
+        {
+            continue;
+        }
+        auto& at_work = *step.add_subtasks();
+        at_work.set_last_run(3);
+        at_work.set_failures(1);
+        at_work.set_crashes(1);
+        auto& run = *at_work.add_active();
+        run.mutable_run()->set_run(3);
+        run.set_worker("w1");
+        run.set_born_ms(1);
+        step.add_subtasks();
+    }
+    fleet_state restored;
+    ASSERT_TRUE(restored.restore(earlier.SerializeAsString()));
+    EXPECT_TRUE(restored.is_subtask_done(make_run("job", 0, 2)));
+    EXPECT_FALSE(restored.is_subtask_done(make_run("job", 1, 3)));
+    EXPECT_TRUE(restored.is_active(make_run("job", 1, 3), {"w1", 1}));
+    EXPECT_EQ(restored.find_subtask(make_run("job", 1, 3))->failures, 1U);
+    const auto& step = *restored.find_step(make_run("job", 0, 1));
+    EXPECT_EQ(most_failures(step), 1U);
+    EXPECT_EQ(step.crashed.count(1), 1U);
+    EXPECT_EQ(step.subtask_count, 3U);
+    EXPECT_TRUE(restored.is_subtask_done(make_run("ended", 0, 2)));
+    EXPECT_EQ(restored.find_job("ended")->done_occurrences, 1U);
+}
+
 fleet_command crash_command(const run_ref& run, bool conclusive)
 {
     fleet_command command;
--- a/test/support/fleet_fixture.cpp
+++ b/test/support/fleet_fixture.cpp
@@ -193,6 +193,15 @@
 
 void fleet_fixture::submit(const std::string& id, const step_spec& step,
                            const std::string& queue, const std::string& account)
+{
+    job_spec spec;
+    *spec.add_steps() = step;
+    submit_job(id, spec, queue, account);
+}
+
+void fleet_fixture::submit_job(const std::string& id, const job_spec& spec,
+                               const std::string& queue,
+                               const std::string& account)
 {
     fleet_command command;
     auto& job = *command.mutable_accept();
@@ -201,7 +210,7 @@
     job.set_account(account);
     job.set_service("service");
     job.set_attempts(2);
-    *job.mutable_spec()->add_steps() = step;
+    *job.mutable_spec() = spec;
     apply(command);
 }
 
--- a/test/support/fleet_fixture.hpp
+++ b/test/support/fleet_fixture.hpp
@@ -60,6 +60,11 @@
                 const std::string& queue = "normal",
                 const std::string& account = "account");
 
+    /// Applies the acceptance of a job of any number of steps.
+    void submit_job(const std::string& id, const job_spec& spec,
+                    const std::string& queue = "normal",
+                    const std::string& account = "account");
+
     /// Runs one scheduling round and commits its proposals.
     void schedule();
 
--- a/test/worker_departure-test.cpp
+++ b/test/worker_departure-test.cpp
@@ -347,7 +347,7 @@
     ASSERT_FALSE(fixture.port.holds.empty());
     fixture.port.holds.front().done(lists_with_end(fixture, run_done));
     fixture.commit();
-    EXPECT_EQ(fixture.state.find_step(make_run("job", 0, 1))->done_count, 1U);
+    EXPECT_TRUE(fixture.state.is_subtask_done(make_run("job", 0, 1)));
     fixture.advance(milliseconds(1000));
     EXPECT_EQ(fixture.workers->workers().count("w1"), 0U);
 }
@@ -404,7 +404,7 @@
     ASSERT_EQ(fixture.port.holds.front().order.worker, "w1");
     fixture.port.holds.front().done(lists_with_end(fixture, run_done));
     fixture.commit();
-    EXPECT_EQ(fixture.state.find_step(make_run("job", 0, 1))->done_count, 1U);
+    EXPECT_EQ(fixture.state.find_step(make_run("job", 0, 1))->done.size(), 1U);
     // The second run is stopped.
     ASSERT_EQ(fixture.port.stops.size(), 1U);
     EXPECT_EQ(fixture.port.stops.front().run.run(), 2U);
