Stop obsolete runs by the state, whichever leader holds them

Cause: stops were sent only while a leader applied the command that asks for them. A leader that began later adopted the runs, renewed their leases and never stopped them.

Change: which runs must not go on is decided from the replicated state in obsolete_runs.cpp: runs of cancelled and failed jobs, runs of a subtask or gang that another run has done, and gangs of an earlier leader of which a member has ended or was not placed. It is applied after each command that can change it and when a leader begins. The state of a gang records which run completed it, so that the members of that run end by themselves. The end of a member of a gang that is being stopped no longer looks at all other members.

Related: preempted, stalled and crashed work follows from the state already; the runs of a removed worker end with their leases, since no order reaches it.

--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -141,10 +141,6 @@
         jobs_to_refresh_.insert(command.accept().id());
         break;
     case fleet_command::kCancel:
-        if (result == apply_result::changed)
-        {
-            stop_job(command.cancel().job(), "job_cancelled", now);
-        }
         jobs_to_refresh_.insert(command.cancel().job());
         break;
     case fleet_command::kPlace:
@@ -172,7 +168,6 @@
         break;
     case fleet_command::kFail:
         closing_.erase(command.fail().job());
-        stop_job(command.fail().job(), "job_failed", now);
         ended_[command.fail().job()] = now;
         jobs_to_refresh_.insert(command.fail().job());
         break;
@@ -255,25 +250,6 @@
                           failed_workers_.lower_bound({job + '\0', 0, 0, 0}));
 }
 
-void fleet_scheduler::stop_job(const std::string& job, const char* reason,
-                               time_point now)
-{
-    drop_pending(job);
-    const auto prefix = job + ".";
-    std::vector<std::string> keys;
-    for (auto at = workers_.runs().lower_bound(prefix);
-         at != workers_.runs().end() &&
-         at->first.compare(0, prefix.size(), prefix) == 0;
-         ++at)
-    {
-        keys.push_back(at->first);
-    }
-    for (const auto& key : keys)
-    {
-        workers_.stop(key, reason, now);
-    }
-}
-
 std::map<std::string, std::int64_t> fleet_scheduler::urgent_use() const
 {
     std::map<std::string, std::int64_t> use;
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -206,7 +206,6 @@
                                                  const queue_config& queue);
     time_point ready_since(const pending_step_key& key, time_point now);
     void drop_pending(const std::string& job);
-    void stop_job(const std::string& job, const char* reason, time_point now);
     void close_job(const job_state& job, std::int64_t wall_ms);
     std::vector<pending_step_map::iterator> ranked_by_urgency();
     bool within_guarantee(const std::string& account) const;
--- a/src/coordination/fleet/live_run.hpp
+++ b/src/coordination/fleet/live_run.hpp
@@ -14,6 +14,9 @@
 /// Returns a key that is unique for a subtask within the fleet.
 std::string subtask_key(const run_ref& run);
 
+/// Returns a key that the members of one run of a gang share.
+std::string gang_key(const run_ref& run);
+
 enum class run_phase
 {
     proposed,  // The placement is proposed and not committed yet.
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -23,6 +23,12 @@
                         run.index());
 }
 
+std::string gang_key(const run_ref& run)
+{
+    return absl::StrCat(run.job(), ".", run.occurrence(), ".", run.step(), "#",
+                        run.run());
+}
+
 std::string worker_fleet::key_of(const run_ref& run)
 {
     return absl::StrCat(subtask_key(run), "#", run.run());
@@ -265,6 +271,12 @@
         newly_committed_.push_back(key);
         return;
     }
+    case fleet_command::kCancel:
+        stop_obsolete_runs(command.cancel().job() + ".", now);
+        return;
+    case fleet_command::kFail:
+        stop_obsolete_runs(command.fail().job() + ".", now);
+        return;
     case fleet_command::kEnd:
         on_end_applied(command.end(), now);
         return;
@@ -307,37 +319,26 @@
             worker->committed_end = worker->listed_end;
         }
     }
-    if (ended.end() == run_done)
-    {
-        stop_superseded(ended.run(), now);
-    }
-    if (found == runs_.end())
+    std::optional<live_run> run;
+    if (found != runs_.end())
     {
-        return;
+        run = found->second;
+        remove_run(key);
     }
-    const auto run = found->second;
-    remove_run(key);
-    ended_before_start_ =
-        run.phase == run_phase::committed || run.phase == run_phase::starting;
-    if (run.gang && ended.end() != run_done)
+    if (ended.end() == run_done)
     {
-        abort_gang(run, "member_ended", now);
+        stop_obsolete_runs(subtask_key(ended.run()) + "#", now);
     }
-}
-
-// Stops later runs of a subtask that an earlier run has done.
-void worker_fleet::stop_superseded(const run_ref& done, time_point now)
-{
-    const auto* const subtask = state_.find_subtask(done);
-    if (subtask == nullptr || !state_.is_subtask_done(done))
+    if (!run)
     {
         return;
     }
-    auto later = done;
-    for (auto run = done.run() + 1; run <= subtask->last_run; ++run)
+    ended_before_start_ =
+        run->phase == run_phase::committed || run->phase == run_phase::starting;
+    // A requested stop of one member is one of the whole gang.
+    if (run->gang && ended.end() != run_done && !run->stop_requested)
     {
-        later.set_run(run);
-        stop(key_of(later), "already_done", now);
+        abort_gang(*run, "member_ended", now);
     }
 }
 
@@ -377,6 +378,10 @@
     {
         return;
     }
+    if (!std::exchange(checked_adopted_runs_, true))
+    {
+        stop_obsolete_runs("", now);
+    }
     start_committed(now);
     finish_departures(now);
     for (const auto& id : std::exchange(due_workers_, {}))
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -191,7 +191,7 @@
                               time_point sent);
     void start_committed(time_point now);
     bool is_gang_complete(const live_run& run) const;
-    void check_gang_placements();
+    void check_gang_placements(time_point now);
     void send_start(live_run& run, worker_session& worker, time_point now);
     void on_start_answer(const std::string& key, std::int64_t sent_reading_ms,
                          const order_answer& answer, time_point now);
@@ -220,7 +220,10 @@
                        std::set<std::string>& seen);
     void propose_late_end(worker_session& worker, const listed_end& item);
     void on_end_applied(const ended_run& ended, time_point now);
-    void stop_superseded(const run_ref& done, time_point now);
+    bool is_superseded(const live_run& run) const;
+    bool is_gang_broken(const live_run& run) const;
+    const char* obsolete_reason(const live_run& run) const;
+    void stop_obsolete_runs(const std::string& prefix, time_point now);
     void process_running(worker_session& worker, const worker_lists& lists,
                          std::set<std::string>& seen, time_point now);
     void end_missing(worker_session& worker, const std::set<std::string>& seen,
@@ -311,6 +314,7 @@
     std::map<std::string, address_owner> address_owners_; // By address.
     time_point scanned_at_; // Last scan of all workers.
     bool deposed_ = false;
+    bool checked_adopted_runs_ = false;
     bool ended_before_start_ = false;
     // Callbacks hold a weak pointer to it, and do nothing when this object has
     // been destroyed.
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -6,7 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -42,13 +42,6 @@
 // A worker that refused a start gets no placement for this time.
 constexpr milliseconds refusal_pause{1000};
 
-// Returns a key that the members of one run of a gang share.
-std::string gang_key(const run_ref& run)
-{
-    return absl::StrCat(run.job(), ".", run.occurrence(), ".", run.step(), "#",
-                        run.run());
-}
-
 } // namespace
 
 std::int64_t worker_fleet::grant_lease(worker_session& worker, time_point now)
@@ -133,11 +126,11 @@
                         });
 }
 
-// Marks the newly committed members of gangs that can not start for a stop.
-// The members of a gang are committed together, so each gang is checked once.
-void worker_fleet::check_gang_placements()
+// Stops gangs of which members are newly committed and that can not start. The
+// members of a gang are committed together, so each gang is checked once.
+void worker_fleet::check_gang_placements(time_point now)
 {
-    std::map<std::string, bool> complete_gangs;
+    std::set<std::string> checked_gangs;
     for (const auto& key : newly_committed_)
     {
         const auto found = runs_.find(key);
@@ -146,22 +139,17 @@
             continue;
         }
         const auto& run = found->second;
-        const auto [checked, added] =
-            complete_gangs.try_emplace(gang_key(run.ref));
-        if (added)
-        {
-            checked->second = is_gang_complete(run);
-        }
-        if (!checked->second)
+        if (checked_gangs.insert(gang_key(run.ref)).second &&
+            !is_gang_complete(run))
         {
-            found->second.stop_requested = true;
+            abort_gang(run, "gang_incomplete", now);
         }
     }
 }
 
 void worker_fleet::start_committed(time_point now)
 {
-    check_gang_placements();
+    check_gang_placements(now);
     const auto keys = std::exchange(newly_committed_, {});
     if (keys.empty())
     {
--- a/src/state/fleet_snapshot.cpp
+++ b/src/state/fleet_snapshot.cpp
@@ -73,6 +73,7 @@
     saved.set_failures(step.failures);
     saved.set_last_failed_run(step.last_failed_run);
     saved.set_checkpoint(step.checkpoint);
+    saved.set_done_run(step.done_run);
     save_ranges(step.done, *saved.mutable_done());
     for (const auto& [index, subtask] : step.subtasks)
     {
@@ -87,6 +88,7 @@
     step.failures = saved.failures();
     step.last_failed_run = saved.last_failed_run();
     step.checkpoint = saved.checkpoint();
+    step.done_run = saved.done_run();
     step.done = load_ranges(saved.done());
     for (const auto& item : saved.recorded_subtasks())
     {
--- a/src/state/fleet_state.cpp
+++ b/src/state/fleet_state.cpp
@@ -194,7 +194,7 @@
         {
             return apply_result::unchanged;
         }
-        record_done(step, spec, run.index());
+        record_done(step, spec, run.index(), run.run());
         record_occurrence_end(job, run.occurrence());
         return apply_result::changed;
     }
@@ -210,7 +210,7 @@
     }
     if (ended.end() == run_done && !spec.lasting())
     {
-        record_done(step, spec, run.index());
+        record_done(step, spec, run.index(), run.run());
     }
     else if (ended.end() == run_failed)
     {
--- a/src/state/step_state.cpp
+++ b/src/state/step_state.cpp
@@ -71,13 +71,18 @@
     count_failures(step, counts ? subtask.failures : 0, 1);
 }
 
-void record_done(step_state& step, const step_spec& spec, std::uint32_t index)
+void record_done(step_state& step, const step_spec& spec, std::uint32_t index,
+                 std::uint32_t run)
 {
     if (!spec.gang())
     {
         record_subtask_done(step, index);
         return;
     }
+    if (!is_done(step))
+    {
+        step.done_run = run;
+    }
     std::vector<std::uint32_t> members;
     members.reserve(step.subtasks.size());
     for (const auto& [member, subtask] : step.subtasks)
--- a/src/state/step_state.hpp
+++ b/src/state/step_state.hpp
@@ -50,6 +50,8 @@
     std::uint32_t failures = 0; // Failed runs of a gang, each counted once.
     std::uint32_t last_failed_run = 0;
     std::string checkpoint; // Last checkpoint of any member of a gang.
+    // The run of a gang that completed it; 0: not done, or not known.
+    std::uint32_t done_run = 0;
 };
 
 /// Returns the state of the steps of an occurrence that has not begun.
@@ -61,9 +63,10 @@
 /// Returns the highest number of failures of a subtask that is not done.
 std::uint32_t most_failures(const step_state& step);
 
-/// Records that a run of the subtask is done. The members of a gang end
-/// together, so the first such end completes all of them.
-void record_done(step_state& step, const step_spec& spec, std::uint32_t index);
+/// Records that run number `run` of the subtask is done. The members of a gang
+/// end together, so the first such end completes all of them.
+void record_done(step_state& step, const step_spec& spec, std::uint32_t index,
+                 std::uint32_t run);
 
 /// Records that a run of the recorded subtask has failed.
 void record_failure(step_state& step, std::uint32_t index);
