Repeat an acknowledged stop that had no effect

What callers would see: a run that goes on for good although its worker has acknowledged the stop.

Cause: an acknowledged stop was never sent again, even when lists that were requested after the longest time of a stop still showed the run.

Change: such a run, known to the leader or not, is stopped again, and the leader logs `stop_without_effect` for a known one.

--- a/src/coordination/fleet/unknown_runs.cpp
+++ b/src/coordination/fleet/unknown_runs.cpp
@@ -37,15 +37,20 @@
     return spec == nullptr ? worker.capacity : counted_need(*spec);
 }
 
-// Stops the run and counts its resources. Its lease may come from an order that
-// this leader did not send.
+// Stops the run, which lists show that were requested at `sent`, and counts its
+// resources. Its lease may come from an order that this leader did not send.
 void worker_fleet::record_unknown_run(worker_session& worker,
-                                      const run_ref& run, time_point now)
+                                      const run_ref& run, time_point sent,
+                                      time_point now)
 {
     const auto key = key_of(run);
     const auto [at, added] = worker.unknown_runs.try_emplace(key);
     if (!added)
     {
+        // An acknowledged stop that had no effect is sent again.
+        at->second.stop_acknowledged =
+            at->second.stop_acknowledged &&
+            !is_stop_over(at->second.changed_at, sent);
         return;
     }
     workers_with_unknown_runs_.insert(worker.record.id());
@@ -249,7 +254,7 @@
     for (const auto& [key, run] : worker.unknown_runs)
     {
         if (seen.count(key) == 0 && run.stop_acknowledged &&
-            run.changed_at + options_.max_stop_time <= sent)
+            is_stop_over(run.changed_at, sent))
         {
             ended.push_back(key);
         }
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -170,7 +170,7 @@
     resource_amounts need_on(const worker_session& worker,
                              const run_ref& run) const;
     void record_unknown_run(worker_session& worker, const run_ref& run,
-                            time_point now);
+                            time_point sent, time_point now);
     void report_second_runs(const worker_session& worker, const run_ref& run);
     void stop_unknown_run(const worker_session& worker, unknown_run& run,
                           time_point now);
@@ -225,7 +225,10 @@
     const char* obsolete_reason(const live_run& run) const;
     void stop_obsolete_runs(const std::string& prefix, time_point now);
     void process_running(worker_session& worker, const worker_lists& lists,
-                         std::set<std::string>& seen, time_point now);
+                         std::set<std::string>& seen, time_point sent,
+                         time_point now);
+    bool is_stop_over(time_point acknowledged_at, time_point sent) const;
+    void repeat_stop(live_run& run, time_point now);
     void end_missing(worker_session& worker, const std::set<std::string>& seen,
                      time_point sent, time_point now);
     void end_unstopped(worker_session& worker, const worker_lists& lists,
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -196,7 +196,7 @@
     worker->clock.sample(answer.lists.worker_time_ms, now);
     std::set<std::string> seen;
     process_ended(*worker, answer.lists, seen);
-    process_running(*worker, answer.lists, seen, now);
+    process_running(*worker, answer.lists, seen, sent, now);
     // A full page of ends may be followed by further ends that it does not
     // contain, so a missing run may still be listed later.
     constexpr std::size_t ends_per_page = 500;
@@ -286,9 +286,11 @@
     propose_(std::move(command));
 }
 
+// Records the runs of the lists, which were requested at `sent`.
 void worker_fleet::process_running(worker_session& worker,
                                    const worker_lists& lists,
-                                   std::set<std::string>& seen, time_point now)
+                                   std::set<std::string>& seen, time_point sent,
+                                   time_point now)
 {
     for (const auto& item : lists.running)
     {
@@ -301,7 +303,7 @@
             // Later lists may have shown the end of the run.
             if (lists.worker_time_ms >= worker.lists_time_ms)
             {
-                record_unknown_run(worker, item.run, now);
+                record_unknown_run(worker, item.run, sent, now);
             }
             continue;
         }
@@ -326,6 +328,11 @@
         {
             run.checkpoint = item.checkpoint;
         }
+        if (run.stop_acknowledged && !run.end_proposed &&
+            is_stop_over(run.changed_at, sent))
+        {
+            repeat_stop(run, now);
+        }
     }
 }
 
@@ -357,7 +364,7 @@
             stop(key, "absent_after_takeover", now);
         }
         else if (sent_out && run.stop_acknowledged &&
-                 run.changed_at + options_.max_stop_time <= sent)
+                 is_stop_over(run.changed_at, sent))
         {
             propose_end(run, run_stopped, "", "absent_after_stop");
         }
--- a/src/coordination/fleet/worker_stops.cpp
+++ b/src/coordination/fleet/worker_stops.cpp
@@ -3,6 +3,8 @@
 
 #include "base/log.hpp"
 
+#include <absl/strings/str_cat.h>
+
 #include <set>
 #include <string>
 
@@ -124,6 +126,27 @@
     }
 }
 
+// Returns true when lists that were requested at `sent` show the effect of a
+// stop that was acknowledged at `acknowledged_at`.
+bool worker_fleet::is_stop_over(time_point acknowledged_at,
+                                time_point sent) const
+{
+    return acknowledged_at + options_.max_stop_time <= sent;
+}
+
+// Sends a stop again that was acknowledged and had no effect.
+void worker_fleet::repeat_stop(live_run& run, time_point now)
+{
+    log_event(log_level::warning, "stop_without_effect",
+              {{"job", run.ref.job()},
+               {"run", key_of(run.ref)},
+               {"worker", run.incarnation.worker},
+               {"epoch", absl::StrCat(epoch_)}});
+    run.stop_acknowledged = false;
+    run.stop_sent = false;
+    send_stop(run, now);
+}
+
 // Repeats stops that were not acknowledged, and requests the lists of workers
 // that should have listed the end of a stopped run by now.
 void worker_fleet::retry_stops(time_point now)
--- a/test/takeover-test.cpp
+++ b/test/takeover-test.cpp
@@ -243,7 +243,8 @@
             if (random() % 5 == 0)
             {
                 // Its runs last longer than the recovery.
-                auto step = make_step(1 + random() % 4, 1 + random() % 4,
+                auto step = make_step(1 + random() % 4,
+                                      1 + static_cast<int>(random() % 4),
                                       random() % 2 == 0);
                 step.set_estimate_ms(60000);
                 fixture.submit("job" + std::to_string(jobs++), step);
--- a/test/unknown_run-test.cpp
+++ b/test/unknown_run-test.cpp
@@ -190,6 +190,26 @@
     EXPECT_TRUE(fixture.port.stops.empty());
 }
 
+// Guards against a run that goes on for good because its worker acknowledged
+// the stop and did not carry it out.
+TEST(unknown_run, acknowledged_stop_without_effect_is_repeated)
+{
+    fleet_fixture fixture;
+    list_unknown_run(fixture, make_step(1, 1));
+    acknowledge_stop(fixture);
+    const auto lost = make_run("lost", 0, 1);
+    fixture.advance(stop_time / 2);
+    answer_hold(fixture, lists_with(fixture, lost));
+    EXPECT_TRUE(fixture.port.stops.empty());
+    fixture.advance(stop_time);
+    answer_hold(fixture, lists_with(fixture, lost));
+    fixture.advance(stop_time);
+    answer_hold(fixture, lists_with(fixture, lost));
+    fixture.advance(milliseconds(200));
+    EXPECT_EQ(fixture.port.stops.size(), 1U);
+    EXPECT_EQ(fixture.workers->workers().at("w1").unknown_runs.size(), 1U);
+}
+
 // Guards against a run whose end is not seen because its worker, on which no
 // other run is, is not asked for its lists.
 TEST(unknown_run, lists_are_requested_without_a_lease)
--- a/test/worker_stop-test.cpp
+++ b/test/worker_stop-test.cpp
@@ -93,6 +93,35 @@
     EXPECT_EQ(fixture.workers->runs().count("job.0.0.0#1"), 1U);
 }
 
+// Guards against a run that goes on for good because its worker acknowledged
+// the stop and did not carry it out, and against stops that are repeated while
+// the first one may still take effect.
+TEST(worker_stop, acknowledged_stop_without_effect_is_repeated)
+{
+    constexpr milliseconds longest_stop{900};
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    fixture.submit("job", make_step(1, 1));
+    fixture.schedule();
+    accept_starts(fixture);
+    fixture.workers->stop("job.0.0.0#1", "cancelled", fixture.now);
+    ASSERT_EQ(fixture.port.stops.size(), 1U);
+    fixture.port.stops.front().done(
+        {order_result::accepted, fixture.worker_clock()});
+    fixture.port.stops.clear();
+    const auto acknowledged_at = fixture.now;
+    while (fixture.port.stops.empty() &&
+           fixture.now < acknowledged_at + 4 * longest_stop)
+    {
+        answer_all(fixture);
+        fixture.report("w1");
+        fixture.advance(milliseconds(100));
+    }
+    EXPECT_EQ(fixture.port.stops.size(), 1U);
+    EXPECT_GE(fixture.now, acknowledged_at + longest_stop);
+    EXPECT_EQ(fixture.workers->runs().count("job.0.0.0#1"), 1U);
+}
+
 // Guards against a stop that is sent over and over without a pause where many
 // answers are lost, because its worker refuses it at once.
 TEST(worker_stop, refused_stop_is_repeated_after_a_pause)
