Cancel jobs and hold a job of the largest size in the soak

The soak neither cancelled jobs nor had a job of an unusual size, so it could not find UNASKED or LOST. The callers' part of the program moves to support/soak_jobs.

--- a/test/programs/fleet-soak.cpp
+++ b/test/programs/fleet-soak.cpp
@@ -7,10 +7,11 @@
 // - A subtask never has two runs at once.
 // - A subtask does not start again after its end was recorded.
 // - No worker gets more runs than its capacity allows.
-// - No accepted job is forgotten, and every accepted job is complete in the
-// end.
+// - No accepted job is forgotten, and in the end every accepted job is
+// complete, or cancelled and without a run.
 #include "experiment/process.hpp"
 #include "experiment/relay.hpp"
+#include "support/soak_jobs.hpp"
 #include "support/soak_workers.hpp"
 #include "transport/http_channel.hpp"
 
@@ -41,6 +42,7 @@
 constexpr int worker_count = 6;
 constexpr milliseconds step_time{50}; // Duration of one call of tick().
 constexpr milliseconds report_timeout{900};
+constexpr milliseconds job_call_timeout{3500};
 
 // Wait limit for open jobs to complete after the last fault.
 constexpr milliseconds settle_time{45000};
@@ -80,6 +82,13 @@
         , control_port_(test::free_port())
         , front_port_(test::free_port())
         , ready_port_(test::free_port())
+        , jobs_(rules_, seed + 2,
+                [this](const std::string& method, const std::string& target,
+                       std::string body, const soak_jobs::answer_handler& done)
+                {
+                    any_front().send(method, target, {}, std::move(body),
+                                     job_call_timeout, done);
+                })
     {
         for (int i = 0; i < core_count + entry_count; ++i)
         {
@@ -97,10 +106,14 @@
         while (steady_now() < end)
         {
             tick(true);
+            if (document_accepted_)
+            {
+                jobs_.submit_large_job();
+            }
         }
         workers_.open_links();
         const auto last = steady_now() + settle_time;
-        while (steady_now() < last && !all_done())
+        while (steady_now() < last && !jobs_.all_over())
         {
             tick(false);
         }
@@ -206,7 +219,7 @@
             last_report_ = now;
             put_document();
             workers_.report(now);
-            poll_jobs();
+            jobs_.poll();
         }
         if (!disturb)
         {
@@ -214,7 +227,7 @@
         }
         if (random_() % 10 == 0)
         {
-            submit();
+            jobs_.submit();
         }
         if (random_() % 60 == 0)
         {
@@ -320,97 +333,16 @@
                            });
     }
 
-    void submit()
-    {
-        char id[17];
-        std::snprintf(id, sizeof(id), "%016llx",
-                      static_cast<unsigned long long>(++last_job_));
-        json step{{"count", 1 + random_() % 4},
-                  {"cpu", 1000},
-                  {"mem_mb", 1000},
-                  {"gpu", 1 + random_() % 4},
-                  {"estimate_ms", 300 + random_() % 1500}};
-        if (random_() % 3 == 0)
-        {
-            step["gang"] = true;
-        }
-        bodies_[id] = json{{"spec", "x"}, {"steps", {step}}}.dump();
-        send_job(id);
-    }
-
-    void send_job(const std::string& id)
-    {
-        any_front().send("POST", "/q/" + id, {}, bodies_.at(id),
-                         milliseconds(3500),
-                         [this, id](const http_channel_answer& answer)
-                         {
-                             if (answer.status == 200)
-                             {
-                                 accepted_.emplace(id, "");
-                                 rules_.submitted.insert(id);
-                             }
-                             else if (answer.status == 504)
-                             {
-                                 rules_.submitted.insert(id);
-                                 resubmit_.push_back(id);
-                             }
-                         });
-        rules_.submitted.insert(id);
-    }
-
-    void poll_jobs()
-    {
-        for (const auto& id : std::exchange(resubmit_, {}))
-        {
-            send_job(id);
-        }
-        int asked = 0;
-        for (const auto& [id, state] : accepted_)
-        {
-            if (state == "complete" || ++asked > 20)
-            {
-                continue;
-            }
-            any_front().send(
-                "GET", "/q/" + id, {}, "", milliseconds(3500),
-                [this, id = id](const http_channel_answer& answer)
-                {
-                    if (answer.status == 410)
-                    {
-                        rules_.violations.push_back("accepted job " + id +
-                                                    " is not known");
-                    }
-                    else if (answer.status == 200)
-                    {
-                        accepted_[id] = json::parse(answer.body)
-                                            .value("state", std::string());
-                    }
-                });
-        }
-    }
-
-    bool all_done() const
+    int report()
     {
-        for (const auto& [id, state] : accepted_)
+        const auto open = jobs_.open_jobs();
+        for (const auto& job : open)
         {
-            if (state != "complete")
-            {
-                return false;
-            }
+            std::printf("not over: %s\n", job.c_str());
         }
-        return resubmit_.empty();
-    }
-
-    int report()
-    {
-        std::size_t open = 0;
-        for (const auto& [id, state] : accepted_)
+        if (jobs_.has_run_of_endless_job())
         {
-            if (state != "complete")
-            {
-                ++open;
-                std::printf("not complete: %s %s\n", id.c_str(), state.c_str());
-            }
+            rules_.violations.push_back("a run of a cancelled job goes on");
         }
         for (const auto& text : rules_.violations)
         {
@@ -418,9 +350,10 @@
         }
         std::printf("soak: %zu jobs accepted, %zu starts, %zu broken rules, "
                     "%zu jobs not complete\n",
-                    accepted_.size(), rules_.starts, rules_.violations.size(),
-                    open);
-        return accepted_.empty() || open > 0 || !rules_.violations.empty()
+                    jobs_.accepted(), rules_.starts, rules_.violations.size(),
+                    open.size());
+        return jobs_.accepted() == 0 || !open.empty() ||
+                       !rules_.violations.empty()
                    ? EXIT_FAILURE
                    : EXIT_SUCCESS;
     }
@@ -436,10 +369,7 @@
     const int ready_port_;
     std::vector<host> hosts_;
     std::map<std::string, std::unique_ptr<http_channel>> channels_;
-    std::map<std::string, std::string> accepted_; // State by job id.
-    std::map<std::string, std::string> bodies_;   // Body of the call by job id.
-    std::vector<std::string> resubmit_; // Jobs whose outcome is unknown.
-    unsigned long long last_job_ = 0;
+    soak_jobs jobs_;
     bool document_accepted_ = false;
     time_point last_report_; // Of the workers.
 };
--- a/test/support/soak_worker.cpp
+++ b/test/support/soak_worker.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t max_runs = 8; // At once, whatever resources they need.
 constexpr std::int64_t max_lease_ms = 6000;
 constexpr milliseconds run_duration{900};
+constexpr milliseconds endless_run_duration{3600000};
 constexpr milliseconds stop_duration{200};
 
 } // namespace
@@ -179,7 +180,9 @@
         rules_.violations.push_back("capacity of " + id_ + " exceeded by " +
                                     subtask);
     }
-    runs_.push_back({subtask, number, steady_now() + run_duration, {}, false});
+    const auto duration =
+        rules_.endless.count(job) > 0 ? endless_run_duration : run_duration;
+    runs_.push_back({subtask, number, steady_now() + duration, {}, false});
     return json::object();
 }
 
