--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -51,8 +51,8 @@
 constexpr std::size_t min_attempts_per_round = 30;
 constexpr std::size_t further_attempts_divisor = 3;
 
-// A round places at most this many subtasks, apart from the rest of a gang. The
-// next round follows when the placements are committed.
+// A round places no further step after this many subtasks; a gang is placed as
+// a whole. The next round follows when the placements are committed.
 constexpr std::size_t max_placements_per_round = 1000;
 
 } // namespace
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -276,6 +276,7 @@
     void reclaim(const pending_step_key& key, pending_step& item,
                  time_point now);
     void stop_stalled_runs(time_point now);
+    static subtask_id id_of(const run_ref& run);
     void record_end(const ended_run& ended, time_point now);
     void forget_failures(const std::string& job);
     // Sets the gauges of waiting steps and logs the steps that wait long.
@@ -325,8 +326,6 @@
     std::set<std::string> unplaceable_shapes_;
     // Accelerators needed by open jobs of priority 0, by account.
     std::map<std::string, std::int64_t> urgent_accelerators_;
-    static subtask_id id_of(const run_ref& run);
-
     // Workers on which a subtask has failed.
     std::map<subtask_id, std::set<std::string>> failed_workers_;
     struct failure_history
