Judge the crashes under a subtask by their circumstances

Callers saw jobs as failed although no subtask had failed so often (LOST): two "conclusive" crashes of workers within 300 ms of a start, or three of any kind, ended a job for good.

Cause: a conclusion from coincidence took a caller's work away.

Change: the state keeps the crashes of a subtask with worker, time and cause. A cause is known only if the worker had accepted the start, closed its connection within 300 ms, had been up for 4 s, and few other workers were lost at that time. A run that outlives its start refutes all earlier crashes of its subtask. Crashes of one worker do not suffice. After two crashes a subtask starts only while another one would be evidence, so that a subtask that does crash its workers is still given up within five starts. job_failed and the answer to callers name the crashes that counted.

--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -3,6 +3,7 @@
 #include "coordination/fleet/fleet_scheduler.hpp"
 
 #include "base/log.hpp"
+#include "coordination/fleet/crash_evidence.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -26,21 +27,16 @@
                        });
 }
 
-// A subtask is given up after this many crashes that have no other
-// explanation, or after this many crashes at all.
-constexpr std::uint32_t max_conclusive_crashes = 2;
-constexpr std::uint32_t max_crashes = 3;
-
-bool has_crashing_subtask(const step_state& step)
+// Returns a subtask of the step that crashes its workers, or nothing.
+std::optional<std::uint32_t> crashing_subtask(const step_state& step)
 {
-    return std::any_of(step.crashed.begin(), step.crashed.end(),
-                       [&step](std::uint32_t index)
-                       {
-                           const auto& subtask = step.subtasks.at(index);
-                           return subtask.conclusive_crashes >=
-                                      max_conclusive_crashes ||
-                                  subtask.crashes >= max_crashes;
-                       });
+    const auto found = std::find_if(step.crashed.begin(), step.crashed.end(),
+                                    [&step](std::uint32_t index)
+                                    {
+                                        return proves_crashing(
+                                            step.subtasks.at(index).crashes);
+                                    });
+    return found == step.crashed.end() ? std::nullopt : std::optional(*found);
 }
 
 bool has_exhausted_attempts(const step_spec& spec, const step_state& step,
@@ -100,20 +96,32 @@
             const auto& spec = job.job.spec().steps(static_cast<int>(s));
             const auto& step = occurrence.steps[s];
             const auto step_number = static_cast<std::uint32_t>(s);
-            if (has_crashing_subtask(step))
+            if (const auto index = crashing_subtask(step))
             {
                 return job_failure{"a subtask crashes its workers", number,
-                                   step_number};
+                                   step_number, index,
+                                   describe(step.subtasks.at(*index).crashes)};
             }
             if (has_exhausted_attempts(spec, step, queue))
             {
-                return job_failure{"attempts used up", number, step_number};
+                return job_failure{"attempts used up", number, step_number,
+                                   std::nullopt, ""};
             }
         }
     }
     return std::nullopt;
 }
 
+// Returns the reason in the words that the job's caller gets.
+std::string fleet_scheduler::reason_of(const job_failure& failure)
+{
+    const auto step = absl::StrCat(failure.cause, ": occurrence ",
+                                   failure.occurrence, ", step ", failure.step);
+    return failure.subtask ? absl::StrCat(step, ", subtask ", *failure.subtask,
+                                          " (", failure.crashes, ")")
+                           : step;
+}
+
 // Proposes to finish a job that is cancelled or has completed all
 // occurrences, so that nothing of it can change any more.
 void fleet_scheduler::close_job(const job_state& job, std::int64_t wall_ms)
@@ -197,15 +205,19 @@
             fleet_command command;
             command.mutable_fail()->set_job(id);
             command.mutable_fail()->set_at_ms(wall_ms);
+            command.mutable_fail()->set_reason(reason_of(*failure));
             propose_(std::move(command));
             counters_.add(absl::StrCat("jobs_failed_total{reason=\"",
-                                       failure->reason, "\"}"));
+                                       failure->cause, "\"}"));
             log_event(
                 log_level::info, "job_failed",
                 {{"job", id},
-                 {"reason", failure->reason},
+                 {"reason", failure->cause},
                  {"occurrence", absl::StrCat(failure->occurrence)},
                  {"step", absl::StrCat(failure->step)},
+                 {"subtask",
+                  failure->subtask ? absl::StrCat(*failure->subtask) : ""},
+                 {"crashes", failure->crashes},
                  {"attempts", absl::StrCat(queue.attempts)},
                  {"document", absl::StrCat(state_.document().version())}});
         }
@@ -339,17 +351,54 @@
     item.spec = &spec;
     item.queue = queue;
     item.indices = std::move(indices);
+    refresh_suspects(item, state);
+}
+
+void fleet_scheduler::refresh_suspects(pending_step& item,
+                                       const step_state* state)
+{
     item.suspects = {};
-    if (state != nullptr)
+    item.repeated_suspects = {};
+    item.crashed_addresses.clear();
+    if (state == nullptr)
     {
-        for (const auto index : state->crashed)
+        return;
+    }
+    for (const auto index : state->crashed)
+    {
+        if (!item.indices.contains(index))
         {
-            if (item.indices.contains(index))
-            {
-                item.suspects.insert(index);
-            }
+            continue;
+        }
+        const auto& crashes = state->subtasks.at(index).crashes;
+        item.suspects.insert(index);
+        if (must_await_calm(crashes))
+        {
+            item.repeated_suspects.insert(index);
         }
+        for (const auto& crash : crashes)
+        {
+            item.crashed_addresses.insert(crash.address);
+        }
+    }
+}
+
+// Returns the subtasks of the step that may start now. One under which workers
+// have crashed repeatedly starts only while the cause of another crash would be
+// known; of a gang, all members wait for that.
+index_set fleet_scheduler::startable_indices(const pending_step& item) const
+{
+    if (item.repeated_suspects.empty() || losses_rare_)
+    {
+        return item.indices;
     }
+    if (item.all_or_nothing())
+    {
+        return {};
+    }
+    auto indices = item.indices;
+    indices.erase(item.repeated_suspects);
+    return indices;
 }
 
 double allowed_delay_ms(const queue_config& queue, const step_spec& step)
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -28,7 +28,17 @@
         request.all_or_nothing ? request.count : 0, "/", request.same_rack, "/",
         request.other_racks_allowed, "/", request.held_workers_allowed, "/",
         request.max_per_worker, "/", request.filler, "/", request.serves_users,
-        "/", request.isolated, "/", last_resort);
+        "/", request.isolated, "/", request.steady_only, "/", last_resort);
+}
+
+// Returns the indices that are in both sets.
+index_set intersection(const index_set& a, const index_set& b)
+{
+    auto only_in_a = a;
+    only_in_a.erase(b);
+    auto in_both = a;
+    in_both.erase(only_in_a);
+    return in_both;
 }
 
 // Returns the lowest `count` indices of the set.
@@ -53,6 +63,7 @@
 {
     candidates_.clear();
     unplaceable_shapes_.clear();
+    losses_rare_ = workers_.are_losses_rare(now);
     for (const auto& [id, worker] : workers_.workers())
     {
         const auto availability = workers_.availability(worker, now);
@@ -278,6 +289,7 @@
     {
         item.indices.erase(index);
         item.suspects.erase(index);
+        item.repeated_suspects.erase(index);
     }
 }
 
@@ -327,34 +339,73 @@
                             time_point now)
 {
     auto request = request_for(item, now);
-    const auto indices = item.indices;
-    if (item.suspects.empty() || request.preferences_expired)
+    const auto indices = startable_indices(item);
+    if (!losses_rare_)
     {
-        place_subtasks(key, item, indices, std::move(request), now);
+        item.calm_since.reset();
     }
-    else if (item.all_or_nothing())
+    if (indices.empty())
     {
-        request.isolated = true;
-        place_subtasks(key, item, indices, std::move(request), now);
+        item.obstacle = placement_obstacle::crashes;
+        return false;
     }
-    else
+    auto others = indices;
+    others.erase(item.suspects);
+    if (others.size() < indices.size())
     {
-        auto trial = request;
-        trial.isolated = true;
-        trial.count = 1;
-        const auto suspects = item.suspects;
-        place_subtasks(key, item, suspects, std::move(trial), now);
-        auto others = indices;
-        others.erase(suspects);
-        request.count = others.size();
-        if (request.count > 0)
+        if (item.all_or_nothing())
         {
-            place_subtasks(key, item, others, std::move(request), now);
+            place_suspects(key, item, indices, request, now);
+            return item.indices.empty();
         }
+        const auto repeated = intersection(item.repeated_suspects, indices);
+        auto once = item.suspects;
+        once.erase(item.repeated_suspects);
+        place_suspects(key, item, repeated, request, now);
+        place_suspects(key, item, once, request, now);
+    }
+    request.count = others.size();
+    if (request.count > 0)
+    {
+        place_subtasks(key, item, others, std::move(request), now);
     }
     return item.indices.empty();
 }
 
+// Places a gang, or one of the subtasks, on workers that can take it alone. If
+// none can, and it has waited for as long as for other preferences, it starts
+// beside other starts. Suspects of several crashes always start on workers that
+// have not just restarted.
+void fleet_scheduler::place_suspects(const pending_step_key& key,
+                                     pending_step& item,
+                                     const index_set& suspects,
+                                     placement_request request, time_point now)
+{
+    if (suspects.empty())
+    {
+        return;
+    }
+    request.steady_only =
+        !intersection(item.repeated_suspects, suspects).empty();
+    if (request.steady_only && !item.calm_since)
+    {
+        item.calm_since = now;
+    }
+    const auto waiting_since =
+        request.steady_only ? *item.calm_since : item.since;
+    auto alone = request;
+    alone.isolated = true;
+    alone.count = item.all_or_nothing() ? suspects.size() : 1;
+    const auto waiting = item.indices.size();
+    place_subtasks(key, item, suspects, std::move(alone), now);
+    if (item.indices.size() == waiting && request.preferences_expired &&
+        now - waiting_since >= preference_wait_limit)
+    {
+        request.count = suspects.size();
+        place_subtasks(key, item, suspects, std::move(request), now);
+    }
+}
+
 // Keeps other starts away from workers that run a suspect.
 void fleet_scheduler::begin_trials(const std::vector<std::string>& workers,
                                    time_point now)
--- a/src/coordination/fleet/fleet_preferences.cpp
+++ b/src/coordination/fleet/fleet_preferences.cpp
@@ -24,11 +24,6 @@
 // starts across racks, where it occupies its workers several times as long.
 constexpr double one_rack_wait_factor = 3;
 
-// Preferences for certain workers or racks, and capacity that is kept for
-// urgent work, delay a step for at most this time while less than half of the
-// service is in use.
-constexpr milliseconds preference_wait_limit{1500};
-
 // Returns true when less than half of the capacity is in use, by processor and
 // accelerators together or by accelerators alone.
 bool under_half_in_use(const resource_amounts& used,
@@ -125,7 +120,8 @@
 {
     const auto& spec = *item.spec;
     placement_request request;
-    request.count = item.indices.size();
+    request.count = static_cast<std::uint32_t>(startable_indices(item).size());
+    request.crashed_addresses = item.crashed_addresses;
     request.need = counted_need(spec);
     request.all_or_nothing = spec.gang();
     request.same_rack = spec.same_rack() && spec.gang();
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -366,9 +366,9 @@
         pending_.erase(at);
         return true;
     }
-    if (placements_left_ == 0)
+    if (placements_left_ == 0 || item.obstacle == placement_obstacle::crashes)
     {
-        return false; // The step may fit, but has to wait for the next round.
+        return false; // The step may fit, but has to wait.
     }
     if (item.queue.priority == 0)
     {
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -83,10 +83,16 @@
     static constexpr milliseconds first_wait_log{2000};
     static constexpr milliseconds max_wait_log_interval{4000};
 
+    // Preferences for certain workers or racks, and capacity that is kept for
+    // urgent work, delay a step for at most this time while less than half of
+    // the service is in use.
+    static constexpr milliseconds preference_wait_limit{1500};
+
     // Why the last attempt to place a step did not place all its subtasks.
     enum class placement_obstacle
     {
         not_tried, // No round has reached the step yet.
+        crashes,   // Workers crash too often for a start to tell the cause.
         headroom,  // The free capacity is reserved for urgent work.
         backfill,  // It is reserved for waiting work of other queues.
         capacity,  // No choice of workers has enough free capacity.
@@ -124,6 +130,12 @@
         index_set indices;
         // Those of the indices under which a worker has crashed.
         index_set suspects;
+        // Those of the suspects under which that happened repeatedly.
+        index_set repeated_suspects;
+        // Since when losses of workers have been rare enough for their start.
+        std::optional<time_point> calm_since;
+        // Addresses of the workers that crashed under the suspects.
+        std::set<std::string> crashed_addresses;
         std::string account;
         queue_config queue;
         std::uint64_t order = 0; // Order of acceptance of the job.
@@ -187,9 +199,12 @@
     // Why a job can not be done.
     struct job_failure
     {
-        const char* reason = "";
+        const char* cause = "";
         std::uint32_t occurrence = 0;
         std::uint32_t step = 0;
+        // The subtask that crashes its workers, and the crashes.
+        std::optional<std::uint32_t> subtask;
+        std::string crashes;
     };
 
     void refresh_jobs(time_point now, std::int64_t wall_ms);
@@ -204,6 +219,9 @@
     void drop_ended_occurrences(const job_state& job);
     static std::optional<job_failure> failure_of(const job_state& job,
                                                  const queue_config& queue);
+    static std::string reason_of(const job_failure& failure);
+    static void refresh_suspects(pending_step& item, const step_state* state);
+    index_set startable_indices(const pending_step& item) const;
     time_point ready_since(const pending_step_key& key, time_point now);
     void drop_pending(const std::string& job);
     void close_job(const job_state& job, std::int64_t wall_ms);
@@ -246,6 +264,9 @@
     bool try_step(pending_step_map::iterator at, time_point now);
     bool limit_to_reserves(pending_step& item, placement_request& request);
     bool place(const pending_step_key& key, pending_step& item, time_point now);
+    void place_suspects(const pending_step_key& key, pending_step& item,
+                        const index_set& suspects, placement_request request,
+                        time_point now);
     void place_subtasks(const pending_step_key& key, pending_step& item,
                         const index_set& indices, placement_request request,
                         time_point now);
@@ -322,6 +343,8 @@
     std::map<std::string, gang_hold> gang_holds_; // Keyed by service name.
     policy_tickets tickets_;
     std::size_t placements_left_ = 0; // In this round.
+    // In this round: few workers have been lost lately.
+    bool losses_rare_ = false;
     // Request shapes that did not fit in this round.
     std::set<std::string> unplaceable_shapes_;
     // Accelerators needed by open jobs of priority 0, by account.
--- a/src/coordination/fleet/fleet_service.cpp
+++ b/src/coordination/fleet/fleet_service.cpp
@@ -192,7 +192,8 @@
     {
         return json_answer(410, protocol_.encode_error("no such job"));
     }
-    return json_answer(200, protocol_.encode_phase(phase_of(*job)));
+    return json_answer(
+        200, protocol_.encode_job(phase_of(*job), job->failure_reason));
 }
 
 forwarded_answer fleet_service::count_pending(const std::string& queue) const
--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -159,6 +159,8 @@
     {
         switch (item.obstacle)
         {
+        case placement_obstacle::crashes:
+            return "crashes";
         case placement_obstacle::headroom:
             return "headroom";
         case placement_obstacle::backfill:
@@ -192,7 +194,9 @@
          {"priority", absl::StrCat(item.queue.priority)},
          {"waited_ms", absl::StrCat((now - item.since).count())},
          {"obstacle", obstacle()},
-         {"subtasks", absl::StrCat(request.count)},
+         {"subtasks", absl::StrCat(item.indices.size())},
+         {"suspects", absl::StrCat(item.suspects.size())},
+         {"repeated_suspects", absl::StrCat(item.repeated_suspects.size())},
          {"cpu_milli", absl::StrCat(request.need.cpu_milli)},
          {"memory_mb", absl::StrCat(request.need.memory_mb)},
          {"accelerators", absl::StrCat(request.need.accelerators)},
--- a/src/coordination/fleet/lease_ends.cpp
+++ b/src/coordination/fleet/lease_ends.cpp
@@ -64,7 +64,7 @@
         if (run.phase == run_phase::starting && !run.end_proposed &&
             worker.last_contact < *expiry)
         {
-            mark_unreachable(worker);
+            mark_unreachable(worker, now);
         }
         if (!waits && run.phase != run_phase::proposed &&
             run.phase != run_phase::committed)
--- a/src/coordination/fleet/live_run.hpp
+++ b/src/coordination/fleet/live_run.hpp
@@ -79,6 +79,11 @@
     // stopped run.
     time_point lists_requested_at;
     time_point started_at; // When the run became present.
+    // The worker's clock when the run was present at the latest; 0: not yet.
+    std::int64_t present_since_ms = 0;
+    // The worker was up long enough after the start not to have been crashed
+    // by it.
+    bool outlived_start = false;
     std::string checkpoint;
     // The estimated run time of the whole subtask; often far off.
     std::int64_t estimate_ms = 0;
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -35,6 +35,8 @@
         return std::make_tuple(
             candidate.last_resort,
             request.failed_workers.count(candidate.worker->record.id()),
+            request.isolated && request.crashed_addresses.count(
+                                    candidate.worker->record.address()) > 0,
             request.isolated && !candidate.steady,
             request.isolated ? weight_in_cores(candidate.worker->used) : 0.0,
             candidate.free.accelerators, candidate.free.memory_mb,
@@ -152,7 +154,8 @@
         !request.allowed || request.allowed->count(record.id()) > 0;
     return (!candidate.last_resort || request.last_resort_allowed) &&
            !candidate.in_trial && (candidate.quiet || !request.isolated) &&
-           !disturbs && allowed && record.service() == request.service &&
+           (candidate.steady || !request.steady_only) && !disturbs && allowed &&
+           record.service() == request.service &&
            (request.required_label.empty() ||
             std::find(labels.begin(), labels.end(), request.required_label) !=
                 labels.end());
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -49,12 +49,16 @@
     // The subtasks may crash their workers: they start only on quiet workers,
     // first on steady ones with the least work to lose.
     bool isolated = false;
+    bool steady_only = false; // Uses only workers that have not just started.
     std::string service;
     std::string required_label;
     std::string preferred_rack;
     std::uint32_t max_per_worker = 0; // 0: no limit.
     // Workers on which a subtask of the step has failed.
     std::set<std::string> failed_workers;
+    // Addresses of workers that crashed under the subtasks; isolated subtasks
+    // use others first, so that a worker's own fault shows.
+    std::set<std::string> crashed_addresses;
     // Workers that the queue's policy allows; any worker when not set.
     std::optional<std::set<std::string>> allowed;
 };
--- a/src/coordination/fleet/worker_availability.cpp
+++ b/src/coordination/fleet/worker_availability.cpp
@@ -81,17 +81,18 @@
     worker.short_holds_until = now + short_holds_time;
     if (suggests_silence(worker.missed_probability))
     {
-        mark_unreachable(worker);
+        mark_unreachable(worker, now);
     }
 }
 
-void worker_fleet::mark_unreachable(worker_session& worker)
+void worker_fleet::mark_unreachable(worker_session& worker, time_point now)
 {
     if (worker.unreachable)
     {
         return;
     }
     worker.unreachable = true;
+    worker.unreachable_since = now;
     log_event(log_level::warning, "worker_unreachable",
               {{"worker", worker.record.id()},
                {"missed_answers", absl::StrCat(worker.missed_answers)},
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -37,16 +37,19 @@
 worker_fleet::worker_fleet(const worker_fleet_options& options,
                            const fleet_state& state, worker_port& port,
                            proposer propose, clock_reader clock,
-                           std::uint64_t epoch, metrics& counters)
+                           wall_clock_reader wall_ms, std::uint64_t epoch,
+                           metrics& counters)
     : options_(options)
     , state_(state)
     , port_(port)
     , propose_(std::move(propose))
     , clock_(std::move(clock))
+    , wall_ms_(std::move(wall_ms))
     , epoch_(epoch)
     , counters_(counters)
+    , began_at_(clock_())
 {
-    const auto now = clock_();
+    const auto now = began_at_;
     for (const auto& [id, record] : state_.workers())
     {
         add_session(record, now)
@@ -277,6 +280,9 @@
     case fleet_command::kFail:
         stop_obsolete_runs(command.fail().job() + ".", now);
         return;
+    case fleet_command::kCrash:
+        on_crash_applied(command.crash());
+        break;
     case fleet_command::kEnd:
         on_end_applied(command.end(), now);
         return;
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -65,11 +65,13 @@
 public:
     using proposer = std::function<void(fleet_command)>;
     using clock_reader = std::function<time_point()>;
+    using wall_clock_reader = std::function<std::int64_t()>; // Unix time in ms.
     using departure_handler = std::function<void(bool leading)>;
 
     worker_fleet(const worker_fleet_options& options, const fleet_state& state,
                  worker_port& port, proposer propose, clock_reader clock,
-                 std::uint64_t epoch, metrics& counters);
+                 wall_clock_reader wall_ms, std::uint64_t epoch,
+                 metrics& counters);
 
     /// Records a worker's report. Reports of workers or incarnations that are
     /// not in the replicated state, and older reports, are ignored.
@@ -129,6 +131,11 @@
     /// then not the repetition of an earlier one.
     static bool is_steady(const worker_session& worker, time_point now);
 
+    /// Returns true when so few workers were lost near that time, for causes
+    /// other than a run that they had just started, that the crash of another
+    /// one is evidence against such a run.
+    bool are_losses_rare(time_point at) const;
+
     /// Sends no other start to the worker until the run that was just placed
     /// there has been at work for some time.
     void begin_trial(const std::string& worker, time_point now);
@@ -265,8 +272,21 @@
     void refresh_record(const worker_record& record, time_point now);
     static void record_start(const live_run& run, worker_session& worker,
                              time_point now);
-    static std::vector<run_ref> crash_suspects(const worker_session& worker);
-    void record_crash(worker_session& worker);
+    std::vector<run_ref> crash_suspects(const worker_session& worker) const;
+    static time_point last_sign_of_life(const worker_session& worker);
+    bool was_accepted(const run_ref& run) const;
+    crash_cause cause_of_crash(const worker_session& worker,
+                               const std::vector<run_ref>& suspects,
+                               bool losses_rare) const;
+    void log_crash(const worker_session& worker,
+                   const std::vector<run_ref>& suspects, crash_cause cause,
+                   bool losses_rare, milliseconds since_loss) const;
+    std::optional<time_point>
+    unexplained_loss(const worker_session& worker) const;
+    void record_unexplained_loss(time_point lost_at, time_point now);
+    void on_crash_applied(const worker_crash& crash);
+    void record_survival(live_run& run, std::int64_t worker_time_ms);
+    void record_crash(worker_session& worker, time_point now);
     void record_crash_behind(const worker_record& successor, time_point now);
     std::int64_t grant_lease(worker_session& worker, time_point now);
     milliseconds start_lease(bool has_started_run, time_point now) const;
@@ -280,7 +300,7 @@
     void record_answer(worker_session& worker, time_point now);
     void record_missing_answer(worker_session& worker, worker_question question,
                                time_point now);
-    void mark_unreachable(worker_session& worker);
+    void mark_unreachable(worker_session& worker, time_point now);
     void abort_gang(const live_run& run, const char* reason, time_point now);
 
     const worker_fleet_options options_;
@@ -288,8 +308,10 @@
     worker_port& port_;
     proposer propose_;
     clock_reader clock_;
+    wall_clock_reader wall_ms_;
     const std::uint64_t epoch_;
     metrics& counters_;
+    const time_point began_at_;                     // When this leader began.
     std::map<std::string, worker_session> workers_; // By worker id.
     std::map<std::string, live_run> runs_;          // By key.
     std::vector<std::string> newly_committed_;      // Keys of runs to start.
@@ -315,6 +337,8 @@
     std::map<std::string, ended_record> recent_ends_;
     std::deque<std::string> recent_end_keys_;
     std::map<std::string, address_owner> address_owners_; // By address.
+    // Recent losses of workers on which no run had just started.
+    std::deque<time_point> unexplained_losses_;
     time_point scanned_at_; // Last scan of all workers.
     bool deposed_ = false;
     bool checked_adopted_runs_ = false;
--- a/src/coordination/fleet/worker_incarnations.cpp
+++ b/src/coordination/fleet/worker_incarnations.cpp
@@ -30,7 +30,7 @@
         found->second.capacity = to_amounts(record.capacity());
         return;
     }
-    record_crash(found->second);
+    record_crash(found->second, now);
     const worker_incarnation earlier{record.id(),
                                      found->second.record.born_ms()};
     const auto keys = found->second.runs;
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -255,6 +255,10 @@
         {
             continue;
         }
+        if (item.end == run_failed || item.end == run_done)
+        {
+            record_survival(found->second, lists.worker_time_ms);
+        }
         // The end is acknowledged to the worker only when it is committed.
         worker.pending_ends.insert(key);
         propose_end(found->second, item.end, item.checkpoint, "listed");
@@ -319,6 +323,11 @@
         {
             run.progressed_at = now;
         }
+        if (run.present_since_ms == 0)
+        {
+            run.present_since_ms = lists.worker_time_ms;
+        }
+        record_survival(run, lists.worker_time_ms);
         run.listed_at = now;
         run.listed_by_incarnation =
             run.listed_by_incarnation ||
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -245,10 +245,10 @@
     order.checkpoint = run.gang ? step->checkpoint : subtask->checkpoint;
     order.ticket = run.ticket;
     const auto key = key_of(run.ref);
+    record_start(run, worker, now);
     if (run.start_attempts == 1)
     {
         run.first_sent_at = now;
-        record_start(run, worker, now);
         log_event(log_level::info, "run_starting",
                   {{"job", run.ref.job()},
                    {"run", key},
@@ -345,6 +345,7 @@
         run.phase = run_phase::present;
         run.changed_at = now;
         run.started_at = now;
+        run.present_since_ms = answer.worker_time_ms;
         if (worker != nullptr)
         {
             // The next hold renews the first lease.
--- a/src/coordination/fleet/worker_session.hpp
+++ b/src/coordination/fleet/worker_session.hpp
@@ -16,7 +16,7 @@
 namespace limpetstack::fleet
 {
 
-/// A start that was sent to a worker a short time before another one.
+/// The last attempt to start a run, sent a short time before another start.
 struct recent_start
 {
     run_ref run;
@@ -73,6 +73,7 @@
     // The missing answers suggest that the worker is down or disconnected. It
     // gets no placements and no new lease until it answers.
     bool unreachable = false;
+    time_point unreachable_since;
     // Holds wait only for the shortest time until then, after a failed hold.
     time_point short_holds_until;
     time_point retry_at; // No hold is sent before this time.
--- a/src/daemon/fleet/core_leadership.cpp
+++ b/src/daemon/fleet/core_leadership.cpp
@@ -49,7 +49,7 @@
           {
               node.runner_->propose(std::move(command), {});
           },
-          boot_now, term, node.counters_)
+          boot_now, wall_clock_ms, term, node.counters_)
     , scheduler(
           node.settings_.scheduler, node.state_, workers, policy, boot_now,
           [&node](fleet_command command)
--- a/src/protocol/external_protocol.hpp
+++ b/src/protocol/external_protocol.hpp
@@ -241,7 +241,10 @@
     virtual std::string decode_key(std::string_view authorization) const = 0;
     virtual bool is_job_id(std::string_view text) const = 0;
 
-    virtual std::string encode_phase(job_phase phase) const = 0;
+    /// Encodes the state of a job. `reason` says why a failed job was given up;
+    /// it is left out when empty.
+    virtual std::string encode_job(job_phase phase,
+                                   std::string_view reason) const = 0;
     /// Encodes the number of jobs of a queue that have not started.
     virtual std::string encode_pending(std::uint64_t jobs) const = 0;
     /// Encodes the answer to a worker's report. `address` is where the worker
--- a/src/state/fleet_snapshot.cpp
+++ b/src/state/fleet_snapshot.cpp
@@ -38,9 +38,17 @@
 {
     saved.set_last_run(subtask.last_run);
     saved.set_failures(subtask.failures);
-    saved.set_crashes(subtask.crashes);
-    saved.set_conclusive_crashes(subtask.conclusive_crashes);
-    saved.set_last_crashed_run(subtask.last_crashed_run);
+    for (const auto& crash : subtask.crashes)
+    {
+        auto& item = *saved.add_recorded_crashes();
+        item.set_run(crash.run);
+        item.set_worker(crash.worker);
+        item.set_address(crash.address);
+        item.set_at_ms(crash.at_ms);
+        item.set_conclusive(crash.cause == crash_cause::sole);
+        item.set_shared(crash.cause == crash_cause::shared);
+    }
+    saved.set_last_crashed_run(subtask.last_judged_run);
     saved.set_checkpoint(subtask.checkpoint);
     for (const auto& active : subtask.active)
     {
@@ -56,9 +64,23 @@
     subtask_state subtask;
     subtask.last_run = saved.last_run();
     subtask.failures = saved.failures();
-    subtask.crashes = saved.crashes();
-    subtask.conclusive_crashes = saved.conclusive_crashes();
-    subtask.last_crashed_run = saved.last_crashed_run();
+    for (const auto& item : saved.recorded_crashes())
+    {
+        subtask.crashes.push_back({item.run(), item.worker(), item.address(),
+                                   item.at_ms(),
+                                   item.conclusive() ? crash_cause::sole
+                                   : item.shared()   ? crash_cause::shared
+                                                     : crash_cause::unknown});
+    }
+    subtask.last_judged_run = saved.last_crashed_run();
+    if (saved.crashes() > 0 && subtask.crashes.empty())
+    {
+        // The circumstances of crashes that an earlier version counted are not
+        // known, so one of them keeps the subtask suspect.
+        crash_record unknown;
+        unknown.run = saved.last_crashed_run();
+        subtask.crashes.push_back(unknown);
+    }
     subtask.checkpoint = saved.checkpoint();
     for (const auto& run : saved.active())
     {
@@ -132,6 +154,7 @@
         saved.set_complete(job->complete);
         saved.set_started(job->started);
         saved.set_finished_ms(job->finished_ms);
+        saved.set_failure_reason(job->failure_reason);
         for (const auto& [number, occurrence] : job->occurrences)
         {
             auto& saved_occurrence = *saved.add_occurrences();
@@ -177,6 +200,7 @@
         job.complete = saved.complete();
         job.started = saved.started();
         job.finished_ms = saved.finished_ms();
+        job.failure_reason = saved.failure_reason();
         job.ended_occurrences = load_ranges(saved.ended_occurrences());
         job.done_occurrences = job.ended_occurrences.size();
         for (const auto& saved_occurrence : saved.occurrences())
--- a/src/state/fleet_state.cpp
+++ b/src/state/fleet_state.cpp
@@ -4,6 +4,29 @@
 
 namespace limpetstack::fleet
 {
+namespace
+{
+
+// Returns the step of the run, null if it has not begun or has ended.
+template <typename Jobs>
+auto find_step_in(Jobs& jobs, const run_ref& run)
+    -> decltype(&jobs.begin()->second.occurrences.begin()->second.steps.front())
+{
+    const auto job = jobs.find(run.job());
+    if (job == jobs.end())
+    {
+        return nullptr;
+    }
+    const auto at = job->second.occurrences.find(run.occurrence());
+    if (at == job->second.occurrences.end() ||
+        run.step() >= at->second.steps.size())
+    {
+        return nullptr;
+    }
+    return &at->second.steps[run.step()];
+}
+
+} // namespace
 
 std::uint32_t occurrence_count(const job_spec& spec)
 {
@@ -33,7 +56,9 @@
     case fleet_command::kFinish:
         return finish(command.finish());
     case fleet_command::kCrash:
-        return record_crash(command.crash());
+        return record_crashes(command.crash());
+    case fleet_command::kSurvivedRun:
+        return record_survival(command.survived_run());
     case fleet_command::kForget:
         return jobs_.erase(command.forget().job()) > 0
                    ? apply_result::changed
@@ -234,6 +259,7 @@
         return apply_result::unchanged;
     }
     found->second.failed = true;
+    found->second.failure_reason = job.reason();
     found->second.finished_ms = job.at_ms();
     return apply_result::changed;
 }
@@ -261,44 +287,36 @@
     return apply_result::changed;
 }
 
-// Counts a crash once for each run under which a worker crashed.
-apply_result fleet_state::record_crash(const worker_crash& crash)
+// Records a crash once for each run under which a worker crashed.
+apply_result fleet_state::record_crashes(const worker_crash& crash)
 {
     auto result = apply_result::unchanged;
+    const auto cause = crash.conclusive() ? crash_cause::sole
+                       : crash.shared()   ? crash_cause::shared
+                                          : crash_cause::unknown;
     for (const auto& run : crash.suspects())
     {
-        const auto found = jobs_.find(run.job());
-        if (found == jobs_.end())
-        {
-            continue;
-        }
-        const auto at = found->second.occurrences.find(run.occurrence());
-        if (at == found->second.occurrences.end() ||
-            run.step() >= at->second.steps.size())
-        {
-            continue;
-        }
-        auto& step = at->second.steps[run.step()];
-        const auto recorded = step.subtasks.find(run.index());
-        if (recorded == step.subtasks.end() || step.done.contains(run.index()))
+        auto* const step = mutable_step(run);
+        if (step != nullptr &&
+            fleet::record_crash(*step, run.index(),
+                                {run.run(), crash.worker(), crash.address(),
+                                 crash.at_ms(), cause}))
         {
-            continue;
+            result = apply_result::changed;
         }
-        auto& subtask = recorded->second;
-        if (run.run() > subtask.last_run ||
-            run.run() <= subtask.last_crashed_run)
-        {
-            continue;
-        }
-        step.crashed.insert(run.index());
-        subtask.last_crashed_run = run.run();
-        ++subtask.crashes;
-        subtask.conclusive_crashes += crash.conclusive() ? 1 : 0;
-        result = apply_result::changed;
     }
     return result;
 }
 
+apply_result fleet_state::record_survival(const run_ref& run)
+{
+    auto* const step = mutable_step(run);
+    return step != nullptr &&
+                   fleet::record_survival(*step, run.index(), run.run())
+               ? apply_result::changed
+               : apply_result::unchanged;
+}
+
 const job_state* fleet_state::find_job(const std::string& id) const
 {
     const auto found = jobs_.find(id);
@@ -307,17 +325,12 @@
 
 const step_state* fleet_state::find_step(const run_ref& run) const
 {
-    const auto* const job = find_job(run.job());
-    if (job == nullptr)
-    {
-        return nullptr;
-    }
-    const auto at = job->occurrences.find(run.occurrence());
-    if (at == job->occurrences.end() || run.step() >= at->second.steps.size())
-    {
-        return nullptr;
-    }
-    return &at->second.steps[run.step()];
+    return find_step_in(jobs_, run);
+}
+
+step_state* fleet_state::mutable_step(const run_ref& run)
+{
+    return find_step_in(jobs_, run);
 }
 
 const subtask_state* fleet_state::find_subtask(const run_ref& run) const
--- a/src/state/fleet_state.hpp
+++ b/src/state/fleet_state.hpp
@@ -28,6 +28,7 @@
     bool complete = false;
     bool started = false;
     std::int64_t finished_ms = 0;
+    std::string failure_reason; // Why the job was given up.
     std::uint32_t done_occurrences = 0;
     // Occurrences that are done and of which no run is present.
     index_set ended_occurrences;
@@ -100,7 +101,9 @@
     void remember_gone(const worker_incarnation& incarnation);
     apply_result fail(const finished_job& job);
     apply_result finish(const finished_job& job);
-    apply_result record_crash(const worker_crash& crash);
+    apply_result record_crashes(const worker_crash& crash);
+    apply_result record_survival(const run_ref& run);
+    step_state* mutable_step(const run_ref& run);
     static occurrence_state& occurrence(job_state& job, std::uint32_t number);
     static void record_occurrence_end(job_state& job, std::uint32_t number);
 
--- a/src/state/step_state.cpp
+++ b/src/state/step_state.cpp
@@ -1,10 +1,15 @@
 #include "state/step_state.hpp"
 
+#include <algorithm>
+
 namespace limpetstack::fleet
 {
 namespace
 {
 
+// The older crashes of a subtask are forgotten.
+constexpr std::size_t max_recorded_crashes = 16;
+
 // Adds one to, or subtracts one from, the number of subtasks with that many
 // failures.
 void count_failures(step_state& step, std::uint32_t failures, int change)
@@ -96,6 +101,56 @@
     step.done.insert(0, step.subtask_count);
 }
 
+bool record_crash(step_state& step, std::uint32_t index,
+                  const crash_record& crash)
+{
+    const auto found = step.subtasks.find(index);
+    if (found == step.subtasks.end() || step.done.contains(index))
+    {
+        return false;
+    }
+    auto& subtask = found->second;
+    if (crash.run > subtask.last_run || crash.run <= subtask.last_judged_run)
+    {
+        return false;
+    }
+    subtask.last_judged_run = crash.run;
+    if (subtask.crashes.size() >= max_recorded_crashes)
+    {
+        subtask.crashes.erase(subtask.crashes.begin());
+    }
+    subtask.crashes.push_back(crash);
+    step.crashed.insert(index);
+    return true;
+}
+
+bool record_survival(step_state& step, std::uint32_t index, std::uint32_t run)
+{
+    const auto found = step.subtasks.find(index);
+    if (found == step.subtasks.end())
+    {
+        return false;
+    }
+    auto& subtask = found->second;
+    auto& crashes = subtask.crashes;
+    const auto first_later = std::find_if(crashes.begin(), crashes.end(),
+                                          [run](const crash_record& crash)
+                                          {
+                                              return crash.run > run;
+                                          });
+    if (first_later == crashes.begin() || run > subtask.last_run)
+    {
+        return false;
+    }
+    crashes.erase(crashes.begin(), first_later);
+    subtask.last_judged_run = std::max(subtask.last_judged_run, run);
+    if (crashes.empty())
+    {
+        step.crashed.erase(index);
+    }
+    return true;
+}
+
 void drop_if_ended(step_state& step, std::uint32_t index)
 {
     const auto found = step.subtasks.find(index);
@@ -122,7 +177,7 @@
     if (!step.done.contains(index))
     {
         count_failures(step, subtask.failures, 1);
-        if (subtask.crashes > 0)
+        if (!subtask.crashes.empty())
         {
             step.crashed.insert(index);
         }
--- a/src/state/step_state.hpp
+++ b/src/state/step_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet.pb.h"
+#include "state/crash_record.hpp"
 #include "state/index_set.hpp"
 #include "state/worker_incarnation.hpp"
 
@@ -24,11 +25,11 @@
 {
     std::uint32_t last_run = 0;
     std::uint32_t failures = 0;
-    // Workers that crashed soon after they had started the subtask, and how
-    // many of these crashes have no other explanation.
-    std::uint32_t crashes = 0;
-    std::uint32_t conclusive_crashes = 0;
-    std::uint32_t last_crashed_run = 0;
+    // Crashes of workers that had just started the subtask, since the last run
+    // that did not crash its worker; oldest first.
+    std::vector<crash_record> crashes;
+    // Later reports about the runs up to this one change `crashes` no more.
+    std::uint32_t last_judged_run = 0;
     std::string checkpoint;
     std::vector<active_run> active;
 };
@@ -71,6 +72,16 @@
 /// Records that a run of the recorded subtask has failed.
 void record_failure(step_state& step, std::uint32_t index);
 
+/// Records that a worker crashed soon after it had started a run of the
+/// subtask. Returns false if the run is already known to have crashed its
+/// worker, or not to have.
+bool record_crash(step_state& step, std::uint32_t index,
+                  const crash_record& crash);
+
+/// Records that the run did not crash its worker. Returns false if the subtask
+/// has no crashes under this run or earlier ones.
+bool record_survival(step_state& step, std::uint32_t index, std::uint32_t run);
+
 /// Forgets the state of a subtask that is done and has no run that may be
 /// present.
 void drop_if_ended(step_state& step, std::uint32_t index);
--- a/test/crashing_subtask-test.cpp
+++ b/test/crashing_subtask-test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 
 namespace limpetstack::fleet
@@ -182,9 +183,13 @@
     pass(milliseconds(4000));
     fixture.add_worker(worker.worker, "r0", 2);
     pass(milliseconds(500));
-    EXPECT_EQ(
-        fixture.state.find_subtask(make_run("job", 0, 1))->conclusive_crashes,
-        0U);
+    const auto& crashes =
+        fixture.state.find_subtask(make_run("job", 0, 1))->crashes;
+    EXPECT_TRUE(std::none_of(crashes.begin(), crashes.end(),
+                             [](const crash_record& crash)
+                             {
+                                 return crash.cause != crash_cause::unknown;
+                             }));
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, crashing_subtask, ::testing::Range(1U, 13U));
--- a/test/fleet_service-test.cpp
+++ b/test/fleet_service-test.cpp
@@ -179,6 +179,20 @@
     EXPECT_EQ(last_answer->body(), R"({"pending":1})");
 }
 
+// Guards against a failed job whose caller is not told why.
+TEST_F(fleet_service_test, failed_job_is_shown_with_its_reason)
+{
+    use_document();
+    call_and_complete("POST", job_path, job_text);
+    fleet_command command;
+    command.mutable_fail()->set_job("0123456789abcdef");
+    command.mutable_fail()->set_reason("attempts used up");
+    ASSERT_EQ(state.apply(command), apply_result::changed);
+    EXPECT_EQ(call_and_complete("GET", job_path), 200U);
+    EXPECT_EQ(last_answer->body(),
+              R"({"reason":"attempts used up","state":"failed"})");
+}
+
 // Guards against an answer that says "not run" although the job may have been
 // accepted, because leadership was lost before the commit was seen.
 TEST_F(fleet_service_test, lost_leadership_answers_unknown_outcome)
--- a/test/fleet_state-test.cpp
+++ b/test/fleet_state-test.cpp
@@ -197,6 +197,8 @@
     fleet_command command;
     command.mutable_crash()->set_worker("w1");
     command.mutable_crash()->set_born_ms(1);
+    command.mutable_crash()->set_address("w1:80");
+    command.mutable_crash()->set_at_ms(7);
     command.mutable_crash()->set_conclusive(conclusive);
     *command.mutable_crash()->add_suspects() = run;
     return command;
@@ -224,8 +226,8 @@
     ASSERT_TRUE(restored.restore(fixture.state.snapshot()));
     const auto* const subtask = restored.find_subtask(first);
     ASSERT_NE(subtask, nullptr);
-    EXPECT_EQ(subtask->crashes, 1U);
-    EXPECT_EQ(subtask->conclusive_crashes, 1U);
+    EXPECT_EQ(subtask->crashes, (std::vector<crash_record>{
+                                    {1, "w1", "w1:80", 7, crash_cause::sole}}));
     EXPECT_EQ(restored.apply(crash_command(first, true)),
               apply_result::unchanged);
 }
--- a/test/placement_choice-test.cpp
+++ b/test/placement_choice-test.cpp
@@ -121,6 +121,31 @@
     EXPECT_EQ(chosen.size(), 2U);
 }
 
+// Guards against a subtask under which a worker crashed that starts beside
+// other starts, on a worker that has just restarted, or again on the worker at
+// fault while others are free.
+TEST_F(placement_choice, suspect_starts_on_a_worker_whose_crash_is_evidence)
+{
+    add("busy", "r1", 8);
+    add("crashed", "r1", 8);
+    add("restarted", "r1", 8);
+    add("sound", "r1", 8);
+    candidates[0].quiet = false;
+    candidates[2].steady = false;
+    sessions[1]->record.set_address("10.0.0.1:80");
+    auto suspect = request(1, 1);
+    suspect.isolated = true;
+    suspect.steady_only = true;
+    suspect.crashed_addresses = {"10.0.0.1:80"};
+    EXPECT_EQ(names(choose_workers(candidates, suspect)),
+              std::set<std::string>{"sound"});
+    candidates[3].free = {};
+    EXPECT_EQ(names(choose_workers(candidates, suspect)),
+              std::set<std::string>{"crashed"});
+    candidates[1].free = {};
+    EXPECT_TRUE(choose_workers(candidates, suspect).empty());
+}
+
 // Guards against stopping expensive runs where cheap ones suffice, and against
 // stopping any run when the freed capacity would still be too small.
 TEST_F(placement_choice, cheapest_victims_are_chosen)
--- a/test/support/fleet_fixture.cpp
+++ b/test/support/fleet_fixture.cpp
@@ -54,6 +54,10 @@
         {
             return now;
         },
+        [this]
+        {
+            return wall_ms;
+        },
         epoch, counters);
     scheduler = std::make_unique<fleet_scheduler>(
         fleet_scheduler_options(), state, *workers, policy,
