Stop the gang of a member whose worker restarted

A run whose start may have reached the next incarnation of its worker is moved there and stopped. The move marked only this member as stopping, and the end of a run that is stopping does not stop its gang, so the leader never stopped the other members. By the protocol, workers end the rest of a gang as "broken" or "alone" by themselves; the leader must not depend on that.

Cause: the stop of a gang followed from the member's end, except for members that were marked as stopping already, which was taken to mean that the whole gang was. After a change of leader every member counts as one whose start may have reached the next incarnation.

The leader now stops the gang where it moves a member to the next incarnation. A new leader, which moves runs before it may send orders, finds the gangs with a member that is being stopped in its first check of obsolete runs.

--- a/src/coordination/fleet/obsolete_runs.cpp
+++ b/src/coordination/fleet/obsolete_runs.cpp
@@ -25,13 +25,12 @@
 }
 
 // Returns true when a gang's run that an earlier leader placed can not become
-// or stay whole: a member has ended, or was not placed.
+// or stay whole: a member has ended, is being stopped, or was not placed.
 bool worker_fleet::is_gang_broken(const live_run& run) const
 {
     const auto* const step = state_.find_step(run.ref);
     return run.gang && run.phase == run_phase::adopted && step != nullptr &&
-           !is_done(*step) &&
-           gang_members(run.ref).size() < step->subtask_count;
+           !is_done(*step) && !is_gang_complete(run);
 }
 
 // Returns why the run must not go on; nullptr if it may. Does not look at the
--- a/src/coordination/fleet/worker_departures.cpp
+++ b/src/coordination/fleet/worker_departures.cpp
@@ -198,8 +198,7 @@
             !run.end_proposed)
         {
             orphans_.erase(key);
-            move_run(run, successor, now);
-            send_stop(run, now);
+            stop_at_successor(run, successor, now);
         }
     }
 }
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -263,6 +263,8 @@
     void end_runs(const std::set<std::string>& keys,
                   const worker_incarnation& incarnation, const char* reason);
     void move_run(live_run& run, worker_session& successor, time_point now);
+    void stop_at_successor(live_run& run, worker_session& successor,
+                           time_point now);
     void move_unproved_runs(const std::set<std::string>& keys,
                             worker_session& successor, time_point now);
     void record_successor(worker_session& worker, time_point now);
--- a/src/coordination/fleet/worker_incarnations.cpp
+++ b/src/coordination/fleet/worker_incarnations.cpp
@@ -54,8 +54,7 @@
             run.listed_by_incarnation && run.start_attempts == 1;
         if (sent && !reached_earlier_only && !run.end_proposed)
         {
-            move_run(run, successor, now);
-            send_stop(run, now);
+            stop_at_successor(run, successor, now);
         }
     }
 }
@@ -83,6 +82,19 @@
                {"reason", "worker_restarted"}});
 }
 
+// Moves the run and stops it there. Wherever it was, its gang is broken: one
+// incarnation has crashed, and the other one is told to stop it.
+void worker_fleet::stop_at_successor(live_run& run, worker_session& successor,
+                                     time_point now)
+{
+    move_run(run, successor, now);
+    send_stop(run, now);
+    if (run.gang)
+    {
+        abort_gang(run, "member_restarted", now);
+    }
+}
+
 // Records that another incarnation answered for the worker, which may have
 // accepted starts with its own longest lease.
 void worker_fleet::record_successor(worker_session& worker, time_point now)
--- a/test/takeover-test.cpp
+++ b/test/takeover-test.cpp
@@ -189,6 +189,56 @@
               (run_keys{worker_fleet::key_of(placed.place().run())}));
 }
 
+// Guards against a gang that works on although the worker of a member restarted
+// shortly before or after the change of leader, or returns after its removal.
+TEST(takeover, stops_the_gang_of_a_member_whose_worker_restarted)
+{
+    enum class order
+    {
+        restart_first,
+        takeover_first,
+        removal_first
+    };
+    for (const auto happens :
+         {order::restart_first, order::takeover_first, order::removal_first})
+    {
+        fleet_fixture fixture;
+        add_workers(fixture);
+        fixture.submit("job", make_step(2, 8, true));
+        start_all(fixture);
+        const auto lost =
+            fixture.workers->runs().at("job.0.0.0#1").incarnation.worker;
+        fleet_command restarted;
+        *restarted.mutable_worker() = fixture.state.workers().at(lost);
+        restarted.mutable_worker()->set_born_ms(2);
+        if (happens == order::removal_first)
+        {
+            fleet_command removed;
+            removed.mutable_remove_worker()->set_id(lost);
+            removed.mutable_remove_worker()->set_born_ms(1);
+            ASSERT_EQ(fixture.state.apply(removed), apply_result::changed);
+        }
+        if (happens == order::restart_first)
+        {
+            ASSERT_EQ(fixture.state.apply(restarted), apply_result::changed);
+        }
+        take_over(fixture);
+        if (happens != order::restart_first)
+        {
+            fixture.apply(restarted);
+        }
+        fixture.advance(milliseconds(200));
+        const auto variant = static_cast<int>(happens);
+        EXPECT_EQ(stopped_runs(fixture),
+                  (run_keys{"job.0.0.0#1", "job.0.0.1#1"}))
+            << variant;
+        end_run(fixture, make_run("job", 0, 1), run_stopped);
+        const auto& runs = fixture.workers->runs();
+        ASSERT_EQ(runs.count("job.0.0.1#1"), 1U) << variant;
+        EXPECT_TRUE(runs.at("job.0.0.1#1").stop_requested) << variant;
+    }
+}
+
 // Guards against a takeover that stops work which has to go on: whole gangs,
 // single subtasks, and the members of a gang whose first end was done.
 TEST(takeover, leaves_other_runs_alone)
