Add a model of recovery after storms of crashes

After crashes, takeovers, lost orders and departures, no job that fits twice over may wait for 3 s with nothing at work, nor a lasting subtask.

--- a/test/support/model_workers.cpp
+++ b/test/support/model_workers.cpp
@@ -39,31 +39,6 @@
     workers_[id].failing = failing;
 }
 
-resource_amounts model_workers::used(const std::string& id) const
-{
-    resource_amounts used;
-    for (const auto& [key, run] : workers_.at(id).runs)
-    {
-        used = used + run.need;
-    }
-    return used;
-}
-
-bool model_workers::has_run_of(const std::string& job) const
-{
-    return std::any_of(workers_.begin(), workers_.end(),
-                       [&job](const auto& worker)
-                       {
-                           const auto& runs = worker.second.runs;
-                           return std::any_of(runs.begin(), runs.end(),
-                                              [&job](const auto& run)
-                                              {
-                                                  return run.second.run.job() ==
-                                                         job;
-                                              });
-                       });
-}
-
 std::string model_workers::subtask_of(const run_ref& run)
 {
     return absl::StrCat(run.job(), ".", run.step(), ".", run.index());
--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -85,6 +85,13 @@
     /// Returns true when a run of the job is on any worker.
     bool has_run_of(const std::string& job) const;
 
+    /// Returns true when a run of the subtask, as JOB.STEP.INDEX, is on any
+    /// worker.
+    bool has_run_of_subtask(const std::string& subtask) const;
+
+    /// Returns true when the worker has neither crashed nor left.
+    bool is_up(const std::string& id) const;
+
     order_faults faults;
     std::vector<std::string> violations;
     std::size_t starts = 0;
@@ -139,6 +146,7 @@
     };
 
     bool chance(unsigned percent) { return random_() % 100 < percent; }
+    bool has_run(const std::function<bool(const run_ref&)>& matches) const;
     static std::string subtask_of(const run_ref& run);
     order_result start(const std::string& id, const start_order& order);
     order_result stop(const std::string& id, const run_ref& run,
