Let simulated workers keep the difference of their clocks when they restart

A restart after a replacement came back with an earlier start time than the process before it, which the leader ignores, so the worker stayed unreachable for the rest of the history.

--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -121,6 +121,7 @@
         time_point clock_start;    // When its clock was 0.
         std::uint64_t process = 0; // Number of the process under its id.
         bool reporting = true;     // Its first report has arrived.
+        std::int64_t clock_difference_ms = 0;  // Of its start times.
         std::map<std::string, model_run> runs; // By the key of the run.
         std::vector<listed_end> ended;
         // The highest run number that ended or was stopped, by subtask.
--- a/test/support/model_workers_crash.cpp
+++ b/test/support/model_workers_crash.cpp
@@ -36,7 +36,11 @@
                             auto record = workers_[id].record;
                             record.set_id(id + "+");
                             record.set_born_ms(record.born_ms() + 1);
+                            const auto difference =
+                                workers_[id].clock_difference_ms;
                             begin_process(record.id(), record, {});
+                            workers_[record.id()].clock_difference_ms =
+                                difference;
                             report(record.id());
                         }});
 }
--- a/test/support/model_workers_restart.cpp
+++ b/test/support/model_workers_restart.cpp
@@ -74,6 +74,7 @@
              born.set_born_ms(fixture_.wall_ms + clock_difference_ms);
              begin_process(born.id(), born, fixture_.now);
              auto& worker = workers_[born.id()];
+             worker.clock_difference_ms = clock_difference_ms;
              worker.reporting = false;
              delayed_.push_back(
                  {fixture_.now + report_delay,
@@ -94,7 +95,8 @@
     if (end_process(id))
     {
         ++crashes;
-        begin_process_later(workers_[id].record, 0);
+        begin_process_later(workers_[id].record,
+                            workers_[id].clock_difference_ms);
     }
 }
 
