--- a/test/support/model_workers.hpp
+++ b/test/support/model_workers.hpp
@@ -92,6 +92,9 @@
     /// Returns true when the worker has neither crashed nor left.
     bool is_up(const std::string& id) const;
 
+    /// Returns the ids of all workers that are up.
+    std::vector<std::string> all_up() const;
+
     order_faults faults;
     std::vector<std::string> violations;
     std::size_t starts = 0;
--- a/test/support/model_workers_crash.cpp
+++ b/test/support/model_workers_crash.cpp
@@ -118,14 +118,7 @@
 
 std::string model_workers::random_worker()
 {
-    std::vector<std::string> up;
-    for (const auto& [id, worker] : workers_)
-    {
-        if (!worker.crashed)
-        {
-            up.push_back(id);
-        }
-    }
+    const auto up = all_up();
     return up.empty() ? workers_.begin()->first : up.at(random_() % up.size());
 }
 
--- a/test/support/model_workers_queries.cpp
+++ b/test/support/model_workers_queries.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace limpetstack::fleet
 {
@@ -58,4 +59,17 @@
     return found != workers_.end() && !found->second.crashed;
 }
 
+std::vector<std::string> model_workers::all_up() const
+{
+    std::vector<std::string> up;
+    for (const auto& [id, worker] : workers_)
+    {
+        if (!worker.crashed)
+        {
+            up.push_back(id);
+        }
+    }
+    return up;
+}
+
 } // namespace limpetstack::fleet
