Ask unreachable workers that report again, whatever made them unreachable

Cause: the end of a lease under an unanswered start marks a worker as unreachable without a missed answer. needs_hold() asked an unreachable worker again only if an answer was missing. When a hold had been answered shortly before the end of the lease, none was open then, and the worker was not asked until the leader changed. The class: a state with several ways in whose way out depends on one of them.

needs_hold() now goes by the state itself.

--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -443,7 +443,8 @@
     // Only an answer makes a worker usable again, so an unreachable one that
     // reports is asked even when no run is left on it.
     const bool may_answer_again =
-        worker.missed_answers > 0 && !is_silent(worker, now);
+        (worker.missed_answers > 0 || worker.unreachable) &&
+        !is_silent(worker, now);
     return !worker.holding && worker.pending_ends.empty() &&
            (!worker.confirmed || may_answer_again ||
             !worker.unknown_runs.empty() ||
--- a/test/unanswered_start-test.cpp
+++ b/test/unanswered_start-test.cpp
@@ -149,5 +149,37 @@
     EXPECT_EQ(workers.starts, 1U);
 }
 
+// Guards against a worker that gets no placements for the rest of a leadership,
+// because its lease ended just after an answer and nothing asks it again.
+TEST(lease_end_after_an_answer, worker_that_reports_is_asked_again)
+{
+    // Holds are answered at different times before the end of the lease.
+    for (int first_answer = 30; first_answer < 50; ++first_answer)
+    {
+        fleet_fixture fixture;
+        add_ready_worker(fixture, "w1", "r1");
+        fixture.submit("job", make_step(1, 1));
+        fixture.schedule();
+        ASSERT_EQ(fixture.port.starts.size(), 1U);
+        // The worker answers all holds, but never the start.
+        constexpr milliseconds step{10};
+        constexpr int steps = 500;
+        for (int i = 0; i < steps; ++i)
+        {
+            fixture.advance(step);
+            fixture.report("w1");
+            if (i >= first_answer)
+            {
+                confirm_workers(fixture);
+            }
+        }
+        EXPECT_EQ(fixture.workers->runs().size(), 0U);
+        EXPECT_EQ(fixture.workers->availability(
+                      fixture.workers->workers().at("w1"), fixture.now),
+                  worker_availability::usable)
+            << first_answer;
+    }
+}
+
 } // namespace
 } // namespace limpetstack::fleet
