Show what keeps a subtask from starting although there is room

New: the gauge blocking_runs by state (placement not applied, end not applied, worker out of reach), and in step_waiting the same counts for the job, the free slots on quiet and on steady workers and in the preferred rack, the workers in trial, whether losses are rare, the label, and whether other racks are allowed. No further lines are logged. The test covers the gauge, not the fields.

--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -19,6 +19,38 @@
 // Log lines on waiting steps in one report; the rest follow in the next ones.
 constexpr std::size_t max_wait_logs_per_report = 20;
 
+// Numbers of runs that keep their subtasks from starting again.
+struct run_states
+{
+    std::uint64_t proposed = 0;     // The placement is not applied.
+    std::uint64_t end_proposed = 0; // The end is not applied.
+    std::uint64_t out_of_reach = 0; // On unreachable workers.
+};
+
+// Counts the runs whose keys begin with the prefix.
+run_states states_of_runs(const worker_fleet& workers,
+                          const std::string& prefix, time_point now)
+{
+    run_states states;
+    for (auto at = workers.runs().lower_bound(prefix);
+         at != workers.runs().end() &&
+         at->first.compare(0, prefix.size(), prefix) == 0;
+         ++at)
+    {
+        const auto& run = at->second;
+        const auto worker = workers.workers().find(run.location.worker);
+        states.proposed += run.phase == run_phase::proposed ? 1 : 0;
+        states.end_proposed += run.end_proposed ? 1 : 0;
+        states.out_of_reach +=
+            worker != workers.workers().end() &&
+                    workers.availability(worker->second, now) ==
+                        worker_availability::unreachable
+                ? 1
+                : 0;
+    }
+    return states;
+}
+
 } // namespace
 
 void fleet_scheduler::report_waits(time_point now)
@@ -51,6 +83,14 @@
             ++logged;
         }
     }
+    // Steps whose runs are all in one of these states are not pending.
+    const auto states = states_of_runs(workers_, "", now);
+    counters_.set("blocking_runs{state=\"not_applied\"}",
+                  static_cast<double>(states.proposed));
+    counters_.set("blocking_runs{state=\"end_not_applied\"}",
+                  static_cast<double>(states.end_proposed));
+    counters_.set("blocking_runs{state=\"out_of_reach\"}",
+                  static_cast<double>(states.out_of_reach));
     std::map<worker_availability, std::uint64_t> workers;
     for (const auto& [id, worker] : workers_.workers())
     {
@@ -115,14 +155,22 @@
 {
     const auto request = request_for(item, now);
     std::uint64_t slots = 0;
+    // What subtasks that have to start alone may use, and after repeated
+    // crashes.
+    std::uint64_t slots_quiet = 0;
+    std::uint64_t slots_steady = 0;
+    std::uint64_t workers_in_trial = 0;
     std::map<std::string, std::uint64_t> slots_by_rack;
     for (const auto& candidate : candidates_)
     {
+        workers_in_trial += candidate.in_trial ? 1 : 0;
         if (is_eligible(candidate, request))
         {
             const auto fitting =
                 count_fitting(candidate, candidate.free, request);
             slots += fitting;
+            slots_quiet += candidate.quiet ? fitting : 0;
+            slots_steady += candidate.quiet && candidate.steady ? fitting : 0;
             slots_by_rack[candidate.worker->record.rack()] += fitting;
         }
     }
@@ -144,6 +192,7 @@
             slots_avoided += count_fitting(candidate, candidate.free, request);
         }
     }
+    const auto states = states_of_runs(workers_, item.job + ".", now);
     std::uint64_t most_in_rack = 0;
     for (const auto& [rack, fitting] : slots_by_rack)
     {
@@ -204,8 +253,19 @@
          {"one_rack",
           request.same_rack && !request.other_racks_allowed ? "yes" : "no"},
          {"preferred_rack", request.preferred_rack},
+         {"required_label", request.required_label},
+         {"other_racks_allowed", request.other_racks_allowed ? "yes" : "no"},
          {"free_slots", absl::StrCat(slots)},
          {"free_slots_in_a_rack", absl::StrCat(most_in_rack)},
+         {"free_slots_preferred",
+          absl::StrCat(slots_by_rack[request.preferred_rack])},
+         {"free_slots_quiet", absl::StrCat(slots_quiet)},
+         {"free_slots_steady", absl::StrCat(slots_steady)},
+         {"workers_in_trial", absl::StrCat(workers_in_trial)},
+         {"losses_rare", workers_.are_losses_rare(now) ? "yes" : "no"},
+         {"runs_not_applied", absl::StrCat(states.proposed)},
+         {"runs_end_not_applied", absl::StrCat(states.end_proposed)},
+         {"runs_out_of_reach", absl::StrCat(states.out_of_reach)},
          {"free_accelerators", absl::StrCat(service.free.accelerators)},
          {"headroom_accelerators",
           absl::StrCat(service.headroom.reserved().accelerators)},
--- a/test/fleet_waits-test.cpp
+++ b/test/fleet_waits-test.cpp
@@ -66,6 +66,40 @@
               "workers{state=\"unreachable\"} 1");
 }
 
+// Guards against a step that can't start again because its last run is on a
+// worker out of reach, or its placement is not applied, without a trace of it
+// in the metrics.
+TEST(fleet_waits, runs_that_keep_subtasks_from_starting_are_counted)
+{
+    fleet_fixture fixture;
+    add_ready_worker(fixture, "w1", "r1");
+    const auto blocking = [&fixture](const std::string& state)
+    {
+        const auto line =
+            gauge_line(fixture, "blocking_runs{state=\"" + state + "\"}");
+        return line.substr(line.find(' ') + 1);
+    };
+    fixture.submit("job", make_step(1, 1));
+    fixture.scheduler->run_round(fixture.now, fixture.wall_ms);
+    EXPECT_EQ(blocking("not_applied"), "1");
+    fixture.commit();
+    accept_starts(fixture);
+    fixture.advance(milliseconds(500));
+    fixture.schedule();
+    EXPECT_EQ(blocking("not_applied"), "0");
+    EXPECT_EQ(blocking("out_of_reach"), "0");
+    // The worker neither reports nor answers.
+    fixture.advance(milliseconds(4000));
+    fixture.schedule();
+    EXPECT_EQ(blocking("out_of_reach"), "1");
+    const auto& ref = fixture.workers->runs().begin()->second.ref;
+    EXPECT_EQ(blocking("end_not_applied"), "0");
+    end_run(fixture, run_ref(ref), run_lapsed);
+    fixture.advance(milliseconds(500));
+    fixture.schedule();
+    EXPECT_EQ(blocking("out_of_reach"), "0");
+}
+
 // Guards against a step that waits while less urgent work starts, without a
 // trace of it in the metrics.
 TEST(fleet_waits, accelerators_given_to_each_priority_are_counted)
