Bound the wait of suspects, and ignore starts that found a lost worker

A crash of a worker that had accepted none of the starts is not recorded while many workers are lost; runs of an earlier leader whose subtasks are suspect still are. The wait for calm ends after 20 s.

--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -50,6 +50,10 @@
                        : most_failures(step) >= queue.attempts;
 }
 
+// Subtasks under which workers have crashed repeatedly wait for at most this
+// time for a lack of other losses.
+constexpr milliseconds longest_wait_for_calm{20000};
+
 // A refresh takes up occurrences of a job until it has looked at this many
 // steps; the others follow when these are done.
 constexpr std::size_t max_steps_per_refresh = 1024;
@@ -385,10 +389,12 @@
 
 // Returns the subtasks of the step that may start now. One under which workers
 // have crashed repeatedly starts only while the cause of another crash would be
-// known; of a gang, all members wait for that.
-index_set fleet_scheduler::startable_indices(const pending_step& item) const
+// known, or after a long wait; of a gang, all members wait for that.
+index_set fleet_scheduler::startable_indices(const pending_step& item,
+                                             time_point now) const
 {
-    if (item.repeated_suspects.empty() || losses_rare_)
+    if (item.repeated_suspects.empty() || losses_rare_ ||
+        now - item.since >= longest_wait_for_calm)
     {
         return item.indices;
     }
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -339,7 +339,7 @@
                             time_point now)
 {
     auto request = request_for(item, now);
-    const auto indices = startable_indices(item);
+    const auto indices = startable_indices(item, now);
     if (!losses_rare_)
     {
         item.calm_since.reset();
--- a/src/coordination/fleet/fleet_preferences.cpp
+++ b/src/coordination/fleet/fleet_preferences.cpp
@@ -120,7 +120,8 @@
 {
     const auto& spec = *item.spec;
     placement_request request;
-    request.count = static_cast<std::uint32_t>(startable_indices(item).size());
+    request.count =
+        static_cast<std::uint32_t>(startable_indices(item, now).size());
     request.crashed_addresses = item.crashed_addresses;
     request.need = counted_need(spec);
     request.all_or_nothing = spec.gang();
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -221,7 +221,7 @@
                                                  const queue_config& queue);
     static std::string reason_of(const job_failure& failure);
     static void refresh_suspects(pending_step& item, const step_state* state);
-    index_set startable_indices(const pending_step& item) const;
+    index_set startable_indices(const pending_step& item, time_point now) const;
     time_point ready_since(const pending_step_key& key, time_point now);
     void drop_pending(const std::string& job);
     void close_job(const job_state& job, std::int64_t wall_ms);
--- a/src/coordination/fleet/worker_crashes.cpp
+++ b/src/coordination/fleet/worker_crashes.cpp
@@ -271,15 +271,20 @@
     const bool losses_rare = are_losses_rare(lost_at);
     const auto cause = cause_of_crash(worker, suspects, losses_rare);
     log_crash(worker, suspects, cause, losses_rare, now - lost_at);
-    if (std::none_of(suspects.begin(), suspects.end(),
-                     [this](const run_ref& run)
-                     {
-                         return was_accepted(run);
-                     }))
+    const auto may_have_run = [this](const run_ref& run)
+    {
+        const auto found = runs_.find(key_of(run));
+        return was_accepted(run) || (found != runs_.end() &&
+                                     found->second.phase == run_phase::adopted);
+    };
+    const bool had_started =
+        std::any_of(suspects.begin(), suspects.end(), may_have_run);
+    if (!had_started)
     {
         record_unexplained_loss(lost_at, now);
     }
-    if (suspects.empty())
+    // While many workers are lost, a start that was not accepted says nothing.
+    if (suspects.empty() || (!had_started && !losses_rare))
     {
         return;
     }
--- a/test/crash_storm-test.cpp
+++ b/test/crash_storm-test.cpp
@@ -146,6 +146,48 @@
     }
 }
 
+// Guards against a subtask that waits for as long as other workers report but
+// can't be reached, because these count as just lost.
+TEST_P(crash_storm, workers_that_report_and_do_not_answer_delay_no_suspect)
+{
+    auto spread = make_step(worker_count, 0);
+    spread.set_max_per_worker(1);
+    spread.set_lasting(true);
+    spread.set_estimate_ms(1000000000);
+    fixture.submit("spread", spread);
+    pass(milliseconds(5000));
+    fixture.submit("job", make_step(1, 1));
+    const auto wait_for_start = [this](int run, milliseconds limit)
+    {
+        for (milliseconds waited{0};
+             waited < limit && workers.starts_of["job.0.0"] < run;
+             waited += tick)
+        {
+            pass(tick);
+        }
+        return workers.starts_of["job.0.0"] >= run;
+    };
+    constexpr milliseconds longest_wait{15000};
+    for (int run = 1; run <= 2; ++run)
+    {
+        ASSERT_TRUE(wait_for_start(run, longest_wait));
+        for (const auto& [key, live] : fixture.workers->runs())
+        {
+            if (live.ref.job() == "job")
+            {
+                workers.restart(live.location.worker);
+            }
+        }
+    }
+    constexpr int cut_off = 3;
+    for (int i = 0; i < cut_off; ++i)
+    {
+        workers.set_disconnected(workers.random_worker(), true);
+    }
+    EXPECT_TRUE(wait_for_start(3, longest_wait));
+    EXPECT_FALSE(failed("job"));
+}
+
 // Guards against a job that is given up because the only worker for it flaps:
 // each crash is of the same worker.
 TEST_P(crash_storm, flapping_worker_fails_no_job)
