Let proposals wait while too many commands are uncommitted

Callers could see a subtask that is never started, or a job that never ends, until the leader changes: while 1,024 entries wait for a majority, the runner dropped proposals and reported not_leader, although the replica still led. The leader's components propose each placement, end and closing once, without a handler, and count on it for the rest of their leadership.

Proposals now stay queued until there is room, or fail when the leadership is lost. Before: proposals_wait_while_too_many_are_uncommitted fails (176 of 1,200 proposals rejected, 1,024 applied, same leader); after: passes.

Callers' commands wait as well in that case, instead of an immediate rejection.

--- a/src/coordination/consensus.hpp
+++ b/src/coordination/consensus.hpp
@@ -102,6 +102,10 @@
 
     bool is_leader() const { return role_ == role::leader; }
 
+    /// Returns true when further commands may be appended while the last ones
+    /// wait for a majority.
+    bool has_room() const;
+
     /// Returns when this leader sent the latest heartbeat that a majority has
     /// answered. Members that answered it elect no other leader before an
     /// election timeout has passed since then. Returns nothing without such a
--- a/src/coordination/consensus_leader.cpp
+++ b/src/coordination/consensus_leader.cpp
@@ -113,13 +113,18 @@
     return 2 * static_cast<std::size_t>(live) > voters.size();
 }
 
+bool consensus::has_room() const
+{
+    return log_.last_index() - commit_ < max_uncommitted_entries;
+}
+
 proposal_result consensus::propose(std::string payload)
 {
     if (role_ != role::leader)
     {
         return rejected(wire::command_unavailable, "not the leader");
     }
-    if (log_.last_index() - commit_ >= max_uncommitted_entries)
+    if (!has_room())
     {
         return rejected(wire::command_unavailable,
                         "too many commands wait for a majority");
--- a/src/coordination/fleet/consensus_runner.cpp
+++ b/src/coordination/fleet/consensus_runner.cpp
@@ -87,9 +87,16 @@
     return consensus_.propose_change(change);
 }
 
+bool consensus_runner::waits_for_room() const
+{
+    return consensus_.is_leader() && !consensus_.has_room();
+}
+
+// Without room, proposals wait: the leader's components propose each command
+// once, and count on it until they lose the leadership.
 void consensus_runner::append_pending_proposals()
 {
-    while (!pending_proposals_.empty())
+    while (!pending_proposals_.empty() && !waits_for_room())
     {
         fleet_batch batch;
         std::vector<outcome_handler> handlers;
@@ -146,7 +153,8 @@
             apply_committed(output.commit);
             compact_if_due();
             // Applied commands may have caused new proposals.
-            if (applied_index_ == applied_before && pending_proposals_.empty())
+            if (applied_index_ == applied_before &&
+                (pending_proposals_.empty() || waits_for_room()))
             {
                 break;
             }
--- a/src/coordination/fleet/consensus_runner.hpp
+++ b/src/coordination/fleet/consensus_runner.hpp
@@ -74,8 +74,9 @@
     /// Handles a message of another replica and calls `pump`.
     void receive(const wire::consensus_message& message, time_point now);
 
-    /// Queues a command; the next `pump` appends it. `done` is called once with
-    /// the outcome and may be empty.
+    /// Queues a command; the next `pump` appends it, or one after that when too
+    /// many commands wait for a majority. `done` is called once with the
+    /// outcome and may be empty.
     void propose(fleet_command command, outcome_handler done);
 
     /// Calls `done(true)` once a majority has confirmed that this replica was
@@ -101,6 +102,7 @@
         std::vector<outcome_handler> handlers;
     };
 
+    bool waits_for_room() const;
     void append_pending_proposals();
     void write_and_complete(consensus_output output);
     void complete_output(const consensus_output& output);
