--- a/test/lease_bounds-test.cpp
+++ b/test/lease_bounds-test.cpp
@@ -95,6 +95,10 @@
         {
             return fixture.now;
         },
+        [&fixture]
+        {
+            return fixture.wall_ms;
+        },
         2, fixture.counters);
     return *later.workers().at("w1").clock.expiry_time();
 }
