--- a/test/fleet_recovery_model-test.cpp
+++ b/test/fleet_recovery_model-test.cpp
@@ -269,7 +269,8 @@
 
     step_spec lasting_step()
     {
-        auto step = make_step(1 + random_() % 3, random_() % 2);
+        auto step = make_step(1 + random_() % 3,
+                              static_cast<std::int64_t>(random_() % 2));
         step.set_lasting(true);
         step.set_estimate_ms(lasting_estimate_ms);
         restrict_workers(step);
