Log what became of each sending of a call, and what leaders refuse

An entry host's call_refused did not say whether the call had been sent before, a leader that refused a call logged nothing, and a job that entered the state by an entry of another leader left no line. Change: the forwarding of calls moves out of entry_node into call_forwarder, which records each sending with its leader, term and outcome. call_refused, call_resent and call_answered name them; leaders log caller_refused with the document's version, and core hosts job_stored for jobs that they did not accept themselves. Counters: calls_resent_total by what preceded, and refusals_after_unknown_total by status. Which answer a caller gets does not change. Ruled out: more lines on the path of a call that is sent once and accepted.

--- /dev/null
+++ b/src/coordination/fleet/call_forwarder.cpp
@@ -0,0 +1,238 @@
+#include "coordination/fleet/call_forwarder.hpp"
+
+#include "base/log.hpp"
+#include "base/metrics.hpp"
+#include "coordination/fleet/fleet_answers.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetstack::fleet
+{
+namespace
+{
+
+// A call that was not sent yet waits this long for a leader to be known.
+constexpr milliseconds leader_wait_limit{900};
+
+// This part of the caller's time is reserved for the transfer of the answer.
+constexpr milliseconds answer_margin{150};
+
+// Applies to calls that state no time limit.
+constexpr milliseconds default_call_timeout{3000};
+
+constexpr unsigned outcome_unknown_status = 504;
+
+// Returns true when the call waits to be sent.
+bool is_waiting(const std::vector<call_sending>& sendings)
+{
+    return sendings.empty() || sendings.back().outcome != sending_outcome::open;
+}
+
+bool is_refusal(unsigned status)
+{
+    constexpr unsigned gone =
+        410; // The answer about a job that does not exist.
+    return status >= 400 && status != gone;
+}
+
+} // namespace
+
+call_forwarder::call_forwarder(sender send, metrics& counters)
+    : send_(std::move(send))
+    , counters_(counters)
+{
+}
+
+void call_forwarder::accept(forwarded_call call, milliseconds time_left,
+                            responder respond, time_point now)
+{
+    const auto id = next_call_++;
+    auto& item = calls_[id];
+    item.call = std::move(call);
+    item.call.set_id(id);
+    item.respond = std::move(respond);
+    item.arrived_at = now;
+    const auto limit =
+        time_left > milliseconds::zero() ? time_left : default_call_timeout;
+    item.deadline = now + std::max(limit - answer_margin, limit / 2);
+    try_send(item, now);
+}
+
+void call_forwarder::try_send(pending_call& item, time_point now)
+{
+    if (leader_.empty())
+    {
+        return;
+    }
+    // The sending is recorded first, because the connection may end while the
+    // call is queued on it.
+    const auto leader = leader_;
+    const auto earlier = item.sendings;
+    item.sendings.push_back({leader, leader_term_, now});
+    if (!send_(leader, item.call))
+    {
+        item.sendings.pop_back();
+        return;
+    }
+    if (!earlier.empty())
+    {
+        counters_.add(has_unknown_outcome(earlier)
+                          ? "calls_resent_total{after=\"unknown\"}"
+                          : "calls_resent_total{after=\"no_effect\"}");
+        log_event(log_level::info, "call_resent",
+                  {{"target", item.call.target()},
+                   {"method", item.call.method()},
+                   {"leader", leader},
+                   {"term", absl::StrCat(leader_term_)},
+                   {"sendings", describe(earlier, now)}});
+    }
+}
+
+void call_forwarder::send_waiting_calls(time_point now)
+{
+    for (auto& [id, item] : calls_)
+    {
+        if (is_waiting(item.sendings))
+        {
+            try_send(item, now);
+        }
+    }
+}
+
+void call_forwarder::finish(std::uint64_t id, const forwarded_answer& answer,
+                            const char* reason, time_point now)
+{
+    const auto found = calls_.find(id);
+    const auto item = std::move(found->second);
+    calls_.erase(found);
+    const auto held = now - item.arrived_at;
+    counters_.observe_latency(absl::StrCat("call_ms{method=\"",
+                                           item.call.method(), "\",status=\"",
+                                           answer.status(), "\"}"),
+                              static_cast<double>(held.count()));
+    const bool refused = is_refusal(answer.status());
+    if (refused && answer.status() != outcome_unknown_status &&
+        has_unknown_outcome(item.sendings))
+    {
+        counters_.add(absl::StrCat("refusals_after_unknown_total{status=\"",
+                                   answer.status(), "\"}"));
+    }
+    if (refused || item.sendings.size() > 1)
+    {
+        log_event(log_level::info, refused ? "call_refused" : "call_answered",
+                  {{"target", item.call.target()},
+                   {"method", item.call.method()},
+                   {"status", absl::StrCat(answer.status())},
+                   {"reason", reason},
+                   {"leader", leader_},
+                   {"term", absl::StrCat(leader_term_)},
+                   {"sendings", describe(item.sendings, now)},
+                   {"held_ms", absl::StrCat(held.count())}});
+    }
+    item.respond(answer);
+}
+
+// Ends a call without an answer of the leader. A call that was never sent has
+// not run and may be repeated; a call that was sent may have run.
+void call_forwarder::fail(std::uint64_t id, const char* reason, time_point now)
+{
+    finish(id,
+           calls_.at(id).sendings.empty() ? retry_later_answer()
+                                          : outcome_unknown_answer(),
+           reason, now);
+}
+
+void call_forwarder::set_leader(const std::string& address, std::uint64_t term,
+                                time_point now)
+{
+    if (term < leader_term_)
+    {
+        return;
+    }
+    if (leader_ != address)
+    {
+        log_event(log_level::info, "leader_known",
+                  {{"leader", address}, {"term", absl::StrCat(term)}});
+    }
+    leader_ = address;
+    leader_term_ = term;
+    send_waiting_calls(now);
+}
+
+void call_forwarder::drop_leader(const std::string& address)
+{
+    if (leader_ == address)
+    {
+        leader_.clear();
+    }
+}
+
+void call_forwarder::on_answer(const std::string& address,
+                               const forwarded_answer& answer, time_point now)
+{
+    const auto found = calls_.find(answer.id());
+    if (found == calls_.end() || is_waiting(found->second.sendings) ||
+        found->second.sendings.back().leader != address)
+    {
+        return;
+    }
+    auto& sending = found->second.sendings.back();
+    if (answer.not_leader())
+    {
+        // The call is sent again when a leader is known.
+        sending.outcome = sending_outcome::no_effect;
+        drop_leader(address);
+        return;
+    }
+    if (answer.status() == outcome_unknown_status)
+    {
+        sending.outcome = sending_outcome::unknown;
+        return;
+    }
+    finish(answer.id(), answer, "leader", now);
+}
+
+void call_forwarder::on_link_lost(const std::string& address)
+{
+    drop_leader(address);
+    for (auto& [id, item] : calls_)
+    {
+        if (!is_waiting(item.sendings) &&
+            item.sendings.back().leader == address)
+        {
+            item.sendings.back().outcome = sending_outcome::unknown;
+        }
+    }
+}
+
+void call_forwarder::check(time_point now)
+{
+    std::vector<std::uint64_t> expired;
+    std::vector<std::uint64_t> without_leader;
+    for (const auto& [id, item] : calls_)
+    {
+        if (now >= item.deadline)
+        {
+            expired.push_back(id);
+        }
+        else if (item.sendings.empty() &&
+                 now - item.arrived_at >= leader_wait_limit)
+        {
+            without_leader.push_back(id);
+        }
+    }
+    for (const auto id : expired)
+    {
+        fail(id, "the call's time limit has passed", now);
+    }
+    for (const auto id : without_leader)
+    {
+        fail(id, "no leader is known", now);
+    }
+    send_waiting_calls(now);
+}
+
+} // namespace limpetstack::fleet
--- a/src/daemon/fleet/core_calls.cpp
+++ b/src/daemon/fleet/core_calls.cpp
@@ -2,8 +2,11 @@
 // operators.
 #include "daemon/fleet/core_node.hpp"
 
+#include "base/log.hpp"
 #include "coordination/fleet/fleet_answers.hpp"
 
+#include <absl/strings/str_cat.h>
+
 #include <utility>
 
 namespace limpetstack::fleet
@@ -83,10 +86,43 @@
         return;
     }
     counters_.add(call.from_caller() ? "calls_total" : "control_calls_total");
-    service_.handle(call, done);
+    if (!call.from_caller())
+    {
+        service_.handle(call, done);
+    }
+    else
+    {
+        service_.handle(call,
+                        [this, method = call.method(), target = call.target(),
+                         done](const forwarded_answer& answer)
+                        {
+                            log_refusal(method, target, answer);
+                            done(answer);
+                        });
+    }
     run_due_work();
 }
 
+void core_node::log_refusal(const std::string& method,
+                            const std::string& target,
+                            const forwarded_answer& answer) const
+{
+    constexpr unsigned gone =
+        410; // The answer about a job that does not exist.
+    if (!answer.not_leader() &&
+        (answer.status() < 400 || answer.status() == gone))
+    {
+        return;
+    }
+    log_event(log_level::info, "caller_refused",
+              {{"target", target},
+               {"method", method},
+               {"status", answer.not_leader() ? "not_leader"
+                                              : absl::StrCat(answer.status())},
+               {"term", absl::StrCat(runner_->replica().term())},
+               {"document", absl::StrCat(document_ ? document_->version : 0)}});
+}
+
 void core_node::handle_control(http_server_request request,
                                http_responder respond)
 {
--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -2,6 +2,8 @@
 
 #include "base/log.hpp"
 
+#include <absl/strings/str_cat.h>
+
 #include <cstdlib>
 #include <utility>
 
@@ -81,6 +83,11 @@
         {
             use_document();
         }
+        if (command.has_accept() && result == apply_result::changed &&
+            !leadership_)
+        {
+            log_stored_job(command.accept());
+        }
         if (leadership_)
         {
             const auto now = boot_now();
@@ -158,6 +165,18 @@
     return true;
 }
 
+// Logs a job that this host did not accept itself: another leader did, or this
+// host did before it restarted.
+void core_node::log_stored_job(const accepted_job& job) const
+{
+    log_event(log_level::info, "job_stored",
+              {{"job", job.id()},
+               {"queue", job.queue()},
+               {"account", job.account()},
+               {"accepted_ms", absl::StrCat(job.accepted_ms())},
+               {"term", absl::StrCat(runner_->replica().term())}});
+}
+
 void core_node::reload(const node_settings& settings)
 {
     settings_.seeds = settings.seeds;
--- a/src/daemon/fleet/core_node.hpp
+++ b/src/daemon/fleet/core_node.hpp
@@ -93,6 +93,9 @@
     void push_status();
     std::string leader_address() const;
     void serve_call(const forwarded_call& call, const answer_handler& done);
+    void log_refusal(const std::string& method, const std::string& target,
+                     const forwarded_answer& answer) const;
+    void log_stored_job(const accepted_job& job) const;
     void handle_control(http_server_request request, http_responder respond);
     void forward_to_leader(forwarded_call call, http_responder respond);
     void propose_timed(fleet_command command,
--- a/src/daemon/fleet/entry_node.hpp
+++ b/src/daemon/fleet/entry_node.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/metrics.hpp"
+#include "coordination/fleet/call_forwarder.hpp"
 #include "daemon/fleet/node_settings.hpp"
 #include "transport/http_server.hpp"
 #include "transport/peer_links.hpp"
@@ -9,7 +9,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -44,46 +43,25 @@
     bool is_idle() const;
 
 private:
-    // A caller's request that has not been answered.
-    struct pending_call
-    {
-        fleet::forwarded_call call;
-        http_responder respond;
-        time_point arrived_at;
-        time_point deadline; // Latest time for an answer.
-        // Address of the leader that has the call; empty while it waits to be
-        // sent.
-        std::string sent_to;
-        bool was_sent = false; // Sent at least once, so it may have run.
-    };
-
-    void accept_call(http_server_request request, http_responder respond);
-    void try_send(std::uint64_t id);
-    void send_unsent_calls();
-    void answer_call(std::uint64_t id, http_server_answer out,
-                     const char* reason);
-    void fail_call(std::uint64_t id, const char* reason);
+    void accept_call(http_server_request request,
+                     const http_responder& respond);
     void on_frame(const std::string& address, const peer_frame& frame);
     void on_status(const std::string& address, const host_status& status);
     void on_link(const std::string& address, bool up);
     void update_targets();
     void schedule_check();
-    void check_pending_calls();
+    void check();
 
     boost::asio::io_context& io_;
     node_settings settings_;
-    metrics& counters_;
     std::unique_ptr<peer_links> links_;
+    call_forwarder forwarder_;
     http_server caller_server_;
     http_server readiness_server_;
     boost::asio::steady_timer timer_;
     // Peer addresses of the group's members, as hosts have reported them.
     std::set<std::string> core_addresses_;
-    std::string leader_; // Peer address of the leader; empty if unknown.
-    std::uint64_t leader_term_ = 0;
     std::uint64_t document_version_ = 0;
-    std::map<std::uint64_t, pending_call> pending_calls_;
-    std::uint64_t next_call_ = 1;
     bool stopping_ = false;
     time_point stopped_at_;
     // Is reset by the destructor; timer handlers that run later do nothing.
