Answer a repeated call by what became of all its sendings

Callers saw: a job ran although its call had been answered 401, 404, 400 or 503. Cause: an entry host sends a call again when the leader falls silent, its connection breaks or it answers 504, and passed the next leader's answer on as the answer to the call. A refusal holds for one sending only: the first leader may have accepted the call, or carry it out later. Class: a definite answer belongs to one sending, and was taken for all of them. Change: each sending names the term and the connection that it is made for, and a leader carries out no other (call_fence), so that a later sending ends the earlier ones. A leader that refuses a repeated call first commits a barrier; the state then holds whatever earlier leaders and its own earlier proposals did. Accepted jobs record the call that they were accepted for: that call is answered 200, and nobody else learns of the job. Otherwise the refusal covers all sendings. A cancelling that may have been carried out is answered 504. Ruled out: 504 for every refusal of a repeated call, which tells callers less than the leader knows; a confirmed read in place of the barrier, which does not wait for the leader's own proposals; 200 to whoever repeats an accepted job, by which a withdrawn key would still read.

--- a/src/coordination/fleet/call_forwarder.cpp
+++ b/src/coordination/fleet/call_forwarder.cpp
@@ -38,10 +38,22 @@
     return status >= 400 && status != gone;
 }
 
+// Returns true when the answer says only of the latest sending that it had no
+// effect, while an earlier one may have had one.
+bool leaves_open(const forwarded_call& call,
+                 const std::vector<call_sending>& sendings,
+                 const forwarded_answer& answer)
+{
+    return is_refusal(answer.status()) && call.method() != "GET" &&
+           !answer.covers_all_sendings() && has_unknown_outcome(sendings);
+}
+
 } // namespace
 
-call_forwarder::call_forwarder(sender send, metrics& counters)
-    : send_(std::move(send))
+call_forwarder::call_forwarder(std::uint64_t origin, sender send,
+                               metrics& counters)
+    : origin_(origin)
+    , send_(std::move(send))
     , counters_(counters)
 {
 }
@@ -53,6 +65,7 @@
     auto& item = calls_[id];
     item.call = std::move(call);
     item.call.set_id(id);
+    item.call.set_origin(origin_);
     item.respond = std::move(respond);
     item.arrived_at = now;
     const auto limit =
@@ -71,6 +84,9 @@
     // call is queued on it.
     const auto leader = leader_;
     const auto earlier = item.sendings;
+    item.call.set_term(leader_term_);
+    item.call.set_connection(lost_connections_);
+    item.call.set_repeated(has_unknown_outcome(earlier));
     item.sendings.push_back({leader, leader_term_, now});
     if (!send_(leader, item.call))
     {
@@ -184,7 +200,10 @@
     {
         // The call is sent again when a leader is known.
         sending.outcome = sending_outcome::no_effect;
-        drop_leader(address);
+        if (sending.term == leader_term_)
+        {
+            drop_leader(address);
+        }
         return;
     }
     if (answer.status() == outcome_unknown_status)
@@ -192,11 +211,18 @@
         sending.outcome = sending_outcome::unknown;
         return;
     }
+    if (leaves_open(found->second.call, found->second.sendings, answer))
+    {
+        finish(answer.id(), outcome_unknown_answer(),
+               "an earlier sending may have run", now);
+        return;
+    }
     finish(answer.id(), answer, "leader", now);
 }
 
 void call_forwarder::on_link_lost(const std::string& address)
 {
+    ++lost_connections_;
     drop_leader(address);
     for (auto& [id, item] : calls_)
     {
--- a/src/coordination/fleet/call_forwarder.hpp
+++ b/src/coordination/fleet/call_forwarder.hpp
@@ -31,7 +31,8 @@
     using sender = std::function<bool(const std::string& address,
                                       const forwarded_call& call)>;
 
-    call_forwarder(sender send, metrics& counters);
+    /// `origin` identifies this process among all entry processes; not 0.
+    call_forwarder(std::uint64_t origin, sender send, metrics& counters);
 
     /// Takes a call, whose id is set here. `time_left` is how long the caller
     /// waits; zero applies a default.
@@ -78,10 +79,12 @@
                 const char* reason, time_point now);
     void fail(std::uint64_t id, const char* reason, time_point now);
 
+    const std::uint64_t origin_;
     sender send_;
     metrics& counters_;
     std::string leader_;
     std::uint64_t leader_term_ = 0;
+    std::uint64_t lost_connections_ = 0;
     std::map<std::uint64_t, pending_call> calls_;
     std::uint64_t next_call_ = 1;
 };
--- a/src/coordination/fleet/fleet_service.hpp
+++ b/src/coordination/fleet/fleet_service.hpp
@@ -55,6 +55,11 @@
     };
 
     void handle_caller(const forwarded_call& call, const answer_handler& done);
+    void confirm_refusal(const forwarded_call& call,
+                         const forwarded_answer& refusal,
+                         const answer_handler& done);
+    forwarded_answer answer_for_all_sendings(const forwarded_call& call,
+                                             forwarded_answer refusal) const;
     void submit(const forwarded_call& call, const queue_config& queue,
                 const std::string& account, const std::string& id,
                 const answer_handler& done);
--- a/src/daemon/fleet/core_calls.cpp
+++ b/src/daemon/fleet/core_calls.cpp
@@ -80,9 +80,19 @@
     update_leadership();
     if (!leadership_ || stopping_)
     {
-        forwarded_answer answer;
-        answer.set_not_leader(true);
-        done(answer);
+        done(not_leader_answer());
+        return;
+    }
+    const auto term = runner_->replica().term();
+    if (!fence_.admit(call, term))
+    {
+        counters_.add("calls_superseded_total");
+        log_event(log_level::info, "call_superseded",
+                  {{"target", call.target()},
+                   {"method", call.method()},
+                   {"sent_to_term", absl::StrCat(call.term())},
+                   {"term", absl::StrCat(term)}});
+        done(not_leader_answer());
         return;
     }
     counters_.add(call.from_caller() ? "calls_total" : "control_calls_total");
--- a/src/daemon/fleet/entry_node.cpp
+++ b/src/daemon/fleet/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "daemon/fleet/entry_node.hpp"
 
+#include "base/hash.hpp"
 #include "base/log.hpp"
 
 #include <utility>
@@ -15,6 +16,8 @@
 
 constexpr milliseconds check_interval{100};
 
+constexpr std::size_t origin_bytes = 16;
+
 // After this time the balancer sends no more calls: it checks readiness once a
 // second and removes the host after the second failed check.
 constexpr milliseconds balancer_drain_time{2500};
@@ -27,6 +30,7 @@
     : io_(io)
     , settings_(settings)
     , forwarder_(
+          stable_hash(random_hex(origin_bytes)),
           [this](const std::string& address, const forwarded_call& call)
           {
               peer_frame frame;
--- a/test/entry_node-test.cpp
+++ b/test/entry_node-test.cpp
@@ -135,6 +135,18 @@
     EXPECT_EQ(answered_status(), 504U);
 }
 
+// Guards against refusals that are withheld although the leader knows that the
+// earlier sending had no effect.
+TEST_P(entry_node_refusal_test, refusal_that_covers_all_sendings_is_passed_on)
+{
+    ASSERT_NO_FATAL_FAILURE(send_to_both_leaders("POST"));
+    EXPECT_TRUE(second.calls().front().repeated());
+    auto refusal = json_answer(GetParam());
+    refusal.set_covers_all_sendings(true);
+    second.answer(0, refusal);
+    EXPECT_EQ(answered_status(), GetParam());
+}
+
 // Guards against refusals that are withheld although the call was sent once.
 TEST_P(entry_node_refusal_test, refusal_of_the_only_sending_is_passed_on)
 {
@@ -193,6 +205,21 @@
     EXPECT_EQ(answered_status(), 200U);
 }
 
+// Guards against sendings that a leader can not recognize as superseded.
+TEST_F(entry_node_test, sendings_name_the_term_and_the_connection)
+{
+    ASSERT_NO_FATAL_FAILURE(send_to_both_leaders("POST"));
+    const auto& earlier = first.calls().front();
+    const auto& later = second.calls().front();
+    EXPECT_FALSE(earlier.repeated());
+    EXPECT_EQ(earlier.term(), 2U);
+    EXPECT_EQ(later.term(), 3U);
+    EXPECT_NE(earlier.origin(), 0U);
+    EXPECT_EQ(later.origin(), earlier.origin());
+    EXPECT_EQ(later.id(), earlier.id());
+    EXPECT_GT(later.connection(), earlier.connection());
+}
+
 // Guards against "did not run" for a call whose only sending was lost.
 TEST_F(entry_node_test, call_with_a_lost_sending_may_have_run)
 {
--- a/test/fleet_service-test.cpp
+++ b/test/fleet_service-test.cpp
@@ -114,6 +114,9 @@
         call.set_target(target);
         call.set_authorization("Bearer " + key);
         call.set_body(body);
+        call.set_origin(origin);
+        call.set_id(call_id);
+        call.set_repeated(repeated);
         last_answer.reset();
         service.handle(call,
                        [this](const forwarded_answer& answer)
@@ -123,6 +126,25 @@
         return last_answer;
     }
 
+    // Sends a call of the entry process 7 whose earlier sending has an unknown
+    // outcome, and completes it.
+    unsigned repeat_and_complete(std::uint64_t id, const std::string& method,
+                                 const std::string& target,
+                                 const std::string& body = "",
+                                 const std::string& key = "key")
+    {
+        origin = 7;
+        call_id = id;
+        repeated = true;
+        send(true, method, target, body, key);
+        while (!proposals.empty() || !reads.empty())
+        {
+            complete_requests();
+        }
+        repeated = false;
+        return last_answer ? last_answer->status() : 0;
+    }
+
     unsigned call_and_complete(const std::string& method,
                                const std::string& target,
                                const std::string& body = "",
@@ -151,6 +173,9 @@
     std::vector<std::pair<worker_incarnation, std::function<void(bool)>>>
         departures;
     std::optional<forwarded_answer> last_answer;
+    std::uint64_t origin = 0; // Of the calls that are sent next.
+    std::uint64_t call_id = 0;
+    bool repeated = false;
     fleet_service service;
 };
 
@@ -222,6 +247,95 @@
     EXPECT_TRUE(state.jobs().empty());
 }
 
+// Guards against a refusal for a call that an earlier leader accepted before
+// its key was taken away.
+TEST_F(fleet_service_test, repeated_call_is_told_that_it_was_accepted)
+{
+    use_document();
+    origin = 7;
+    call_id = 1;
+    call_and_complete("POST", job_path, job_text);
+    document->account_of_key.clear();
+    EXPECT_EQ(repeat_and_complete(1, "POST", job_path, job_text), 200U);
+    document->queues.clear();
+    EXPECT_EQ(repeat_and_complete(1, "POST", job_path, job_text), 200U);
+}
+
+// Guards against callers who learn from a key that was taken away whether
+// another call's job exists.
+TEST_F(fleet_service_test, repeated_call_learns_nothing_of_other_calls)
+{
+    use_document();
+    origin = 7;
+    call_id = 1;
+    call_and_complete("POST", job_path, job_text);
+    document->account_of_key.clear();
+    EXPECT_EQ(repeat_and_complete(2, "POST", job_path, job_text), 401U);
+    EXPECT_TRUE(last_answer->covers_all_sendings());
+}
+
+// Guards against "may have run" for a call that no leader has carried out.
+TEST_F(fleet_service_test, refusal_of_a_repeated_call_covers_all_sendings)
+{
+    use_document();
+    EXPECT_EQ(repeat_and_complete(1, "POST", job_path, "{"), 400U);
+    EXPECT_TRUE(last_answer->covers_all_sendings());
+    EXPECT_EQ(repeat_and_complete(1, "POST", job_path, job_text, "wrong"),
+              401U);
+    EXPECT_TRUE(last_answer->covers_all_sendings());
+    EXPECT_EQ(repeat_and_complete(1, "DELETE", job_path, "", "wrong"), 401U);
+    EXPECT_TRUE(last_answer->covers_all_sendings());
+    document.reset();
+    EXPECT_EQ(repeat_and_complete(1, "POST", job_path, job_text), 503U);
+    EXPECT_TRUE(last_answer->covers_all_sendings());
+    EXPECT_GT(last_answer->retry_after_ms(), 0U);
+}
+
+// Guards against a refused cancelling of a job that an earlier sending of the
+// call may have cancelled.
+TEST_F(fleet_service_test, refused_cancelling_of_a_cancelled_job_is_unknown)
+{
+    use_document();
+    call_and_complete("POST", job_path, job_text);
+    call_and_complete("DELETE", job_path);
+    EXPECT_EQ(repeat_and_complete(1, "DELETE", job_path, "", "wrong"), 504U);
+    document->queues.clear();
+    EXPECT_EQ(repeat_and_complete(1, "DELETE", job_path), 504U);
+}
+
+// Guards against a refusal while an earlier sending of the call is proposed and
+// not committed.
+TEST_F(fleet_service_test, refusal_waits_for_earlier_proposals)
+{
+    use_document();
+    origin = 7;
+    call_id = 1;
+    send(true, "POST", job_path, job_text);
+    document->account_of_key.clear();
+    repeated = true;
+    send(true, "POST", job_path, job_text);
+    for (auto& done : std::exchange(reads, {}))
+    {
+        done(true);
+    }
+    EXPECT_FALSE(last_answer);
+    complete_requests();
+    ASSERT_TRUE(last_answer);
+    EXPECT_EQ(last_answer->status(), 200U);
+}
+
+// Guards against a refusal by a host that does not lead any more.
+TEST_F(fleet_service_test, refusal_of_a_repeated_call_needs_the_leadership)
+{
+    use_document();
+    repeated = true;
+    send(true, "POST", job_path, job_text, "wrong");
+    complete_requests();
+    complete_requests(proposal_outcome::unknown);
+    ASSERT_TRUE(last_answer);
+    EXPECT_EQ(last_answer->status(), 504U);
+}
+
 // Guards against a queue with a shorter prefix that receives the jobs of the
 // queue with the longest matching prefix.
 TEST_F(fleet_service_test, longest_prefix_selects_the_queue)
