Answer a call that had no effect anywhere as not run

Callers saw: 504 after the whole time limit for a call that every host had turned away as not leading. A caller may not repeat such a call under another id, and learns late. Cause: whether a call may have run was decided by whether it had been sent. Change: the outcomes of its sendings decide. A call that waits for a leader without a sending that may have had an effect is answered 503 with Retry-After 900 ms after it began to wait.

--- a/src/coordination/fleet/call_forwarder.cpp
+++ b/src/coordination/fleet/call_forwarder.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-// A call that was not sent yet waits this long for a leader to be known.
+// A call that has had no effect waits this long for a leader to be known.
 constexpr milliseconds leader_wait_limit{900};
 
 // This part of the caller's time is reserved for the transfer of the answer.
@@ -31,6 +31,16 @@
     return sendings.empty() || sendings.back().outcome != sending_outcome::open;
 }
 
+// Returns true when no sending of the call has had or can have an effect.
+bool has_no_effect(const std::vector<call_sending>& sendings)
+{
+    return std::all_of(sendings.begin(), sendings.end(),
+                       [](const call_sending& item)
+                       {
+                           return item.outcome == sending_outcome::no_effect;
+                       });
+}
+
 bool is_refusal(unsigned status)
 {
     constexpr unsigned gone =
@@ -68,6 +78,7 @@
     item.call.set_origin(origin_);
     item.respond = std::move(respond);
     item.arrived_at = now;
+    item.waiting_since = now;
     const auto limit =
         time_left > milliseconds::zero() ? time_left : default_call_timeout;
     item.deadline = now + std::max(limit - answer_margin, limit / 2);
@@ -151,13 +162,12 @@
     item.respond(answer);
 }
 
-// Ends a call without an answer of the leader. A call that was never sent has
-// not run and may be repeated; a call that was sent may have run.
+// Ends a call without an answer of the leader.
 void call_forwarder::fail(std::uint64_t id, const char* reason, time_point now)
 {
     finish(id,
-           calls_.at(id).sendings.empty() ? retry_later_answer()
-                                          : outcome_unknown_answer(),
+           has_no_effect(calls_.at(id).sendings) ? retry_later_answer()
+                                                 : outcome_unknown_answer(),
            reason, now);
 }
 
@@ -200,6 +210,7 @@
     {
         // The call is sent again when a leader is known.
         sending.outcome = sending_outcome::no_effect;
+        found->second.waiting_since = now;
         if (sending.term == leader_term_)
         {
             drop_leader(address);
@@ -244,8 +255,8 @@
         {
             expired.push_back(id);
         }
-        else if (item.sendings.empty() &&
-                 now - item.arrived_at >= leader_wait_limit)
+        else if (has_no_effect(item.sendings) &&
+                 now - item.waiting_since >= leader_wait_limit)
         {
             without_leader.push_back(id);
         }
--- a/src/coordination/fleet/call_forwarder.hpp
+++ b/src/coordination/fleet/call_forwarder.hpp
@@ -69,7 +69,8 @@
         forwarded_call call;
         responder respond;
         time_point arrived_at;
-        time_point deadline;                // Latest time for an answer.
+        time_point deadline;      // Latest time for an answer.
+        time_point waiting_since; // When it last began to wait for a leader.
         std::vector<call_sending> sendings; // Oldest first.
     };
 
