Answer job calls whose outcome is not known with 504

A caller that submits the job again starts a second one. Change: job_answer says when the outcome is unknown; callers get 504 and the job's id, whose state tells. Cancelling likewise. Ruled out: a submission that names the id again.

--- a/src/coordination/gang_coordinator.cpp
+++ b/src/coordination/gang_coordinator.cpp
@@ -31,6 +31,16 @@
     return answer;
 }
 
+// The call may have had an effect, or may have one later.
+wire::job_answer outcome_unknown(const std::string& job,
+                                 const std::string& reason)
+{
+    auto answer = unavailable(reason);
+    answer.set_unknown(true);
+    answer.set_job_id(job);
+    return answer;
+}
+
 wire::job_answer available(const wire::job_record& job)
 {
     wire::job_answer answer;
@@ -166,7 +176,8 @@
         }
         if (!submitting_.insert(request.id()).second)
         {
-            return unavailable("the same job is being submitted already");
+            return outcome_unknown(request.id(),
+                                   "the same job is being submitted already");
         }
     }
     const std::shared_ptr<void> submitting(nullptr,
@@ -196,7 +207,7 @@
     job.set_attempt(1);
     if (!journal_.write_job(job).ok())
     {
-        return unavailable(not_recorded);
+        return outcome_unknown(job.id(), not_recorded);
     }
     counters_.add("jobs_accepted_total");
     const std::lock_guard held(mutex_);
@@ -300,7 +311,7 @@
         {
             scheduler_.submit(queued, true);
         }
-        return unavailable(not_recorded);
+        return outcome_unknown(job.id(), not_recorded);
     }
     counters_.add("jobs_cancelled_total");
     return available(job);
@@ -313,7 +324,7 @@
     auto job = journal_.job(id);
     if (!job)
     {
-        return unavailable(not_owner);
+        return outcome_unknown(id, not_owner);
     }
     if (final_state(job->state()))
     {
@@ -324,7 +335,7 @@
     job->set_reason("cancelled");
     if (!journal_.write_job(*job).ok())
     {
-        return unavailable(not_recorded);
+        return outcome_unknown(id, not_recorded);
     }
     counters_.add("jobs_cancelled_total");
     return available(*job);
--- a/src/daemon/work_service.cpp
+++ b/src/daemon/work_service.cpp
@@ -55,6 +55,27 @@
            " can not be reached; try again";
 }
 
+// A call whose answer was lost may have been carried out.
+wire::job_answer or_unknown(const absl::StatusOr<wire::job_answer>& answer,
+                            const std::string& data_centre,
+                            const std::string& job)
+{
+    if (answer.ok())
+    {
+        return *answer;
+    }
+    auto out = unavailable<wire::job_answer>(no_owner(data_centre));
+    if (!absl::IsFailedPrecondition(answer.status()))
+    {
+        out.set_reason("the owner of the journal of data centre " +
+                       data_centre +
+                       " did not answer; the outcome is not known");
+        out.set_unknown(true);
+        out.set_job_id(job);
+    }
+    return out;
+}
+
 template <class Answer>
 Answer or_unavailable(const absl::StatusOr<Answer>& answer,
                       const std::string& data_centre)
@@ -355,8 +376,8 @@
     {
         return gangs_->submit(routed);
     }
-    return or_unavailable(network_.submit_job(owner, routed, job_timeout),
-                          home);
+    return or_unknown(network_.submit_job(owner, routed, job_timeout), home,
+                      routed.id());
 }
 
 wire::job_list work_service::list_jobs(const wire::job_query& query)
@@ -385,8 +406,8 @@
     {
         return unavailable<wire::job_answer>(no_owner(request.data_centre()));
     }
-    return or_unavailable(network_.cancel_job(owner, request, job_timeout),
-                          request.data_centre());
+    return or_unknown(network_.cancel_job(owner, request, job_timeout),
+                      request.data_centre(), request.id());
 }
 
 std::string work_service::new_request_id()
--- a/src/transport/caller_api.cpp
+++ b/src/transport/caller_api.cpp
@@ -153,6 +153,16 @@
 void write_job(const wire::job_answer& answer, const std::string& data_centre,
                int status, Response& response)
 {
+    if (answer.unknown())
+    {
+        // The id lets the caller ask what became of the job.
+        response.set_header("Retry-After", "1");
+        response.status = 504;
+        response.set_content(
+            json{{"error", answer.reason()}, {"id", answer.job_id()}}.dump(),
+            "application/json");
+        return;
+    }
     if (!answer.available())
     {
         response.set_header("Retry-After", "1");
--- a/test/gang_coordinator-test.cpp
+++ b/test/gang_coordinator-test.cpp
@@ -241,6 +241,28 @@
     EXPECT_EQ(b.state(1), "running"); // The next owner decides.
 }
 
+// Guards against a caller who is told that its job was not accepted although
+// the journal only did not confirm the record.
+TEST(gang_coordinator, outcome_of_an_unconfirmed_record_is_unknown)
+{
+    bed b;
+    b.journals.back()->failing_writes = 1;
+    const auto lost = b.submit(submission("a", 1, 1, 1));
+    EXPECT_FALSE(lost.available());
+    EXPECT_TRUE(lost.unknown());
+    EXPECT_EQ(lost.job_id(), "job-dc1-1-1");
+    const auto repeated = b.submit(submission("a", 1, 1, 1));
+    EXPECT_TRUE(repeated.available());
+    EXPECT_FALSE(repeated.unknown());
+    EXPECT_EQ(b.submit(submission("a", 1, 1, 1)).job().id(), "job-dc1-1-1");
+    b.journals.back()->failing_writes = 1;
+    wire::job_cancel cancel;
+    cancel.set_id("job-dc1-1-1");
+    const auto cancelled = b.owner().cancel(cancel);
+    EXPECT_FALSE(cancelled.available());
+    EXPECT_TRUE(cancelled.unknown());
+}
+
 // Guards against running gangs that are stopped when the owner changes.
 TEST(gang_coordinator, adopts_whole_gangs_and_requeues_the_rest)
 {
