Let the soak take keys and queues away, and check refused jobs

Change: documents take the callers' key and queue away and bring them back while hosts stop, stand still and restart; a job whose every call was refused must not start. States are read and jobs cancelled over a public queue that stays. Calls without an answer are repeated, as those with 504. The number of entry hosts can be set.

--- a/test/programs/fleet-soak.cpp
+++ b/test/programs/fleet-soak.cpp
@@ -2,11 +2,13 @@
 // loopback addresses; the workers and the callers are simulated in this
 // program. The program injects faults: it stops, pauses, kills and restarts
 // hosts, and relays cut the links to workers in one or both directions or close
-// them. Workers crash and restart under their ids, and leave. It checks what
-// workers and callers observe:
+// them. Workers crash and restart under their ids, and leave. Documents take
+// the callers' key and queue away and bring them back. It checks what workers
+// and callers observe:
 // - A subtask never has two runs at once.
 // - A subtask does not start again after its end was recorded.
 // - No worker gets more runs than its capacity allows.
+// - No job starts of which every call was refused.
 // - No accepted job is forgotten, and in the end every accepted job is
 // complete, or cancelled and without a run.
 #include "experiment/process.hpp"
@@ -38,7 +40,7 @@
 using nlohmann::json;
 
 constexpr int core_count = 3;
-constexpr int entry_count = 2;
+constexpr int default_entry_count = 2;
 constexpr int worker_count = 6;
 constexpr milliseconds step_time{50}; // Duration of one call of tick().
 constexpr milliseconds report_timeout{900};
@@ -63,8 +65,9 @@
 class soak
 {
 public:
-    soak(unsigned seed, std::string folder)
+    soak(unsigned seed, std::string folder, int entry_count)
         : random_(seed)
+        , entry_count_(entry_count)
         , workers_(io_, worker_count, seed + 1, rules_,
                    [this](const std::string& method, const std::string& target,
                           std::string body,
@@ -86,11 +89,12 @@
                 [this](const std::string& method, const std::string& target,
                        std::string body, const soak_jobs::answer_handler& done)
                 {
-                    any_front().send(method, target, {}, std::move(body),
-                                     job_call_timeout, done);
+                    any_front().send(method, target,
+                                     {{"Authorization", "Bearer key"}},
+                                     std::move(body), job_call_timeout, done);
                 })
     {
-        for (int i = 0; i < core_count + entry_count; ++i)
+        for (int i = 0; i < core_count + entry_count_; ++i)
         {
             add_host(i);
         }
@@ -106,7 +110,7 @@
         while (steady_now() < end)
         {
             tick(true);
-            if (document_accepted_)
+            if (version_ > 1 || document_accepted_)
             {
                 jobs_.submit_large_job();
             }
@@ -217,7 +221,7 @@
         if (now - last_report_ >= milliseconds(500))
         {
             last_report_ = now;
-            put_document();
+            put_document(disturb);
             workers_.report(now);
             jobs_.poll();
         }
@@ -308,29 +312,49 @@
 
     http_channel& any_front()
     {
-        return channel(ip(core_count + random_() % entry_count) + ":" +
-                       std::to_string(front_port_));
+        return channel(
+            ip(core_count + random_() % static_cast<unsigned>(entry_count_)) +
+            ":" + std::to_string(front_port_));
     }
 
-    void put_document()
+    // Sends the next document: at first and in the end one that has the
+    // callers' key and queue, in between one that may lack them.
+    void put_document(bool disturb)
     {
+        if (document_accepted_ && (disturb ? random_() % 3 == 0 : !complete_))
+        {
+            document_accepted_ = false;
+            ++version_;
+            complete_ = !disturb;
+            has_key_ = complete_ || random_() % 2 == 0;
+            has_queue_ = complete_ || random_() % 5 != 0;
+        }
         if (document_accepted_)
         {
             return;
         }
-        const json queue{
-            {"name", "q"},    {"host", "localhost"}, {"prefix", "/q/"},
-            {"service", "s"}, {"timeout_ms", 3000},  {"attempts", 3},
-            {"priority", 1},  {"stretch", 3.0},      {"public", true}};
-        const json document{{"version", 1},
-                            {"routes", {queue}},
-                            {"services", {{{"name", "s"}}}}};
-        any_control().send("PUT", "/-/config", {}, document.dump(),
-                           milliseconds(1000),
-                           [this](const http_channel_answer& answer)
-                           {
-                               document_accepted_ |= answer.status == 200;
-                           });
+        const json queue{{"name", "q"},        {"host", "localhost"},
+                         {"prefix", "/q/"},    {"service", "s"},
+                         {"timeout_ms", 3000}, {"attempts", 3},
+                         {"priority", 1},      {"stretch", 3.0}};
+        // Is always there, so that states are read and jobs cancelled.
+        auto public_queue = queue;
+        public_queue["name"] = "p";
+        public_queue["prefix"] = "/p/";
+        public_queue["public"] = true;
+        const json document{
+            {"version", version_},
+            {"routes",
+             has_queue_ ? json{public_queue, queue} : json{public_queue}},
+            {"services", {{{"name", "s"}}}},
+            {"tenants",
+             {{{"name", "t"}, {"keys", {has_key_ ? "key" : "other"}}}}}};
+        any_control().send(
+            "PUT", "/-/config", {}, document.dump(), milliseconds(1000),
+            [this, sent = version_](const http_channel_answer& answer)
+            {
+                document_accepted_ |= answer.status == 200 && sent == version_;
+            });
     }
 
     int report()
@@ -348,10 +372,11 @@
         {
             std::printf("broken: %s\n", text.c_str());
         }
-        std::printf("soak: %zu jobs accepted, %zu starts, %zu broken rules, "
-                    "%zu jobs not complete\n",
-                    jobs_.accepted(), rules_.starts, rules_.violations.size(),
-                    open.size());
+        std::printf(
+            "soak: %zu jobs accepted, %zu refused, %zu starts, %zu broken "
+            "rules, %zu jobs not complete\n",
+            jobs_.accepted(), jobs_.refused(), rules_.starts,
+            rules_.violations.size(), open.size());
         return jobs_.accepted() == 0 || !open.empty() ||
                        !rules_.violations.empty()
                    ? EXIT_FAILURE
@@ -359,6 +384,7 @@
     }
 
     std::mt19937 random_;
+    const int entry_count_;
     boost::asio::io_context io_;
     soak_rules rules_;
     soak_workers workers_;
@@ -370,7 +396,11 @@
     std::vector<host> hosts_;
     std::map<std::string, std::unique_ptr<http_channel>> channels_;
     soak_jobs jobs_;
+    int version_ = 1; // Of the last document.
     bool document_accepted_ = false;
+    bool has_key_ = true;    // The last document has the callers' key.
+    bool has_queue_ = true;  // The last document has the callers' queue.
+    bool complete_ = false;  // The last document is the one of the end.
     time_point last_report_; // Of the workers.
 };
 
@@ -378,9 +408,10 @@
 
 int main(int argc, char** argv)
 {
-    if (argc != 4)
+    if (argc != 4 && argc != 5)
     {
-        std::fprintf(stderr, "usage: fleet-soak SECONDS SEED FOLDER\n");
+        std::fprintf(stderr,
+                     "usage: fleet-soak SECONDS SEED FOLDER [ENTRY_HOSTS]\n");
         return EXIT_FAILURE;
     }
     std::signal(SIGPIPE, SIG_IGN);
@@ -395,7 +426,8 @@
     }
     int code = EXIT_FAILURE;
     {
-        soak run(static_cast<unsigned>(std::atoi(argv[2])), folder);
+        soak run(static_cast<unsigned>(std::atoi(argv[2])), folder,
+                 argc > 4 ? std::atoi(argv[4]) : default_entry_count);
         code = run.run(std::atoi(argv[1]));
     } // Ends the hosts, which write to the folder until then.
     if (code == EXIT_SUCCESS)
--- a/test/support/soak_jobs.cpp
+++ b/test/support/soak_jobs.cpp
@@ -65,6 +65,7 @@
         json{{"spec", "x"}, {"steps", std::vector<json>(max_steps, step)}}
             .dump();
     rules_.endless.insert(large_job);
+    uncertain_.insert(large_job); // Is sent until it is accepted.
     send_job(large_job);
 }
 
@@ -74,20 +75,43 @@
     send_("POST", "/q/" + id, bodies_.at(id),
           [this, id](const http_channel_answer& answer)
           {
-              if (answer.status == 200)
-              {
-                  states_.emplace(id, "");
-              }
-              else if (answer.status == 504)
-              {
-                  resubmit_.push_back(id);
-              }
+              record_answer(id, answer.status);
           });
 }
 
+// A refusal says that the job does not run, unless an earlier call of the same
+// job may have been accepted.
+void soak_jobs::record_answer(const std::string& id, unsigned status)
+{
+    constexpr unsigned no_answer = 0;
+    constexpr unsigned outcome_unknown = 504;
+    if (status == 200)
+    {
+        states_.emplace(id, "");
+    }
+    else if (status == no_answer || status == outcome_unknown)
+    {
+        uncertain_.insert(id);
+        resubmit_.push_back(id);
+    }
+    else if (uncertain_.count(id) > 0)
+    {
+        resubmit_.push_back(id);
+    }
+    else
+    {
+        rules_.refused.insert(id);
+        if (rules_.started.count(id) > 0)
+        {
+            rules_.violations.push_back(
+                absl::StrCat("started job ", id, " is refused: ", status));
+        }
+    }
+}
+
 void soak_jobs::cancel(const std::string& id)
 {
-    send_("DELETE", "/q/" + id, "",
+    send_("DELETE", "/p/" + id, "",
           [this, id](const http_channel_answer& answer)
           {
               if (answer.status == 200)
@@ -116,7 +140,7 @@
             cancel(id);
         }
         send_(
-            "GET", "/q/" + id, "",
+            "GET", "/p/" + id, "",
             [this, id = id](const http_channel_answer& answer)
             {
                 if (answer.status == 410)
--- a/test/support/soak_jobs.hpp
+++ b/test/support/soak_jobs.hpp
@@ -39,6 +39,7 @@
     void poll();
 
     std::size_t accepted() const { return states_.size(); }
+    std::size_t refused() const { return rules_.refused.size(); }
 
     /// Returns the accepted jobs that are not over, with their states.
     std::vector<std::string> open_jobs() const;
@@ -51,6 +52,7 @@
 
 private:
     void send_job(const std::string& id);
+    void record_answer(const std::string& id, unsigned status);
     void cancel(const std::string& id);
 
     soak_rules& rules_;
@@ -59,7 +61,9 @@
     std::map<std::string, std::string> states_; // Of accepted jobs, by id.
     std::map<std::string, std::string> bodies_; // Body of the call by job id.
     std::vector<std::string> resubmit_; // Jobs whose outcome is unknown.
-    std::set<std::string> cancelled_;   // Jobs whose cancelling was answered.
+    // Jobs of which the outcome of a call is not known, or was not.
+    std::set<std::string> uncertain_;
+    std::set<std::string> cancelled_; // Jobs whose cancelling was answered.
     unsigned long long last_job_ = 0;
 };
 
--- a/test/support/soak_worker.cpp
+++ b/test/support/soak_worker.cpp
@@ -160,6 +160,11 @@
     }
     ++rules_.starts;
     const auto job = subtask.substr(0, subtask.find('.'));
+    rules_.started.insert(job);
+    if (rules_.refused.count(job) > 0)
+    {
+        rules_.violations.push_back("refused job " + job + " starts");
+    }
     if (rules_.submitted.count(job) == 0)
     {
         rules_.violations.push_back("start of " + subtask +
--- a/test/support/soak_worker.hpp
+++ b/test/support/soak_worker.hpp
@@ -24,6 +24,8 @@
     std::map<std::string, int> running;  // Current number of runs by subtask.
     std::set<std::string> recorded_done; // Done, and the fleet recorded it.
     std::set<std::string> submitted;     // Ids of jobs that a caller sent.
+    std::set<std::string> refused;       // Ids whose every call was refused.
+    std::set<std::string> started;       // Ids of jobs that a worker started.
     // Ids of jobs that are never done: their runs end only when stopped.
     std::set<std::string> endless;
     std::vector<std::string> violations; // One message for each violation.
