Confirm the leadership only in the term of the leader

Cause: by reading (review): a host that has just been deposed could push a status with the new term and a confirmed leadership, before its leadership had ended; entry hosts followed it until the next ping. Change: the status confirms only while the replica leads. Result: no test of its own; found by reading, not seen in a play.

--- a/src/daemon/fleet/core_peers.cpp
+++ b/src/daemon/fleet/core_peers.cpp
@@ -167,7 +167,8 @@
     host_status out;
     out.set_term(runner_->replica().term());
     out.set_leader_address(leader_address());
-    out.set_confirmed_leader(leadership_ != nullptr);
+    out.set_confirmed_leader(leadership_ != nullptr &&
+                             runner_->replica().is_leader());
     for (const auto& member : runner_->replica().log().members().members())
     {
         out.add_members(member.peer_address());
