Answer a call at once whose outcome stays unknown

Callers saw (by reading): a refused cancelling that an earlier sending may have carried out was sent again every 100 ms until its time limit, and then ended as 504. Cause: an entry host took every 504 as one that the next leader may resolve. Change: a 504 that covers all sendings is the final answer.

--- a/src/coordination/fleet/call_forwarder.cpp
+++ b/src/coordination/fleet/call_forwarder.cpp
@@ -214,8 +214,10 @@
         }
         return;
     }
-    if (answer.status() == outcome_unknown_status)
+    if (answer.status() == outcome_unknown_status &&
+        !answer.covers_all_sendings())
     {
+        // The next leader may know the outcome.
         sending.outcome = sending_outcome::unknown;
         return;
     }
--- a/test/entry_node-test.cpp
+++ b/test/entry_node-test.cpp
@@ -205,6 +205,18 @@
     EXPECT_EQ(answered_status(), 200U);
 }
 
+// Guards against a call that is sent again and again although the leader has
+// said that its outcome stays unknown.
+TEST_F(entry_node_test, outcome_that_stays_unknown_is_answered_at_once)
+{
+    ASSERT_NO_FATAL_FAILURE(send_to_both_leaders("DELETE"));
+    auto unknown = outcome_unknown_answer();
+    unknown.set_covers_all_sendings(true);
+    second.answer(0, unknown);
+    EXPECT_EQ(answered_status(), 504U);
+    EXPECT_EQ(second.calls().size(), 1U);
+}
+
 // Guards against sendings that a leader can not recognize as superseded.
 TEST_F(entry_node_test, sendings_name_the_term_and_the_connection)
 {
