Bound the search for the job that a path names

Cause: by reading: the search tried each ending of a path, which may be as long as the header limit. Change: endings longer than any job id are not tried.

--- a/src/coordination/fleet/fleet_repeated_calls.cpp
+++ b/src/coordination/fleet/fleet_repeated_calls.cpp
@@ -7,13 +7,17 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <utility>
+#include <algorithm>
+#include <cstddef>
 
 namespace limpetstack::fleet
 {
 namespace
 {
 
+// Job ids are shorter, so that longer endings of a path need no search.
+constexpr std::size_t max_job_id_bytes = 256;
+
 // What the earlier sendings of a refused call have done.
 enum class earlier_effect
 {
@@ -116,7 +120,8 @@
 const job_state* fleet_service::find_named_job(const std::string& target) const
 {
     const auto path = target.substr(0, target.find('?'));
-    for (std::size_t at = 0; at < path.size(); ++at)
+    const auto first = path.size() - std::min(path.size(), max_job_id_bytes);
+    for (auto at = first; at < path.size(); ++at)
     {
         if (const auto* const job = state_.find_job(path.substr(at)))
         {
