Share the first call in the tests of the entry host

Cause: four tests repeated the same lines; a field of the call model was never read. Change: send_to_first_leader; the field is gone. No check changes.

--- a/test/entry_node-test.cpp
+++ b/test/entry_node-test.cpp
@@ -70,9 +70,7 @@
                     });
     }
 
-    // Sends a call to the first leader, which takes it and is lost without an
-    // answer, and then, in the next term, to the second.
-    void send_to_both_leaders(const std::string& method)
+    void send_to_first_leader(const std::string& method)
     {
         first.lead(2);
         call(method);
@@ -81,6 +79,13 @@
             {
                 return first.calls().size() == 1;
             }));
+    }
+
+    // Sends a call to the first leader, which takes it and is lost without an
+    // answer, and then, in the next term, to the second.
+    void send_to_both_leaders(const std::string& method)
+    {
+        ASSERT_NO_FATAL_FAILURE(send_to_first_leader(method));
         first.lead(0);
         first.fall_silent();
         first.disconnect();
@@ -150,13 +155,7 @@
 // Guards against refusals that are withheld although the call was sent once.
 TEST_P(entry_node_refusal_test, refusal_of_the_only_sending_is_passed_on)
 {
-    first.lead(2);
-    call("POST");
-    ASSERT_TRUE(run_until(
-        [this]
-        {
-            return first.calls().size() == 1;
-        }));
+    ASSERT_NO_FATAL_FAILURE(send_to_first_leader("POST"));
     first.answer(0, json_answer(GetParam()));
     EXPECT_EQ(answered_status(), GetParam());
 }
@@ -166,13 +165,7 @@
 TEST_P(entry_node_refusal_test,
        refusal_after_a_call_without_effect_is_passed_on)
 {
-    first.lead(2);
-    call("POST");
-    ASSERT_TRUE(run_until(
-        [this]
-        {
-            return first.calls().size() == 1;
-        }));
+    ASSERT_NO_FATAL_FAILURE(send_to_first_leader("POST"));
     first.lead(0);
     first.answer(0, not_leader_answer());
     second.lead(3);
@@ -235,13 +228,7 @@
 // Guards against "did not run" for a call whose only sending was lost.
 TEST_F(entry_node_test, call_with_a_lost_sending_may_have_run)
 {
-    first.lead(2);
-    call("POST");
-    ASSERT_TRUE(run_until(
-        [this]
-        {
-            return first.calls().size() == 1;
-        }));
+    ASSERT_NO_FATAL_FAILURE(send_to_first_leader("POST"));
     first.lead(0);
     first.disconnect();
     EXPECT_EQ(answered_status(), 504U);
@@ -251,13 +238,7 @@
 // which the caller may not repeat under another id.
 TEST_F(entry_node_test, call_without_effect_is_answered_as_not_run)
 {
-    first.lead(2);
-    call("POST");
-    ASSERT_TRUE(run_until(
-        [this]
-        {
-            return first.calls().size() == 1;
-        }));
+    ASSERT_NO_FATAL_FAILURE(send_to_first_leader("POST"));
     first.lead(0);
     first.answer(0, not_leader_answer());
     EXPECT_EQ(answered_status(), 503U);
--- a/test/support/call_model.cpp
+++ b/test/support/call_model.cpp
@@ -326,7 +326,6 @@
 void call_model::lose_link(std::size_t host)
 {
     const auto lost = current_links_[host];
-    lost->current = false;
     if (!lost->calls.empty())
     {
         lost_links_.push_back(lost);
--- a/test/support/call_model.hpp
+++ b/test/support/call_model.hpp
@@ -56,7 +56,6 @@
     struct link
     {
         std::size_t host = 0;
-        bool current = true; // False once the entry host has lost it.
         std::deque<forwarded_call> calls;
         // Answers, and statuses as the term of a leadership or 0.
         std::deque<std::pair<std::optional<forwarded_answer>, std::uint64_t>>
