Let the soak print what it does to its hosts

Change: one line with the time for each start, pause, resume, kill and signal to stop. The random choices are the same.

--- a/test/programs/fleet-soak.cpp
+++ b/test/programs/fleet-soak.cpp
@@ -22,6 +22,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -43,6 +44,7 @@
 constexpr int default_entry_count = 2;
 constexpr int worker_count = 6;
 constexpr milliseconds step_time{50}; // Duration of one call of tick().
+constexpr std::int64_t milliseconds_per_day = 86400000;
 constexpr milliseconds report_timeout{900};
 constexpr milliseconds job_call_timeout{3500};
 
@@ -178,6 +180,7 @@
     void start(host& item, bool first)
     {
         const auto i = static_cast<std::size_t>(&item - hosts_.data());
+        print_fault(item, "started");
         write_settings(i, first);
         setenv("LIMPETSTACK_NODE_FILE", item.settings.c_str(), 1);
         item.process = std::make_unique<test::process>(
@@ -188,6 +191,16 @@
         item.ended = false;
     }
 
+    // Prints what is done to a host, with the time as in the hosts' logs.
+    static void print_fault(const host& item, const char* action)
+    {
+        const auto ms = wall_clock_ms() % milliseconds_per_day;
+        std::printf(
+            "%02d:%02d:%02d.%03d %s %s\n", static_cast<int>(ms / 3600000),
+            static_cast<int>(ms / 60000 % 60), static_cast<int>(ms / 1000 % 60),
+            static_cast<int>(ms % 1000), item.name.c_str(), action);
+    }
+
     // Checks that no host ended by itself, and that those that were told to
     // stop returned no error.
     void check_ends()
@@ -260,14 +273,17 @@
         switch (random_() % 3)
         {
         case 0:
+            print_fault(item, "paused");
             item.process->signal(SIGSTOP);
             item.paused = true;
             break;
         case 1:
+            print_fault(item, "killed");
             item.ending = true;
             item.process->kill();
             break;
         default:
+            print_fault(item, "told to stop");
             item.ending = true;
             item.process->signal(SIGTERM);
         }
@@ -284,6 +300,7 @@
             }
             if (item.paused)
             {
+                print_fault(item, "resumed");
                 item.process->signal(SIGCONT);
                 item.paused = false;
             }
