--- a/test/support/call_model.cpp
+++ b/test/support/call_model.cpp
@@ -1,6 +1,7 @@
 #include "support/call_model.hpp"
 
 #include "coordination/fleet/fleet_answers.hpp"
+#include "support/modelled_core_host.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
@@ -37,25 +38,6 @@
 
 } // namespace
 
-struct call_model::core_host
-{
-    struct proposal
-    {
-        fleet_command command;
-        consensus_runner::outcome_handler done;
-    };
-
-    std::string address;
-    fleet_state state;
-    std::optional<fleet_document> document;
-    std::size_t applied = 0; // Number of committed commands in `state`.
-    std::uint64_t term = 0;  // In which it believes that it leads; 0: none.
-    bool frozen = false;
-    std::vector<proposal> proposals; // Not committed, oldest first.
-    std::vector<std::function<void(bool)>> reads;
-    std::unique_ptr<fleet_service> service;
-};
-
 call_model::call_model(const external_protocol& protocol, unsigned seed)
     : protocol_(protocol)
     , random_(seed)
@@ -77,7 +59,7 @@
 {
     for (std::size_t i = 0; i < host_count; ++i)
     {
-        hosts_.push_back(std::make_unique<core_host>());
+        hosts_.push_back(std::make_unique<modelled_core_host>());
         auto& host = *hosts_.back();
         host.address = absl::StrCat("10.0.0.", i + 1, ":1");
         host.service = std::make_unique<fleet_service>(protocol_, host.state,
@@ -92,7 +74,7 @@
 
 call_model::~call_model() = default;
 
-fleet_service_dependencies call_model::dependencies(core_host& host)
+fleet_service_dependencies call_model::dependencies(modelled_core_host& host)
 {
     fleet_service_dependencies out;
     out.propose =
@@ -360,7 +342,7 @@
 }
 
 // A deposed leader learns that it does not lead any more.
-void call_model::notice(core_host& host)
+void call_model::notice(modelled_core_host& host)
 {
     if (host.frozen || host.term == 0 || host.term == term_)
     {
@@ -381,17 +363,24 @@
     catch_up(host);
 }
 
-void call_model::catch_up(core_host& host)
+// Applies the next committed command to the host's state.
+apply_result call_model::apply_next(modelled_core_host& host)
+{
+    const auto& command = committed_[host.applied++];
+    const auto result = host.state.apply(command);
+    if (result == apply_result::changed && command.has_put_document())
+    {
+        host.document =
+            *protocol_.decode_document(command.put_document().text());
+    }
+    return result;
+}
+
+void call_model::catch_up(modelled_core_host& host)
 {
     while (host.applied < committed_.size())
     {
-        const auto& command = committed_[host.applied++];
-        if (host.state.apply(command) == apply_result::changed &&
-            command.has_put_document())
-        {
-            host.document =
-                *protocol_.decode_document(command.put_document().text());
-        }
+        apply_next(host);
     }
 }
 
@@ -404,13 +393,7 @@
         const auto item = leader.proposals.front();
         leader.proposals.erase(leader.proposals.begin());
         committed_.push_back(item.command);
-        ++leader.applied;
-        const auto result = leader.state.apply(item.command);
-        if (result == apply_result::changed && item.command.has_put_document())
-        {
-            leader.document =
-                *protocol_.decode_document(item.command.put_document().text());
-        }
+        const auto result = apply_next(leader);
         if (item.done)
         {
             item.done(proposal_outcome::applied, result);
@@ -418,7 +401,7 @@
     }
 }
 
-void call_model::confirm_reads(core_host& host)
+void call_model::confirm_reads(modelled_core_host& host)
 {
     if (host.frozen || host.term != term_)
     {
--- a/test/support/call_model.hpp
+++ b/test/support/call_model.hpp
@@ -21,6 +21,8 @@
 namespace limpetstack::fleet
 {
 
+struct modelled_core_host;
+
 /// Random histories of one entry host and three core hosts. The forwarder, the
 /// fence and the service are those of the daemon; the consensus protocol and
 /// the network are replaced: leaders are frozen and replaced at any moment, a
@@ -50,8 +52,6 @@
     std::uint64_t superseded() const;
 
 private:
-    struct core_host;
-
     // One connection of the entry host to a core host.
     struct link
     {
@@ -77,12 +77,13 @@
     void lose_link(std::size_t host);
     void elect(std::size_t host);
     void commit(std::size_t count);
-    void notice(core_host& host);
-    void confirm_reads(core_host& host);
-    void catch_up(core_host& host);
+    void notice(modelled_core_host& host);
+    void confirm_reads(modelled_core_host& host);
+    apply_result apply_next(modelled_core_host& host);
+    void catch_up(modelled_core_host& host);
     void change_document();
     void report_status(std::size_t host);
-    fleet_service_dependencies dependencies(core_host& host);
+    fleet_service_dependencies dependencies(modelled_core_host& host);
     bool chance(unsigned percent) { return random_() % 100 < percent; }
     std::shared_ptr<link> random_link();
 
@@ -90,7 +91,7 @@
     std::mt19937 random_;
     metrics counters_;
     time_point now_{milliseconds(1000)};
-    std::vector<std::unique_ptr<core_host>> hosts_;
+    std::vector<std::unique_ptr<modelled_core_host>> hosts_;
     std::vector<std::shared_ptr<link>> current_links_; // By core host.
     std::vector<std::shared_ptr<link>> lost_links_;    // With calls under way.
     std::vector<fleet_command> committed_;
