Show that a job of a removed queue with a policy never ends

Cause: an accepted job does not keep the policy of its queue, so that its starts carry no ticket once the route is gone.

--- a/review/stage-2/policy.cpp
+++ b/review/stage-2/policy.cpp
@@ -22,28 +22,26 @@
     httplib::Server server;
     server.set_keep_alive_max_count(1000000);
     server.set_keep_alive_timeout(60);
-    server.Post("/-/advise",
-                [&](const httplib::Request& request,
-                    httplib::Response& response)
-                {
-                    const std::lock_guard lock(turn);
-                    const auto question =
-                        json::parse(request.body, nullptr, false);
-                    const auto step = question.at("step").get<std::string>();
-                    auto allowed = json::array();
-                    for (const auto& worker : question.at("workers"))
-                    {
-                        const auto id = worker.get<std::string>();
-                        allowed.push_back({id, "ticket-" + step + "-" + id});
-                    }
-                    review::sleep_for(review::milliseconds(
-                        decision_ms +
-                        period_ms * static_cast<int>(allowed.size())));
-                    record.write("advises on " + step + ", " +
-                                 std::to_string(allowed.size()) + " runners");
-                    response.set_content(json{{"allowed", allowed}}.dump(),
-                                         "application/json");
-                });
+    server.Post(
+        "/-/advise",
+        [&](const httplib::Request& request, httplib::Response& response)
+        {
+            const std::lock_guard lock(turn);
+            const auto question = json::parse(request.body, nullptr, false);
+            const auto step = question.at("step").get<std::string>();
+            auto allowed = json::array();
+            for (const auto& worker : question.at("workers"))
+            {
+                const auto id = worker.get<std::string>();
+                allowed.push_back({id, "ticket-" + step + "-" + id});
+            }
+            review::sleep_for(review::milliseconds(
+                decision_ms + period_ms * static_cast<int>(allowed.size())));
+            record.write("advises on " + step + ", " +
+                         std::to_string(allowed.size()) + " runners");
+            response.set_content(json{{"allowed", allowed}}.dump(),
+                                 "application/json");
+        });
     server.listen(arguments[1].c_str(), std::atoi(arguments[2].c_str()));
     return 0;
 }
--- a/review/stage-2/runner.cpp
+++ b/review/stage-2/runner.cpp
@@ -34,12 +34,11 @@
 
 options read_options(const std::vector<std::string>& arguments)
 {
-    options values{{"id", ""},          {"ip", ""},
-                   {"port", "0"},       {"record", ""},
-                   {"control", ""},     {"service", "desk"},
-                   {"rack", "r1"},      {"work_ms", "2000"},
-                   {"ticket_job", "-"}, {"crash_job", "-"},
-                   {"crash_ms", "100"}};
+    options values{
+        {"id", ""},         {"ip", ""},          {"port", "0"},
+        {"record", ""},     {"control", ""},     {"service", "desk"},
+        {"rack", "r1"},     {"work_ms", "2000"}, {"ticket_job", "-"},
+        {"crash_job", "-"}, {"crash_ms", "100"}, {"lasting_job", "-"}};
     for (const auto& argument : arguments)
     {
         const auto equals = argument.find('=');
@@ -78,16 +77,26 @@
         server.set_keep_alive_max_count(1000000);
         server.set_keep_alive_timeout(60);
         server.set_tcp_nodelay(true);
-        const auto handler = [this](const httplib::Request& request,
-                                    httplib::Response& response)
+        const auto handler =
+            [this](const httplib::Request& request, httplib::Response& response)
         {
             handle(request, response);
         };
         server.Post("/-/run-start", handler);
         server.Post("/-/run-stop", handler);
         server.Post("/-/hold", handler);
-        std::thread([this] { report_forever(); }).detach();
-        std::thread([this] { advance_forever(); }).detach();
+        std::thread(
+            [this]
+            {
+                report_forever();
+            })
+            .detach();
+        std::thread(
+            [this]
+            {
+                advance_forever();
+            })
+            .detach();
         server.listen(options_.at("ip").c_str(),
                       std::atoi(options_.at("port").c_str()));
     }
@@ -95,28 +104,27 @@
 private:
     std::int64_t clock_ms() const
     {
-        return first_clock_ms +
-               std::chrono::duration_cast<milliseconds>(steady::now() -
-                                                        started_)
-                   .count();
+        return first_clock_ms + std::chrono::duration_cast<milliseconds>(
+                                    steady::now() - started_)
+                                    .count();
     }
 
     std::string report_body()
     {
-        return json{{"service", options_.at("service")},
-                    {"addr", options_.at("ip") + ":" + options_.at("port")},
-                    {"zone", "z0"},
-                    {"version", "v1"},
-                    {"slots", 8},
-                    {"state", "ready"},
-                    {"cold_left_ms", 0},
-                    {"capacity",
-                     {{"cpu", 32000}, {"mem_mb", 131072}, {"gpu", 8}}},
-                    {"labels", {"a", options_.at("rack")}},
-                    {"machine", "m-" + options_.at("id")},
-                    {"born", born_ms_},
-                    {"clock_ms", clock_ms()},
-                    {"seq", ++sequence_}}
+        return json{
+            {"service", options_.at("service")},
+            {"addr", options_.at("ip") + ":" + options_.at("port")},
+            {"zone", "z0"},
+            {"version", "v1"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"cold_left_ms", 0},
+            {"capacity", {{"cpu", 32000}, {"mem_mb", 131072}, {"gpu", 8}}},
+            {"labels", {"a", options_.at("rack")}},
+            {"machine", "m-" + options_.at("id")},
+            {"born", born_ms_},
+            {"clock_ms", clock_ms()},
+            {"seq", ++sequence_}}
             .dump();
     }
 
@@ -130,10 +138,10 @@
         }
         for (std::size_t next = 0;;)
         {
-            const auto got = review::call(
-                addresses[next % addresses.size()], "PUT",
-                "/-/instances/" + options_.at("id"), report_body(), {},
-                report_timeout);
+            const auto got =
+                review::call(addresses[next % addresses.size()], "PUT",
+                             "/-/instances/" + options_.at("id"), report_body(),
+                             {}, report_timeout);
             if (got.status / 100 == 2)
             {
                 if (!std::exchange(reported_, true))
@@ -175,13 +183,19 @@
             {
                 finish(i, "stopped");
             }
-            else if (item.stops_ms == 0 && now - item.started_ms >= work_ms_)
+            else if (item.stops_ms == 0 && !is_lasting(item.task) &&
+                     now - item.started_ms >= work_ms_)
             {
                 finish(i, "done");
             }
         }
     }
 
+    bool is_lasting(const std::string& task) const
+    {
+        return task.substr(0, task.find('.')) == options_.at("lasting_job");
+    }
+
     void finish(std::size_t index, const std::string& how)
     {
         const auto item = runs_[index];
@@ -356,11 +370,15 @@
         auto running = json::array();
         for (const auto& item : runs_)
         {
+            const bool lasting = is_lasting(item.task);
             const auto percent =
-                std::min<std::int64_t>(99, 100 *
-                                               (clock_ms() - item.started_ms) /
-                                               work_ms_);
-            running.push_back({item.task, item.number, "", percent, 1000});
+                lasting
+                    ? 100
+                    : std::min<std::int64_t>(
+                          99, 100 * (clock_ms() - item.started_ms) / work_ms_);
+            // The tail in milliseconds, or the processor time in use.
+            const int figure = lasting ? 50 : 1000;
+            running.push_back({item.task, item.number, "", percent, figure});
         }
         return {{"clock_ms", clock_ms()},
                 {"born", born_ms_},
--- a/review/stage-2/stage.cpp
+++ b/review/stage-2/stage.cpp
@@ -69,8 +69,8 @@
 
 void recorder::write(const std::string& text) const
 {
-    const auto line = std::to_string(unix_ms()) + " " + who_ + " " + text +
-                      "\n";
+    const auto line =
+        std::to_string(unix_ms()) + " " + who_ + " " + text + "\n";
     const auto written = ::write(file_, line.data(), line.size());
     static_cast<void>(written);
 }
@@ -241,8 +241,8 @@
         {"bounds", bounds_},
         {"config_mode", "highest"},
         {"orders", "push"},
-        {"advice", host_ip(entry_host + 1) + ":" +
-                       std::to_string(policy_port_)}};
+        {"advice",
+         host_ip(entry_host + 1) + ":" + std::to_string(policy_port_)}};
     if (core)
     {
         settings["listen"] = {{"control", at(control_port_)}};
@@ -276,11 +276,10 @@
 void deployment::start_policy(int decision_ms, int period_ms)
 {
     policy_ = std::make_unique<child_process>(
-        std::vector<std::string>{"review/build-2/policy",
-                                 host_ip(entry_host + 1),
-                                 std::to_string(policy_port_),
-                                 std::to_string(decision_ms),
-                                 std::to_string(period_ms), record_path_},
+        std::vector<std::string>{
+            "review/build-2/policy", host_ip(entry_host + 1),
+            std::to_string(policy_port_), std::to_string(decision_ms),
+            std::to_string(period_ms), record_path_},
         std::vector<std::string>{}, folder_ + "/policy.log");
 }
 
@@ -296,16 +295,15 @@
 
 void deployment::start_runner(int number, const std::vector<std::string>& more)
 {
-    std::vector<std::string> command{"review/build-2/runner",
-                                     "id=" + runner_id(number),
-                                     "ip=" + runner_address_ip(number),
-                                     "port=" + std::to_string(runner_port_),
-                                     "record=" + record_path_,
-                                     "control=" + control_address(number % 3) +
-                                         "," +
-                                         control_address((number + 1) % 3) +
-                                         "," +
-                                         control_address((number + 2) % 3)};
+    std::vector<std::string> command{
+        "review/build-2/runner",
+        "id=" + runner_id(number),
+        "ip=" + runner_address_ip(number),
+        "port=" + std::to_string(runner_port_),
+        "record=" + record_path_,
+        "control=" + control_address(number % 3) + "," +
+            control_address((number + 1) % 3) + "," +
+            control_address((number + 2) % 3)};
     command.insert(command.end(), more.begin(), more.end());
     runners_[number] = nullptr;
     runners_[number] = std::make_unique<child_process>(
@@ -341,14 +339,13 @@
 answer deployment::client(const std::string& method, const std::string& path,
                           const std::string& body)
 {
-    const auto got =
-        call(host_ip(entry_host) + ":" + std::to_string(front_port_), method,
-             path, body,
-             {{"Host", "jobs.example"},
-              {"Authorization", "Bearer key-of-tenant"},
-              {"X-Limpetstack-Deadline-Ms",
-               std::to_string(client_timeout.count())}},
-             client_timeout + milliseconds(200));
+    const auto got = call(
+        host_ip(entry_host) + ":" + std::to_string(front_port_), method, path,
+        body,
+        {{"Host", "jobs.example"},
+         {"Authorization", "Bearer key-of-tenant"},
+         {"X-Limpetstack-Deadline-Ms", std::to_string(client_timeout.count())}},
+        client_timeout + milliseconds(200));
     record_.write(method + " " + path + ": " + std::to_string(got.status) +
                   " " + got.body);
     return got;
