--- a/review/stage-2/policy.cpp
+++ b/review/stage-2/policy.cpp
@@ -33,7 +33,7 @@
             for (const auto& worker : question.at("workers"))
             {
                 const auto id = worker.get<std::string>();
-                allowed.push_back({id, "ticket-" + step + "-" + id});
+                allowed.push_back({id, review::ticket_of(step, id)});
             }
             review::sleep_for(review::milliseconds(
                 decision_ms + period_ms * static_cast<int>(allowed.size())));
--- a/review/stage-2/runner.cpp
+++ b/review/stage-2/runner.cpp
@@ -34,11 +34,23 @@
 
 options read_options(const std::vector<std::string>& arguments)
 {
-    options values{
-        {"id", ""},         {"ip", ""},          {"port", "0"},
-        {"record", ""},     {"control", ""},     {"service", "desk"},
-        {"rack", "r1"},     {"work_ms", "2000"}, {"ticket_job", "-"},
-        {"crash_job", "-"}, {"crash_ms", "100"}, {"lasting_job", "-"}};
+    options values{{"id", ""},
+                   {"ip", ""},
+                   {"port", "0"},
+                   {"record", ""},
+                   {"control", ""},
+                   {"service", "desk"},
+                   {"kind", "a"},
+                   {"rack", "r1"},
+                   {"work_ms", "2000"},
+                   {"ticket_job", "-"},
+                   {"lasting_job", "-"},
+                   {"crash_job", "-"},
+                   {"crash_ms", "100"},
+                   // When the process ends by itself after its start; 0: never.
+                   {"life_ms", "0"},
+                   // How far the time of day is ahead at the start.
+                   {"ahead_ms", "0"}};
     for (const auto& argument : arguments)
     {
         const auto equals = argument.find('=');
@@ -62,7 +74,7 @@
         : options_(std::move(values))
         , record_(options_.at("record"), options_.at("id"))
         , work_ms_(std::atoll(options_.at("work_ms").c_str()))
-        , born_ms_(unix_ms())
+        , born_ms_(unix_ms() + std::atoll(options_.at("ahead_ms").c_str()))
         , started_(steady::now())
     {
     }
@@ -120,7 +132,7 @@
             {"state", "ready"},
             {"cold_left_ms", 0},
             {"capacity", {{"cpu", 32000}, {"mem_mb", 131072}, {"gpu", 8}}},
-            {"labels", {"a", options_.at("rack")}},
+            {"labels", {options_.at("kind"), options_.at("rack")}},
             {"machine", "m-" + options_.at("id")},
             {"born", born_ms_},
             {"clock_ms", clock_ms()},
@@ -172,6 +184,12 @@
     void advance()
     {
         const auto now = clock_ms();
+        const auto life = std::atoll(options_.at("life_ms").c_str());
+        if (life > 0 && now - first_clock_ms >= life)
+        {
+            record_.write("crashes");
+            ::_exit(1);
+        }
         for (std::size_t i = runs_.size(); i-- > 0;)
         {
             const auto& item = runs_[i];
@@ -304,7 +322,7 @@
         }
         const auto step = task.substr(0, task.rfind('.'));
         if (task.substr(0, task.find('.')) == options_.at("ticket_job") &&
-            ticket != "ticket-" + step + "-" + options_.at("id"))
+            ticket != review::ticket_of(step, options_.at("id")))
         {
             return "ticket";
         }
--- a/review/stage-2/stage.cpp
+++ b/review/stage-2/stage.cpp
@@ -149,6 +149,13 @@
     return result ? answer{result->status, result->body} : answer{};
 }
 
+std::string ticket_of(const std::string& step, const std::string& worker)
+{
+    auto ticket = step;
+    ticket.append("/").append(worker);
+    return ticket;
+}
+
 int free_port()
 {
     // Below the ephemeral ports, so that no outgoing connection takes it.
@@ -339,7 +346,7 @@
 answer deployment::client(const std::string& method, const std::string& path,
                           const std::string& body)
 {
-    const auto got = call(
+    auto got = call(
         host_ip(entry_host) + ":" + std::to_string(front_port_), method, path,
         body,
         {{"Host", "jobs.example"},
--- a/review/stage-2/stage.hpp
+++ b/review/stage-2/stage.hpp
@@ -75,6 +75,9 @@
             const std::map<std::string, std::string>& headers,
             milliseconds timeout);
 
+/// Returns the ticket with which the worker may run the step.
+std::string ticket_of(const std::string& step, const std::string& worker);
+
 /// Returns a TCP port that is free on all loopback addresses that a case uses.
 int free_port();
 
