Judge stalled runs by the progress of their gang, and verify workers after a takeover

Members of a gang that have done their part list 100 percent until the slowest has ended and were stopped as stalled. After a takeover, gangs started on workers that had left meanwhile.

--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -28,7 +28,8 @@
         request.all_or_nothing ? request.count : 0, "/", request.same_rack, "/",
         request.other_racks_allowed, "/", request.held_workers_allowed, "/",
         request.max_per_worker, "/", request.filler, "/", request.serves_users,
-        "/", request.isolated, "/", request.steady_only, "/", last_resort);
+        "/", request.isolated, "/", request.steady_only, "/",
+        request.verified_only, "/", last_resort);
 }
 
 // Returns the indices that are in both sets.
@@ -70,13 +71,13 @@
         if (availability == worker_availability::usable ||
             availability == worker_availability::avoided)
         {
-            candidates_.push_back({&worker, worker.capacity - worker.used, 0,
-                                   worker.filler_runs > 0,
-                                   worker.serving_runs > 0,
-                                   availability == worker_availability::avoided,
-                                   workers_.is_quiet(worker, now),
-                                   worker_fleet::is_steady(worker, now),
-                                   now < worker.trial_until});
+            candidates_.push_back(
+                {&worker, worker.capacity - worker.used, 0,
+                 worker.filler_runs > 0, worker.serving_runs > 0,
+                 availability == worker_availability::avoided,
+                 workers_.is_quiet(worker, now),
+                 worker_fleet::is_steady(worker, now), now < worker.trial_until,
+                 workers_.is_verified(worker, now)});
         }
     }
     for (auto at = reservations_.begin(); at != reservations_.end();)
--- a/src/coordination/fleet/fleet_preferences.cpp
+++ b/src/coordination/fleet/fleet_preferences.cpp
@@ -125,6 +125,7 @@
     request.crashed_addresses = item.crashed_addresses;
     request.need = counted_need(spec);
     request.all_or_nothing = spec.gang();
+    request.verified_only = spec.gang();
     request.same_rack = spec.same_rack() && spec.gang();
     request.service = item.queue.service;
     request.required_label = spec.required_label();
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -12,26 +12,6 @@
 namespace
 {
 
-// A run that reports no progress for this share of its estimate, but at least
-// for the minimum, is stopped. Workers list their runs at least every two
-// seconds. Progress is reported in whole percent: a run that takes fifty times
-// as long as estimated needs half of the estimate for one percent.
-constexpr milliseconds min_stall_timeout{5000};
-constexpr double stall_share_of_estimate = 0.5;
-
-// Stall timeout of a run without an estimate.
-constexpr milliseconds default_stall_timeout{60000};
-
-milliseconds stall_timeout(const live_run& run)
-{
-    return run.estimate_ms <= 0
-               ? default_stall_timeout
-               : std::max(min_stall_timeout,
-                          milliseconds(static_cast<std::int64_t>(
-                              stall_share_of_estimate *
-                              static_cast<double>(run.estimate_ms))));
-}
-
 // A worker on which runs of this many jobs failed in a row gets no placements
 // for a pause. Each further pause is twice as long, up to
 // `max_pause_doublings` times.
@@ -320,27 +300,6 @@
     return items;
 }
 
-void fleet_scheduler::stop_stalled_runs(time_point now)
-{
-    std::vector<std::string> stalled;
-    for (const auto& [key, run] : workers_.runs())
-    {
-        const auto last = std::max(run.progressed_at, run.started_at);
-        if (run.phase == run_phase::present && !run.stop_requested &&
-            !run.lasting && run.listed_at - last >= stall_timeout(run))
-        {
-            stalled.push_back(key);
-        }
-    }
-    for (const auto& key : stalled)
-    {
-        const auto& run = workers_.runs().at(key);
-        failed_workers_[id_of(run.ref)].insert(run.incarnation.worker);
-        workers_.avoid(run.incarnation.worker, now + 2 * first_pause);
-        workers_.stop(key, "no_progress", now);
-    }
-}
-
 // Returns true when the gang needs more than all present workers of its service
 // have: it can not start until the workers change.
 bool fleet_scheduler::exceeds_service(const pending_step& item)
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -297,6 +297,7 @@
     void reclaim(const pending_step_key& key, pending_step& item,
                  time_point now);
     void stop_stalled_runs(time_point now);
+    void stop_stalled_run(const live_run& run, time_point now);
     static subtask_id id_of(const run_ref& run);
     void record_end(const ended_run& ended, time_point now);
     void forget_failures(const std::string& job);
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -154,8 +154,9 @@
         !request.allowed || request.allowed->count(record.id()) > 0;
     return (!candidate.last_resort || request.last_resort_allowed) &&
            !candidate.in_trial && (candidate.quiet || !request.isolated) &&
-           (candidate.steady || !request.steady_only) && !disturbs && allowed &&
-           record.service() == request.service &&
+           (candidate.steady || !request.steady_only) &&
+           (candidate.verified || !request.verified_only) && !disturbs &&
+           allowed && record.service() == request.service &&
            (request.required_label.empty() ||
             std::find(labels.begin(), labels.end(), request.required_label) !=
                 labels.end());
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -23,6 +23,7 @@
     bool quiet = true;              // No run is starting or has just started.
     bool steady = true;             // Has not just started.
     bool in_trial = false; // Runs a subtask that may crash it; takes no others.
+    bool verified = true;  // Has answered the leader and reported to it.
 };
 
 /// Returns the candidate with the given worker id, or null. `candidates` must
@@ -49,7 +50,8 @@
     // The subtasks may crash their workers: they start only on quiet workers,
     // first on steady ones with the least work to lose.
     bool isolated = false;
-    bool steady_only = false; // Uses only workers that have not just started.
+    bool steady_only = false;   // Uses only workers that have not just started.
+    bool verified_only = false; // Uses only workers known to be up.
     std::string service;
     std::string required_label;
     std::string preferred_rack;
--- a/src/coordination/fleet/worker_availability.cpp
+++ b/src/coordination/fleet/worker_availability.cpp
@@ -127,6 +127,14 @@
                                     : worker_availability::usable;
 }
 
+bool worker_fleet::is_verified(const worker_session& worker,
+                               time_point now) const
+{
+    return worker.confirmed &&
+           (worker.reported ||
+            now - began_at_ > options_.report_interval + report_tolerance);
+}
+
 bool worker_fleet::is_present(const worker_session& worker,
                               time_point now) const
 {
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -248,6 +248,7 @@
     }
     worker->last_sequence = report.sequence;
     worker->last_report = now;
+    worker->reported = true;
     worker->clock.sample(report.worker_time_ms, now);
 }
 
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -122,6 +122,12 @@
     /// Until `until` the worker gets placements only when no other one fits.
     void avoid(const std::string& worker, time_point until);
 
+    /// Returns true when this leader knows from the worker itself that it is up
+    /// and not about to leave: it has answered, and it has reported or had the
+    /// time for it. While no host leads, a worker may leave without being
+    /// heard, and it goes on answering until it ends.
+    bool is_verified(const worker_session& worker, time_point now) const;
+
     /// Returns true when no start was sent to the worker a short time ago and
     /// none is due: a run that starts now is the only one that a crash can be
     /// put down to.
--- a/src/coordination/fleet/worker_session.hpp
+++ b/src/coordination/fleet/worker_session.hpp
@@ -57,7 +57,8 @@
     std::set<std::string> pending_ends;
     // The worker has answered under this leader's epoch.
     bool confirmed = false;
-    bool holding = false; // A hold call has been sent and not answered.
+    bool reported = false; // It has reported to this leader.
+    bool holding = false;  // A hold call has been sent and not answered.
     // When its runs were stopped because it leaves. Its lease is not renewed.
     std::optional<time_point> departing_since;
     bool removal_proposed = false; // Its removal from the state is proposed.
