Add the evacuation of a data centre to the fleet daemon

Operators may ask that nothing more is started on the workers of a data centre. The names are in the replicated state; placements, committed starts and repeated start orders skip evacuated workers, and running work continues.

--- a/src/coordination/fleet/fleet_control.cpp
+++ b/src/coordination/fleet/fleet_control.cpp
@@ -50,6 +50,19 @@
                          : json_answer(200, state_.document().text()));
             });
         break;
+    case control_request::start_evacuation:
+        set_evacuated(target.id, true, done);
+        break;
+    case control_request::end_evacuation:
+        set_evacuated(target.id, false, done);
+        break;
+    case control_request::invalid:
+        log_event(log_level::info, "control_call_refused",
+                  {{"method", call.method()}, {"target", call.target()}});
+        done(json_answer(
+            400, protocol_.encode_error("the path names nothing that can "
+                                        "exist")));
+        break;
     case control_request::maintain_machines:
         log_event(log_level::warning, "maintenance_refused",
                   {{"target", call.target()}});
@@ -173,6 +186,36 @@
             });
 }
 
+void fleet_service::set_evacuated(const std::string& data_centre, bool active,
+                                  const answer_handler& done)
+{
+    if (!dependencies_.group_applies_evacuations())
+    {
+        log_event(log_level::warning, "evacuation_refused",
+                  {{"data_centre", data_centre},
+                   {"reason", "a host of the group has an earlier version"}});
+        done(retry_later_answer());
+        return;
+    }
+    fleet_command command;
+    command.mutable_evacuation()->set_data_centre(data_centre);
+    command.mutable_evacuation()->set_active(active);
+    propose(std::move(command), done,
+            [this, data_centre](apply_result result)
+            {
+                if (result != apply_result::refused)
+                {
+                    return json_answer(200);
+                }
+                log_event(log_level::warning, "evacuation_refused",
+                          {{"data_centre", data_centre},
+                           {"reason", "too many data centres are evacuated"}});
+                return json_answer(409,
+                                   protocol_.encode_error(
+                                       "too many data centres are evacuated"));
+            });
+}
+
 void fleet_service::put_document(const forwarded_call& call,
                                  const answer_handler& done)
 {
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -70,13 +70,13 @@
         if (availability == worker_availability::usable ||
             availability == worker_availability::avoided)
         {
-            candidates_.push_back({&worker, worker.capacity - worker.used, 0,
-                                   worker.filler_runs > 0,
-                                   worker.serving_runs > 0,
-                                   availability == worker_availability::avoided,
-                                   workers_.is_quiet(worker, now),
-                                   worker_fleet::is_steady(worker, now),
-                                   now < worker.trial_until});
+            candidates_.push_back(
+                {&worker, worker.capacity - worker.used, 0,
+                 worker.filler_runs > 0, worker.serving_runs > 0,
+                 availability == worker_availability::avoided,
+                 workers_.is_quiet(worker, now),
+                 worker_fleet::is_steady(worker, now), now < worker.trial_until,
+                 is_cold(worker, now)});
         }
     }
     for (auto at = reservations_.begin(); at != reservations_.end();)
@@ -134,6 +134,15 @@
                   static_cast<double>(headroom_accelerators));
 }
 
+// Returns true when the worker is slow because it was not used during an
+// evacuation.
+bool fleet_scheduler::is_cold(const worker_session& worker,
+                              time_point now) const
+{
+    return now < worker.warm_at &&
+           returned_data_centres_.count(worker.record.data_centre()) > 0;
+}
+
 fleet_scheduler::service_capacity&
 fleet_scheduler::capacity_of(const std::string& service)
 {
--- a/src/coordination/fleet/fleet_preferences.cpp
+++ b/src/coordination/fleet/fleet_preferences.cpp
@@ -54,6 +54,7 @@
                                &worker, worker.capacity - worker.used, 0,
                                worker.filler_runs > 0, worker.serving_runs > 0};
                            if (workers_.is_present(worker, now) &&
+                               !workers_.is_evacuated(worker) &&
                                is_eligible(candidate, doubled))
                            {
                                slots += count_fitting(candidate, candidate.free,
@@ -149,8 +150,10 @@
         request.other_racks_allowed = !fits_in_one_rack(request);
     }
     request.preferences_expired = preferences_expired(item, request, now);
-    request.other_racks_allowed =
-        request.other_racks_allowed || request.preferences_expired;
+    request.other_racks_allowed = request.other_racks_allowed ||
+                                  request.preferences_expired ||
+                                  is_rack_evacuated(request.preferred_rack);
+    request.avoid_cold = item.queue.priority == 0;
     request.held_workers_allowed =
         !is_kept_off_held_workers(item) ||
         (request.preferences_expired && !has_live_run(item.job));
@@ -181,6 +184,29 @@
     return request;
 }
 
+// Returns true when all workers of the rack are in evacuated data centres.
+// Waiting for them would take as long as the evacuation.
+bool fleet_scheduler::is_rack_evacuated(const std::string& rack) const
+{
+    if (rack.empty() || state_.evacuated().empty())
+    {
+        return false;
+    }
+    bool known = false;
+    for (const auto& [id, worker] : workers_.workers())
+    {
+        if (worker.record.rack() == rack)
+        {
+            if (!workers_.is_evacuated(worker))
+            {
+                return false;
+            }
+            known = true;
+        }
+    }
+    return known;
+}
+
 // Returns true when some rack's usable workers could hold the request if they
 // were empty.
 bool fleet_scheduler::fits_in_one_rack(const placement_request& request) const
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -189,6 +189,16 @@
             jobs_to_refresh_.insert(run.job());
         }
         break;
+    case fleet_command::kEvacuation:
+        if (command.evacuation().active())
+        {
+            returned_data_centres_.erase(command.evacuation().data_centre());
+        }
+        else if (result == apply_result::changed)
+        {
+            returned_data_centres_.insert(command.evacuation().data_centre());
+        }
+        break;
     case fleet_command::kRemoveWorker:
         if (result == apply_result::changed)
         {
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -231,6 +231,9 @@
     placement_request request_for(const pending_step& item,
                                   time_point now) const;
     void refresh_candidates(time_point now);
+    bool is_cold(const worker_session& worker, time_point now) const;
+    bool is_rack_evacuated(const std::string& rack) const;
+    bool would_fit_with_evacuated(const placement_request& request) const;
     void refresh_backfill_limits();
     void reserve_for_gang(const pending_step& item, time_point now);
     // Chooses the gang of each service for which workers are held.
@@ -349,6 +352,8 @@
     std::set<std::string> unplaceable_shapes_;
     // Accelerators needed by open jobs of priority 0, by account.
     std::map<std::string, std::int64_t> urgent_accelerators_;
+    // Data centres whose evacuation ended under this leader.
+    std::set<std::string> returned_data_centres_;
     // Workers on which a subtask has failed.
     std::map<subtask_id, std::set<std::string>> failed_workers_;
     struct failure_history
--- a/src/coordination/fleet/fleet_service.hpp
+++ b/src/coordination/fleet/fleet_service.hpp
@@ -30,6 +30,9 @@
     std::function<void(const worker_report&)> record_report;
     // Returns the document in force, or null before the first document.
     std::function<const fleet_document*()> document;
+    // Returns false while a connected host of the group is known to be of a
+    // version that drops evacuations from its state.
+    std::function<bool()> group_applies_evacuations;
     std::function<std::uint64_t()> term;   // Of this host's leadership.
     std::function<std::int64_t()> wall_ms; // Wall clock in milliseconds.
     std::string report_address; // Address that workers report to from now on.
@@ -98,6 +101,8 @@
     void propose_removal(const worker_incarnation& worker,
                          const answer_handler& done);
     void put_document(const forwarded_call& call, const answer_handler& done);
+    void set_evacuated(const std::string& data_centre, bool active,
+                       const answer_handler& done);
     void propose(fleet_command command, const answer_handler& done,
                  std::function<forwarded_answer(apply_result)> answer);
 
--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -102,6 +102,8 @@
             absl::StrCat("workers{state=\"", name_of(availability), "\"}"),
             static_cast<double>(workers[availability]));
     }
+    counters_.set("evacuated_runs",
+                  static_cast<double>(workers_.evacuated_runs()));
     for (const auto& [queue, longest] : longest_waits_)
     {
         counters_.set(absl::StrCat("longest_wait_ms{queue=\"", queue, "\"}"),
@@ -109,6 +111,26 @@
     }
 }
 
+// Returns true when the request would fit if nothing were evacuated.
+bool fleet_scheduler::would_fit_with_evacuated(
+    const placement_request& request) const
+{
+    std::uint32_t slots = 0;
+    bool any_evacuated = false;
+    for (const auto& [id, worker] : workers_.workers())
+    {
+        const placement_candidate candidate{&worker,
+                                            worker.capacity - worker.used};
+        if (is_eligible(candidate, request))
+        {
+            slots += count_fitting(candidate, candidate.free, request);
+            any_evacuated = any_evacuated || workers_.is_evacuated(worker);
+        }
+    }
+    return any_evacuated &&
+           slots >= (request.all_or_nothing ? request.count : 1U);
+}
+
 milliseconds fleet_scheduler::wait_before_log(const queue_config& queue) const
 {
     return queue.priority == 0 ? options_.reclaim_limit / 2 : first_wait_log;
@@ -204,8 +226,13 @@
         used_less_urgent += priority > item.queue.priority ? accelerators : 0;
     }
     const auto& service = capacity_of(request.service);
-    const auto obstacle = [&item]
+    const auto obstacle = [&]
     {
+        if (item.obstacle == placement_obstacle::capacity &&
+            would_fit_with_evacuated(request))
+        {
+            return "evacuation";
+        }
         switch (item.obstacle)
         {
         case placement_obstacle::crashes:
@@ -287,6 +314,8 @@
           absl::StrCat(workers[worker_availability::avoided])},
          {"workers_refusing",
           absl::StrCat(workers[worker_availability::refusing])},
+         {"workers_evacuated",
+          absl::StrCat(workers[worker_availability::evacuated])},
          {"workers_unreachable",
           absl::StrCat(workers[worker_availability::unreachable])},
          {"workers_draining",
--- a/src/coordination/fleet/member_policy.hpp
+++ b/src/coordination/fleet/member_policy.hpp
@@ -20,6 +20,8 @@
     std::string address; // Peer address of the host.
     std::string data_centre;
     time_point last_ping; // Arrival of the last ping.
+    // False: a version that drops evacuations from its state.
+    bool applies_evacuations = true;
 };
 
 struct member_policy_options
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -39,8 +39,8 @@
                                     candidate.worker->record.address()) > 0,
             request.isolated && !candidate.steady,
             request.isolated ? weight_in_cores(candidate.worker->used) : 0.0,
-            candidate.free.accelerators, candidate.free.memory_mb,
-            candidate.free.cpu_milli);
+            request.avoid_cold && candidate.cold, candidate.free.accelerators,
+            candidate.free.memory_mb, candidate.free.cpu_milli);
     };
     std::stable_sort(order.begin(), order.end(),
                      [&](std::size_t a, std::size_t b)
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -23,6 +23,7 @@
     bool quiet = true;              // No run is starting or has just started.
     bool steady = true;             // Has not just started.
     bool in_trial = false; // Runs a subtask that may crash it; takes no others.
+    bool cold = false;     // Is still slow after the end of an evacuation.
 };
 
 /// Returns the candidate with the given worker id, or null. `candidates` must
@@ -50,6 +51,7 @@
     // first on steady ones with the least work to lose.
     bool isolated = false;
     bool steady_only = false; // Uses only workers that have not just started.
+    bool avoid_cold = false;  // Uses cold workers only when no others fit.
     std::string service;
     std::string required_label;
     std::string preferred_rack;
--- a/src/coordination/fleet/worker_availability.cpp
+++ b/src/coordination/fleet/worker_availability.cpp
@@ -31,6 +31,8 @@
         return "draining";
     case worker_availability::avoided:
         return "avoided";
+    case worker_availability::evacuated:
+        return "evacuated";
     case worker_availability::refusing:
         return "refusing";
     case worker_availability::unreachable:
@@ -119,6 +121,10 @@
     {
         return worker_availability::unreachable;
     }
+    if (is_evacuated(worker))
+    {
+        return worker_availability::evacuated;
+    }
     if (now < worker.refuses_until)
     {
         return worker_availability::refusing;
@@ -127,6 +133,11 @@
                                     : worker_availability::usable;
 }
 
+bool worker_fleet::is_evacuated(const worker_session& worker) const
+{
+    return state_.is_evacuated(worker.record.data_centre());
+}
+
 bool worker_fleet::is_present(const worker_session& worker,
                               time_point now) const
 {
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -248,6 +248,7 @@
     }
     worker->last_sequence = report.sequence;
     worker->last_report = now;
+    worker->warm_at = now + milliseconds(report.warm_up_left_ms);
     worker->clock.sample(report.worker_time_ms, now);
 }
 
@@ -302,6 +303,9 @@
             }
         }
         return;
+    case fleet_command::kEvacuation:
+        log_evacuation(command.evacuation(), result);
+        return;
     default:
         return;
     }
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -109,6 +109,14 @@
     worker_availability availability(const worker_session& worker,
                                      time_point now) const;
 
+    /// Returns the number of runs in evacuated data centres that have not
+    /// ended.
+    std::size_t evacuated_runs() const;
+
+    /// Returns true when the worker's data centre is evacuated: nothing is
+    /// started there, and what runs goes on.
+    bool is_evacuated(const worker_session& worker) const;
+
     /// Returns true when the worker answers and is not about to leave, whether
     /// it gets placements now or not.
     bool is_present(const worker_session& worker, time_point now) const;
@@ -171,6 +179,7 @@
     worker_session* session_of(const worker_incarnation& incarnation);
     void propose_end(live_run& run, run_end end, const std::string& checkpoint,
                      const char* reason);
+    void log_evacuation(const evacuation& change, apply_result result) const;
     void log_end(const live_run& run, run_end end, const char* reason,
                  time_point now);
     const step_spec* find_spec(const run_ref& run) const;
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -106,7 +106,8 @@
 {
     const auto expiry = worker.clock.expiry_time();
     return (!expiry || now < *expiry) && !worker.replaced_at &&
-           !is_overfull(worker) && !must_wait(run, unknown_subtasks()) &&
+           !is_evacuated(worker) && !is_overfull(worker) &&
+           !must_wait(run, unknown_subtasks()) &&
            (run.start_attempts < max_start_attempts ||
             (!worker.unreachable &&
              now - run.first_sent_at < start_time_limit));
@@ -178,6 +179,11 @@
             propose_end(found->second, run_never, "", "worker_unreachable");
             continue;
         }
+        if (is_evacuated(*worker))
+        {
+            propose_end(found->second, run_never, "", "data_centre_evacuated");
+            continue;
+        }
         if (is_overfull(*worker))
         {
             propose_end(found->second, run_never, "", "worker_occupied");
--- a/src/coordination/fleet/worker_session.hpp
+++ b/src/coordination/fleet/worker_session.hpp
@@ -45,6 +45,7 @@
     std::size_t serving_runs = 0;
     std::uint64_t last_sequence = 0; // Highest number of a report.
     time_point last_report;          // When the last report arrived.
+    time_point warm_at; // Until then it is slow after its start, by its report.
     // The worker numbers the ends of its runs; ends up to this number are
     // committed.
     std::uint64_t committed_end = 0;
--- a/src/daemon/fleet/core_calls.cpp
+++ b/src/daemon/fleet/core_calls.cpp
@@ -7,6 +7,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace limpetstack::fleet
@@ -18,6 +19,10 @@
 // is shorter than the time that its sender waits.
 constexpr milliseconds forward_timeout{900};
 
+// Hosts ping several times a second; one that has been silent for this long is
+// not connected.
+constexpr milliseconds observation_time{3000};
+
 http_server_answer to_http(const forwarded_answer& answer)
 {
     http_server_answer out;
@@ -66,6 +71,10 @@
     {
         return document_ ? &*document_ : nullptr;
     };
+    dependencies.group_applies_evacuations = [this]
+    {
+        return group_applies_evacuations();
+    };
     dependencies.term = [this]
     {
         return runner_->replica().term();
@@ -75,6 +84,25 @@
     return dependencies;
 }
 
+// Returns false while a host that was heard of a short time ago is of a version
+// that drops evacuations from its state and its snapshots.
+bool core_node::group_applies_evacuations() const
+{
+    return std::all_of(observed_hosts_.begin(), observed_hosts_.end(),
+                       [now = boot_now()](const auto& entry)
+                       {
+                           return entry.second.applies_evacuations ||
+                                  now - entry.second.last_ping >
+                                      observation_time;
+                       });
+}
+
+void core_node::report_evacuations()
+{
+    counters_.set("evacuated_data_centres",
+                  static_cast<double>(state_.evacuated().size()));
+}
+
 void core_node::serve_call(const forwarded_call& call,
                            const answer_handler& done)
 {
--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -83,6 +83,10 @@
         {
             use_document();
         }
+        if (command.has_evacuation())
+        {
+            report_evacuations();
+        }
         if (command.has_accept() && result == apply_result::changed &&
             !leadership_)
         {
@@ -106,6 +110,7 @@
     {
         end_leadership();
         use_document();
+        report_evacuations();
     };
     callbacks.on_disk_error = [this](const absl::Status& status)
     {
@@ -120,6 +125,7 @@
         boot_now());
     storage_.content = {};
     use_document();
+    report_evacuations();
     links_ = std::make_unique<peer_links>(
         io_, link_options,
         [this]
@@ -131,6 +137,7 @@
             from.set_peer_address(settings_.peer_address);
             from.set_replica(storage_.id);
             from.set_data_centre(settings_.data_centre);
+            from.set_applies_evacuations(true);
             return out;
         },
         [this](const std::string&, const peer_frame& frame)
--- a/src/daemon/fleet/core_node.hpp
+++ b/src/daemon/fleet/core_node.hpp
@@ -96,6 +96,8 @@
     void log_refusal(const std::string& method, const std::string& target,
                      const forwarded_answer& answer) const;
     void log_stored_job(const accepted_job& job) const;
+    bool group_applies_evacuations() const;
+    void report_evacuations();
     void handle_control(http_server_request request, http_responder respond);
     void forward_to_leader(forwarded_call call, http_responder respond);
     void propose_timed(fleet_command command,
--- a/src/daemon/fleet/core_peers.cpp
+++ b/src/daemon/fleet/core_peers.cpp
@@ -74,9 +74,9 @@
     {
         return;
     }
-    observed_hosts_[from.replica()] = {from.replica(), from.name(),
-                                       from.peer_address(), from.data_centre(),
-                                       boot_now()};
+    observed_hosts_[from.replica()] = {
+        from.replica(),     from.name(), from.peer_address(),
+        from.data_centre(), boot_now(),  from.applies_evacuations()};
     replica_addresses_[from.replica()] = from.peer_address();
     if (learned_addresses_.insert(from.peer_address()).second)
     {
--- a/src/protocol/external_protocol.hpp
+++ b/src/protocol/external_protocol.hpp
@@ -82,6 +82,8 @@
     worker_record worker;
     std::uint64_t sequence = 0;
     std::int64_t worker_time_ms = 0; // Worker's steady clock at sending.
+    // How much longer the worker remains slow after its start.
+    std::int64_t warm_up_left_ms = 0;
 };
 
 /// A run that a worker lists as running.
@@ -198,7 +200,10 @@
     remove_worker,
     put_document,
     get_document,
+    start_evacuation,
+    end_evacuation,
     maintain_machines, // Not supported; the request is refused.
+    invalid,           // Names something that can not exist.
     unknown
 };
 
@@ -206,7 +211,9 @@
 struct control_target
 {
     control_request kind = control_request::unknown;
-    std::string id; // Worker id; empty for requests about other things.
+    // Worker id, or name of a data centre; empty for requests about other
+    // things.
+    std::string id;
 };
 
 /// The state of a job that its caller is told.
--- a/src/state/fleet_snapshot.cpp
+++ b/src/state/fleet_snapshot.cpp
@@ -178,6 +178,10 @@
         saved.set_born_ms(incarnation.born_ms);
         saved.set_gone(true);
     }
+    for (const auto& name : evacuated_)
+    {
+        out.add_evacuated(name);
+    }
     return out.SerializeAsString();
 }
 
@@ -225,6 +229,7 @@
     {
         remember_gone({worker.id(), worker.born_ms()});
     }
+    evacuated_.insert(in.evacuated().begin(), in.evacuated().end());
     return true;
 }
 
--- a/src/state/fleet_state.cpp
+++ b/src/state/fleet_state.cpp
@@ -59,6 +59,8 @@
         return record_crashes(command.crash());
     case fleet_command::kSurvivedRun:
         return record_survival(command.survived_run());
+    case fleet_command::kEvacuation:
+        return set_evacuated(command.evacuation());
     case fleet_command::kForget:
         return jobs_.erase(command.forget().job()) > 0
                    ? apply_result::changed
--- a/src/state/fleet_state.hpp
+++ b/src/state/fleet_state.hpp
@@ -4,9 +4,11 @@
 #include "state/index_set.hpp"
 #include "state/step_state.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,9 +50,13 @@
     refused
 };
 
-/// The replicated state of the fleet: the document, the workers, and the jobs
-/// with the runs that may be present on workers. The state depends only on the
-/// sequence of commands, never on a clock. Not thread-safe.
+/// Data centres that may be evacuated at the same time.
+constexpr std::size_t max_evacuations = 64;
+
+/// The replicated state of the fleet: the document, the workers, the evacuated
+/// data centres, and the jobs with the runs that may be present on workers. The
+/// state depends only on the sequence of commands, never on a clock. Not
+/// thread-safe.
 class fleet_state
 {
 public:
@@ -70,6 +76,14 @@
         return workers_;
     }
 
+    /// Returns the names of the evacuated data centres, on whose workers
+    /// nothing is started.
+    const std::set<std::string>& evacuated() const { return evacuated_; }
+    bool is_evacuated(const std::string& data_centre) const
+    {
+        return evacuated_.count(data_centre) > 0;
+    }
+
     /// Returns true when the incarnation, or a later one of the same worker,
     /// is known to have left or ended: its reports are obsolete. Incarnations
     /// without a start time are never known to be gone.
@@ -99,6 +113,7 @@
     apply_result put_worker(const worker_record& worker);
     apply_result remove_worker(const worker_ref& worker);
     void remember_gone(const worker_incarnation& incarnation);
+    apply_result set_evacuated(const evacuation& change);
     apply_result fail(const finished_job& job);
     apply_result finish(const finished_job& job);
     apply_result record_crashes(const worker_crash& crash);
@@ -113,6 +128,7 @@
     std::deque<worker_incarnation> gone_workers_; // Oldest first.
     // Start times of the incarnations in `gone_workers_`, by worker.
     std::map<std::string, std::int64_t> gone_born_ms_;
+    std::set<std::string> evacuated_;
     std::uint64_t next_order_ = 1;
 };
 
--- a/src/state/fleet_workers.cpp
+++ b/src/state/fleet_workers.cpp
@@ -1,4 +1,5 @@
-// Implements the part of `fleet_state` that holds the workers.
+// Implements the part of `fleet_state` that holds the workers and the evacuated
+// data centres.
 #include "state/fleet_state.hpp"
 
 #include <algorithm>
@@ -80,4 +81,25 @@
     return apply_result::changed;
 }
 
+// Refuses a further evacuation when the limit is reached.
+apply_result fleet_state::set_evacuated(const evacuation& change)
+{
+    const auto& name = change.data_centre();
+    if (!change.active())
+    {
+        return evacuated_.erase(name) > 0 ? apply_result::changed
+                                          : apply_result::unchanged;
+    }
+    if (is_evacuated(name))
+    {
+        return apply_result::unchanged;
+    }
+    if (evacuated_.size() >= max_evacuations)
+    {
+        return apply_result::refused;
+    }
+    evacuated_.insert(name);
+    return apply_result::changed;
+}
+
 } // namespace limpetstack::fleet
--- a/test/support/fleet_fixture.cpp
+++ b/test/support/fleet_fixture.cpp
@@ -121,6 +121,7 @@
     worker.set_service(service);
     worker.set_address(id + ":80");
     worker.set_rack(rack);
+    worker.set_data_centre("dc-" + rack);
     worker.mutable_capacity()->set_cpu_milli(32000);
     worker.mutable_capacity()->set_memory_mb(131072);
     worker.mutable_capacity()->set_accelerators(8);
@@ -144,6 +145,14 @@
     report(successor);
 }
 
+void fleet_fixture::set_evacuated(const std::string& data_centre, bool active)
+{
+    fleet_command command;
+    command.mutable_evacuation()->set_data_centre(data_centre);
+    command.mutable_evacuation()->set_active(active);
+    apply(command);
+}
+
 void fleet_fixture::drain(const std::string& id)
 {
     fleet_command command;
--- a/test/support/fleet_fixture.hpp
+++ b/test/support/fleet_fixture.hpp
@@ -34,7 +34,8 @@
     /// Applies a command to the state and informs the leader's components.
     void apply(const fleet_command& command);
 
-    /// Adds a worker of 32 cores, 128 GB and 8 accelerators.
+    /// Adds a worker of 32 cores, 128 GB and 8 accelerators. Its data centre is
+    /// named after its rack: "dc-" and the rack.
     void add_worker(const std::string& id, const std::string& rack,
                     std::int64_t born_ms = 1,
                     const std::string& service = "service",
@@ -44,6 +45,9 @@
     /// under another id.
     void replace_worker(const std::string& id, const std::string& successor);
 
+    /// Applies the start or the end of the evacuation of a data centre.
+    void set_evacuated(const std::string& data_centre, bool active);
+
     /// Applies a report that the worker is about to leave.
     void drain(const std::string& id);
 
