--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -77,7 +77,7 @@
                  availability == worker_availability::avoided,
                  workers_.is_quiet(worker, now),
                  worker_fleet::is_steady(worker, now), now < worker.trial_until,
-                 workers_.is_verified(worker, now)});
+                 workers_.is_verified(worker, now), is_cold(worker, now)});
         }
     }
     for (auto at = reservations_.begin(); at != reservations_.end();)
@@ -135,6 +135,15 @@
                   static_cast<double>(headroom_accelerators));
 }
 
+// Returns true when the worker is slow because it was not used during an
+// evacuation.
+bool fleet_scheduler::is_cold(const worker_session& worker,
+                              time_point now) const
+{
+    return now < worker.warm_at &&
+           returned_data_centres_.count(worker.record.data_centre()) > 0;
+}
+
 fleet_scheduler::service_capacity&
 fleet_scheduler::capacity_of(const std::string& service)
 {
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -24,6 +24,7 @@
     bool steady = true;             // Has not just started.
     bool in_trial = false; // Runs a subtask that may crash it; takes no others.
     bool verified = true;  // Has answered the leader and reported to it.
+    bool cold = false;     // Is still slow after the end of an evacuation.
 };
 
 /// Returns the candidate with the given worker id, or null. `candidates` must
@@ -52,6 +53,7 @@
     bool isolated = false;
     bool steady_only = false;   // Uses only workers that have not just started.
     bool verified_only = false; // Uses only workers known to be up.
+    bool avoid_cold = false;    // Uses cold workers only when no others fit.
     std::string service;
     std::string required_label;
     std::string preferred_rack;
--- a/src/coordination/fleet/worker_availability.cpp
+++ b/src/coordination/fleet/worker_availability.cpp
@@ -31,6 +31,8 @@
         return "draining";
     case worker_availability::avoided:
         return "avoided";
+    case worker_availability::evacuated:
+        return "evacuated";
     case worker_availability::refusing:
         return "refusing";
     case worker_availability::unreachable:
@@ -119,6 +121,10 @@
     {
         return worker_availability::unreachable;
     }
+    if (is_evacuated(worker))
+    {
+        return worker_availability::evacuated;
+    }
     if (now < worker.refuses_until)
     {
         return worker_availability::refusing;
@@ -135,6 +141,11 @@
             now - began_at_ > options_.report_interval + report_tolerance);
 }
 
+bool worker_fleet::is_evacuated(const worker_session& worker) const
+{
+    return state_.is_evacuated(worker.record.data_centre());
+}
+
 bool worker_fleet::is_present(const worker_session& worker,
                               time_point now) const
 {
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -249,6 +249,7 @@
     worker->last_sequence = report.sequence;
     worker->last_report = now;
     worker->reported = true;
+    worker->warm_at = now + milliseconds(report.warm_up_left_ms);
     worker->clock.sample(report.worker_time_ms, now);
 }
 
@@ -303,6 +304,9 @@
             }
         }
         return;
+    case fleet_command::kEvacuation:
+        log_evacuation(command.evacuation(), result);
+        return;
     default:
         return;
     }
