Bound what HTTP connections keep, for each one and together

Boost applies its header limit to the start line and the header only, so trailers and chunk extensions without end grew the buffer without a bound.

--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -155,6 +155,9 @@
     http_server_limits limits;
     limits.max_body_bytes = max_control_body_bytes;
     control_.set_limits(limits);
+    control_.set_capacity(
+        capacity_for(settings_.memory_bytes, settings_.max_descriptors),
+        &counters_);
     if (!listener_.listen(settings_.peer_address) ||
         (!settings_.control_address.empty() &&
          !control_.listen(settings_.control_address)))
--- a/src/daemon/fleet/entry_node.cpp
+++ b/src/daemon/fleet/entry_node.cpp
@@ -18,6 +18,9 @@
 
 constexpr std::size_t origin_bytes = 16;
 
+// Capacity of the listener for readiness checks.
+constexpr http_server_capacity auxiliary_capacity{4U << 20U, 64};
+
 // After this time the balancer sends no more calls: it checks readiness once a
 // second and removes the host after the second failed check.
 constexpr milliseconds balancer_drain_time{2500};
@@ -71,6 +74,10 @@
         {
             on_link(address, up);
         });
+    caller_server_.set_capacity(
+        capacity_for(settings_.memory_bytes, settings_.max_descriptors),
+        &counters);
+    readiness_server_.set_capacity(auxiliary_capacity, &counters);
     update_targets();
 }
 
--- a/src/daemon/fleet/fleet_daemon.cpp
+++ b/src/daemon/fleet/fleet_daemon.cpp
@@ -33,6 +33,8 @@
 // The process stops this long before the time at which it would be killed.
 constexpr milliseconds stop_margin{700};
 
+constexpr http_server_capacity metrics_capacity{4U << 20U, 64};
+
 // Runs the nodes of one host, the metrics server, the log writer and the
 // handling of signals and of changed settings.
 class daemon
@@ -82,6 +84,7 @@
             log_event(log_level::error, "address_unusable", {});
             return false;
         }
+        metrics_server_.set_capacity(metrics_capacity, &counters_);
         if (!metrics_server_.listen(settings_.metrics_address))
         {
             log_event(log_level::warning, "metrics_unavailable",
--- a/src/daemon/fleet/node_settings.hpp
+++ b/src/daemon/fleet/node_settings.hpp
@@ -31,6 +31,8 @@
     std::size_t tolerated_losses = 1;
     // Descriptors that the process may have open at the same time.
     std::size_t max_descriptors = 4096;
+    // Memory that the process may use.
+    std::size_t memory_bytes = 256U << 20U;
     // Time between the signal to stop and the kill.
     milliseconds stop_grace{6000};
     worker_fleet_options workers;
