--- a/test/takeover-test.cpp
+++ b/test/takeover-test.cpp
@@ -5,10 +5,13 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
 #include <random>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace limpetstack::fleet
 {
@@ -335,5 +338,89 @@
 
 INSTANTIATE_TEST_SUITE_P(seeds, takeover_model, ::testing::Range(1U, 61U));
 
+// The load that follows a loss of power of all core hosts: urgent gangs arrive
+// at once, and a tenth of the workers has left meanwhile. Those go on answering
+// until they end, but do not report that they stay.
+// Guards against gangs that start on workers which are gone, and wait for their
+// leases before they start again.
+TEST(takeover, urgent_gangs_start_on_workers_that_stay)
+{
+    constexpr int worker_count = 40;
+    constexpr int gang_count = 20;
+    constexpr milliseconds start_limit{2000};
+    fleet_fixture fixture;
+    std::vector<std::string> staying;
+    for (int i = 0; i < worker_count; ++i)
+    {
+        const auto id = "w" + std::to_string(i);
+        add_ready_worker(fixture, id, "r" + std::to_string(i / 8));
+        if (i % 10 != 0)
+        {
+            staying.push_back(id);
+        }
+    }
+    fixture.start_leader();
+    const auto began_at = fixture.now;
+    std::map<std::string, time_point> accepted_at;
+    std::map<std::string, time_point> started_at;
+    std::size_t reported = 0;
+    for (int tick = 0; tick < 60; ++tick)
+    {
+        fixture.advance(milliseconds(50));
+        if (tick < gang_count / 2)
+        {
+            for (const auto* const part : {"a", "b"})
+            {
+                const auto id = part + std::to_string(tick);
+                fixture.submit(id, make_step(3, 2, true), "urgent");
+                accepted_at[id] = fixture.now;
+            }
+        }
+        // Reports arrive spread over their interval.
+        for (; reported < staying.size() &&
+               began_at + milliseconds(40) * reported <= fixture.now;
+             ++reported)
+        {
+            fixture.report(staying[reported]);
+        }
+        confirm_workers(fixture);
+        fixture.schedule();
+        for (const auto& start : fixture.port.starts)
+        {
+            EXPECT_EQ(
+                std::count(staying.begin(), staying.end(), start.order.worker),
+                1)
+                << start.order.worker;
+            started_at.emplace(start.order.run.job(), fixture.now);
+        }
+        fixture.port.starts.clear();
+    }
+    ASSERT_EQ(accepted_at.size(), static_cast<std::size_t>(gang_count));
+    for (const auto& [id, at] : accepted_at)
+    {
+        ASSERT_EQ(started_at.count(id), 1U) << id;
+        EXPECT_LE(started_at.at(id) - at, start_limit) << id;
+    }
+}
+
+// Guards against gangs that never start because the reports of workers that
+// answer take another way for a while.
+TEST(takeover, gangs_start_without_reports_after_a_report_interval)
+{
+    fleet_fixture fixture;
+    add_workers(fixture);
+    fixture.start_leader();
+    fixture.submit("gang", make_step(2, 8, true), "urgent");
+    bool started = false;
+    for (int tick = 0; tick < 60 && !started; ++tick)
+    {
+        fixture.advance(milliseconds(50));
+        confirm_workers(fixture);
+        fixture.schedule();
+        started = fixture.port.starts.size() == 2;
+    }
+    EXPECT_TRUE(started);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
