Choose workers by speed class

The slowest member of a gang sets its pace, and placement took no notice of speed. Candidates carry the speed class and speed of their worker, and requests the slowest speed that meets the objective and whether they are urgent. Urgent work starts on the fastest class first, other work on the slowest that meets its objective; a gang takes workers of one class where one holds it. Racks, labels, last resort, failed workers and suspects come first as before, and every request places as many subtasks as before. At the same cost, an urgent step stops runs on fast workers.

Nothing sets the classes yet. With one class no choice changes (property test).

--- a/src/coordination/fleet/fleet_preferences.cpp
+++ b/src/coordination/fleet/fleet_preferences.cpp
@@ -3,6 +3,7 @@
 #include "coordination/fleet/fleet_scheduler.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <string>
 
@@ -149,6 +150,12 @@
     {
         request.other_racks_allowed = !fits_in_one_rack(request);
     }
+    request.urgent = item.queue.priority == 0;
+    const auto time_left = allowed_delay_ms(item.queue, spec) +
+                           static_cast<double>(spec.estimate_ms()) - waited;
+    request.slowest_speed =
+        time_left > 0 ? static_cast<double>(spec.estimate_ms()) / time_left
+                      : std::numeric_limits<double>::infinity();
     request.preferences_expired = preferences_expired(item, request, now);
     request.other_racks_allowed =
         request.other_racks_allowed || request.preferences_expired;
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <map>
 #include <tuple>
+#include <utility>
 
 namespace limpetstack::fleet
 {
@@ -12,13 +13,77 @@
 
 using candidate_indices = std::vector<std::size_t>;
 
+// The speed classes of the eligible candidates by the order in which the
+// request prefers them; 0 is the most preferred one.
+using class_ranks = std::map<std::size_t, std::size_t>;
+
+// Urgent work prefers the fastest class. Other work prefers the slowest class
+// that meets its objective, and then the fastest of the others. Work that no
+// class brings to its end in time leaves the fast ones to work that can still
+// meet its objective.
+class_ranks rank_classes(const std::vector<placement_candidate>& candidates,
+                         const placement_request& request)
+{
+    struct class_speed
+    {
+        double sum = 0;
+        double count = 0;
+    };
+    std::map<std::size_t, class_speed> speeds;
+    for (const auto& candidate : candidates)
+    {
+        if (is_eligible(candidate, request))
+        {
+            auto& speed = speeds[candidate.speed_class];
+            speed.sum += candidate.speed;
+            ++speed.count;
+        }
+    }
+    std::vector<std::size_t> order;
+    std::vector<std::size_t> too_slow;
+    for (const auto& [speed_class, speed] : speeds)
+    {
+        const bool meets = speed.sum / speed.count >= request.slowest_speed;
+        auto& part = meets || request.urgent ? order : too_slow;
+        part.push_back(speed_class);
+    }
+    if (request.urgent)
+    {
+        std::reverse(order.begin(), order.end());
+    }
+    if (!order.empty())
+    {
+        std::reverse(too_slow.begin(), too_slow.end());
+    }
+    order.insert(order.end(), too_slow.begin(), too_slow.end());
+    class_ranks ranks;
+    for (std::size_t i = 0; i < order.size(); ++i)
+    {
+        ranks[order[i]] = i;
+    }
+    return ranks;
+}
+
+// Returns true when the subtasks should use the candidate only if no other one
+// is left, whatever its speed.
+bool is_last_choice(const placement_candidate& candidate,
+                    const placement_request& request)
+{
+    const auto& record = candidate.worker->record;
+    return candidate.last_resort ||
+           request.failed_workers.count(record.id()) > 0 ||
+           (request.isolated &&
+            (!candidate.steady ||
+             request.crashed_addresses.count(record.address()) > 0));
+}
+
 // Returns the candidates that fit at least one subtask. Candidates of last
 // resort follow all others; within both groups, workers on which the step has
-// failed come last, and those with the least free capacity first. Isolated
-// subtasks go to the workers with the least work.
+// failed come last, and those of the preferred class and with the least free
+// capacity first. Isolated subtasks go to the workers with the least work.
 candidate_indices
 by_fullness(const std::vector<placement_candidate>& candidates,
-            const placement_request& request)
+            const placement_request& request, const class_ranks& classes)
 {
     candidate_indices order;
     for (std::size_t i = 0; i < candidates.size(); ++i)
@@ -39,8 +104,8 @@
                                     candidate.worker->record.address()) > 0,
             request.isolated && !candidate.steady,
             request.isolated ? weight_in_cores(candidate.worker->used) : 0.0,
-            candidate.free.accelerators, candidate.free.memory_mb,
-            candidate.free.cpu_milli);
+            classes.at(candidate.speed_class), candidate.free.accelerators,
+            candidate.free.memory_mb, candidate.free.cpu_milli);
     };
     std::stable_sort(order.begin(), order.end(),
                      [&](std::size_t a, std::size_t b)
@@ -73,6 +138,61 @@
     return chosen;
 }
 
+// Workers for a whole gang, and how well their speed suits it; 0 is best.
+struct gang_choice
+{
+    candidate_indices chosen;
+    std::size_t rank = 0;
+};
+
+// Chooses workers for a gang from `order`, which begins with the preferred
+// class. Its slowest member sets its pace, so it takes workers of one class if
+// one holds it without more workers of last choice than a mixture. An urgent
+// gang takes the fastest workers together where these set a better pace.
+gang_choice fill_gang(const std::vector<placement_candidate>& candidates,
+                      const placement_request& request,
+                      const candidate_indices& order,
+                      const class_ranks& classes)
+{
+    auto mixture = fill(candidates, request, order);
+    if (classes.size() < 2 || mixture.empty() || !request.all_or_nothing)
+    {
+        return {std::move(mixture), 0};
+    }
+    const auto last_choices = [&](const candidate_indices& chosen)
+    {
+        return std::count_if(chosen.begin(), chosen.end(),
+                             [&](std::size_t i)
+                             {
+                                 return is_last_choice(candidates[i], request);
+                             });
+    };
+    std::size_t worst_rank = 0;
+    for (const auto i : mixture)
+    {
+        worst_rank =
+            std::max(worst_rank, classes.at(candidates[i].speed_class));
+    }
+    std::map<std::size_t, candidate_indices> by_rank;
+    for (const auto i : order)
+    {
+        by_rank[classes.at(candidates[i].speed_class)].push_back(i);
+    }
+    for (const auto& [rank, members] : by_rank)
+    {
+        if (request.urgent && rank > worst_rank)
+        {
+            break;
+        }
+        auto chosen = fill(candidates, request, members);
+        if (!chosen.empty() && last_choices(chosen) <= last_choices(mixture))
+        {
+            return {std::move(chosen), rank};
+        }
+    }
+    return {std::move(mixture), request.urgent ? worst_rank : classes.size()};
+}
+
 std::map<std::string, candidate_indices>
 by_rack(const std::vector<placement_candidate>& candidates,
         const candidate_indices& order)
@@ -86,16 +206,17 @@
 }
 
 // Returns the workers for all subtasks in one rack: the preferred rack, or else
-// the rack with the least free capacity among those that fit the request. The
-// result is empty when no allowed rack fits it.
+// the rack whose workers suit the gang best by their speed, and of those the
+// one with the least free capacity among those that fit the request. The result
+// is empty when no allowed rack fits it.
 candidate_indices
 choose_one_rack(const std::vector<placement_candidate>& candidates,
                 const placement_request& request,
-                const candidate_indices& order)
+                const candidate_indices& order, const class_ranks& classes)
 {
     auto gang = request;
     gang.all_or_nothing = true;
-    candidate_indices best;
+    gang_choice best;
     auto fewest_free_slots = std::numeric_limits<std::uint64_t>::max();
     for (const auto& [rack, members] : by_rack(candidates, order))
     {
@@ -115,13 +236,19 @@
             continue;
         }
         const bool preferred = rack == request.preferred_rack;
-        if (preferred || free_slots < fewest_free_slots)
+        auto choice = fill_gang(candidates, gang, members, classes);
+        if (preferred)
+        {
+            return choice.chosen;
+        }
+        if (best.chosen.empty() || std::tie(choice.rank, free_slots) <
+                                       std::tie(best.rank, fewest_free_slots))
         {
-            best = fill(candidates, gang, members);
-            fewest_free_slots = preferred ? 0 : free_slots;
+            best = std::move(choice);
+            fewest_free_slots = free_slots;
         }
     }
-    return best;
+    return best.chosen;
 }
 
 } // namespace
@@ -187,19 +314,24 @@
 choose_workers(const std::vector<placement_candidate>& candidates,
                const placement_request& request)
 {
-    const auto order = by_fullness(candidates, request);
+    const auto classes = rank_classes(candidates, request);
+    const auto order = by_fullness(candidates, request, classes);
+    const auto place = [&](const candidate_indices& part)
+    {
+        return fill_gang(candidates, request, part, classes).chosen;
+    };
     if (request.same_rack && request.all_or_nothing)
     {
-        auto chosen = choose_one_rack(candidates, request, order);
+        auto chosen = choose_one_rack(candidates, request, order, classes);
         if (!chosen.empty() || !request.other_racks_allowed)
         {
             return chosen;
         }
-        return fill(candidates, request, order);
+        return place(order);
     }
     if (request.preferred_rack.empty())
     {
-        return fill(candidates, request, order);
+        return place(order);
     }
     candidate_indices local;
     candidate_indices remote;
@@ -211,13 +343,13 @@
                 : remote;
         part.push_back(i);
     }
-    auto chosen = fill(candidates, request, local);
+    auto chosen = place(local);
     if (!request.other_racks_allowed || chosen.size() == request.count)
     {
         return chosen;
     }
     local.insert(local.end(), remote.begin(), remote.end());
-    return fill(candidates, request, local);
+    return place(local);
 }
 
 } // namespace limpetstack::fleet
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -24,6 +24,8 @@
     bool steady = true;             // Has not just started.
     bool in_trial = false; // Runs a subtask that may crash it; takes no others.
     bool verified = true;  // Has answered the leader and reported to it.
+    std::size_t speed_class = 0; // 0: the slowest, or the only class.
+    double speed = 1;            // Relative to the median worker.
 };
 
 /// Returns the candidate with the given worker id, or null. `candidates` must
@@ -52,6 +54,9 @@
     bool isolated = false;
     bool steady_only = false;   // Uses only workers that have not just started.
     bool verified_only = false; // Uses only workers known to be up.
+    bool urgent = false; // Of priority 0: starts on the fastest class first.
+    // The slowest speed that meets the objective of the step.
+    double slowest_speed = 0;
     std::string service;
     std::string required_label;
     std::string preferred_rack;
@@ -81,7 +86,10 @@
 /// Chooses a worker for each subtask, as indices into `candidates`. Subtasks go
 /// to the workers with the least free capacity that still fit them, so that
 /// empty workers and racks stay free. With `all_or_nothing` the result is empty
-/// unless all subtasks fit; otherwise it may be shorter than `count`.
+/// unless all subtasks fit; otherwise it may be shorter than `count`. Where the
+/// candidates have several speed classes, work starts on the slowest that meets
+/// its objective, urgent work on the fastest, and a gang in one class if that
+/// holds it. Classes never change how many subtasks are placed.
 /// All candidates must be workers that may get placements.
 std::vector<std::size_t>
 choose_workers(const std::vector<placement_candidate>& candidates,
--- a/src/coordination/fleet/victim_choice.cpp
+++ b/src/coordination/fleet/victim_choice.cpp
@@ -77,9 +77,13 @@
         return std::nullopt;
     }
     std::stable_sort(slots.begin(), slots.end(),
-                     [](const freed_slot& a, const freed_slot& b)
+                     [&](const freed_slot& a, const freed_slot& b)
                      {
-                         return a.rank < b.rank;
+                         // At the same cost, urgent work gets fast workers.
+                         return a.rank < b.rank ||
+                                (a.rank == b.rank && request.urgent &&
+                                 candidates[a.candidate].speed_class >
+                                     candidates[b.candidate].speed_class);
                      });
     victim_plan plan;
     for (std::size_t i = 0; i < request.count; ++i)
--- a/test/placement_choice-test.cpp
+++ b/test/placement_choice-test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <rapidcheck/gtest.h>
+
+#include <limits>
 #include <memory>
 #include <set>
 #include <string>
@@ -28,6 +31,23 @@
         candidates.push_back({session.get(), {32000, 131072, accelerators}});
         sessions.push_back(std::move(session));
     }
+    // Adds an empty worker of one of the classes 0 (speed 0.6), 1 (1.0) and 2
+    // (1.6), for one subtask of 8 accelerators.
+    void add_fast(const std::string& id, const std::string& rack,
+                  std::size_t speed_class)
+    {
+        static constexpr double speeds[] = {0.6, 1.0, 1.6};
+        add(id, rack, 8);
+        candidates.back().speed_class = speed_class;
+        candidates.back().speed = speeds[speed_class];
+    }
+    static placement_request gang(std::uint32_t count, bool urgent)
+    {
+        auto out = request(count, 8);
+        out.all_or_nothing = true;
+        out.urgent = urgent;
+        return out;
+    }
     static placement_request request(std::uint32_t count, std::int64_t need)
     {
         placement_request out;
@@ -163,5 +183,126 @@
     EXPECT_FALSE(choose_victims(candidates, victims, request(3, 8)));
 }
 
+// Guards against urgent work on slow workers, and against other work on workers
+// that are faster than its objective needs.
+TEST_F(placement_choice, subtasks_take_the_class_that_suits_their_objective)
+{
+    add_fast("a-slow", "r1", 0);
+    add_fast("b-middle", "r1", 1);
+    add_fast("c-fast", "r1", 2);
+    const auto chosen_for = [this](bool urgent, double slowest_speed)
+    {
+        auto wanted = request(1, 8);
+        wanted.urgent = urgent;
+        wanted.slowest_speed = slowest_speed;
+        return *names(choose_workers(candidates, wanted)).begin();
+    };
+    EXPECT_EQ(chosen_for(true, 0.5), "c-fast");
+    EXPECT_EQ(chosen_for(false, 0.5), "a-slow");
+    EXPECT_EQ(chosen_for(false, 0.8), "b-middle");
+    EXPECT_EQ(chosen_for(false, 1.3), "c-fast");
+    // No class meets the objective any more.
+    EXPECT_EQ(chosen_for(false, std::numeric_limits<double>::infinity()),
+              "a-slow");
+    candidates[2].free = {};
+    EXPECT_EQ(chosen_for(true, 0.5), "b-middle");
+    EXPECT_EQ(chosen_for(false, 1.3), "b-middle");
+}
+
+// Guards against work that waits beside free workers because of their speed.
+TEST_F(placement_choice, speed_leaves_no_worker_free_while_work_waits)
+{
+    add_fast("a", "r1", 0);
+    add_fast("b", "r1", 1);
+    add_fast("c", "r1", 2);
+    for (const bool urgent : {false, true})
+    {
+        auto wanted = request(3, 8);
+        wanted.urgent = urgent;
+        wanted.slowest_speed = 1.3;
+        EXPECT_EQ(choose_workers(candidates, wanted).size(), 3U);
+        EXPECT_EQ(choose_workers(candidates, gang(3, urgent)).size(), 3U);
+    }
+}
+
+// Guards against a gang whose slow member sets the pace of fast ones although
+// one class could hold it.
+TEST_F(placement_choice, gang_takes_workers_of_like_speed)
+{
+    add_fast("a1", "r1", 0);
+    add_fast("a2", "r1", 0);
+    add_fast("b1", "r1", 1);
+    add_fast("b2", "r1", 1);
+    add_fast("c1", "r1", 2);
+    const std::set<std::string> slow{"a1", "a2"};
+    const std::set<std::string> middle{"b1", "b2"};
+    // With the one fast worker the pace would be that of the middle class.
+    EXPECT_EQ(names(choose_workers(candidates, gang(2, true))), middle);
+    EXPECT_EQ(names(choose_workers(candidates, gang(2, false))), slow);
+    auto wanted = gang(2, false);
+    wanted.slowest_speed = 0.9;
+    EXPECT_EQ(names(choose_workers(candidates, wanted)), middle);
+    // Two faster workers together are better than the slow class alone.
+    candidates[2].free = {};
+    EXPECT_EQ(names(choose_workers(candidates, gang(2, true))),
+              (std::set<std::string>{"b2", "c1"}));
+}
+
+// Guards against speed that comes before the other rules of placement: one
+// rack, and workers on which the step failed.
+TEST_F(placement_choice, racks_and_failed_workers_come_before_speed)
+{
+    add_fast("a1", "r1", 0);
+    add_fast("a2", "r1", 0);
+    add_fast("b1", "r2", 2);
+    add_fast("b2", "r3", 2);
+    auto wanted = gang(2, true);
+    wanted.same_rack = true;
+    EXPECT_EQ(names(choose_workers(candidates, wanted)),
+              (std::set<std::string>{"a1", "a2"}));
+    wanted.same_rack = false;
+    EXPECT_EQ(names(choose_workers(candidates, wanted)),
+              (std::set<std::string>{"b1", "b2"}));
+    wanted.failed_workers = {"b1"};
+    EXPECT_EQ(names(choose_workers(candidates, wanted)).count("b1"), 0U);
+    add_fast("c1", "r4", 2);
+    add_fast("c2", "r4", 2);
+    wanted.same_rack = true;
+    EXPECT_EQ(names(choose_workers(candidates, wanted)),
+              (std::set<std::string>{"c1", "c2"}));
+}
+
+// Guards against choices that change with the speeds of a fleet of one class.
+RC_GTEST_FIXTURE_PROP(placement_choice, one_class_changes_no_choice, ())
+{
+    sessions.clear();
+    candidates.clear();
+    const auto size = *rc::gen::inRange(1, 30);
+    for (int i = 0; i < size; ++i)
+    {
+        add(std::to_string(100 + i),
+            "r" + std::to_string(*rc::gen::inRange(0, 4)),
+            *rc::gen::inRange(0, 9));
+        candidates.back().last_resort = *rc::gen::inRange(0, 5) == 0;
+    }
+    auto wanted = request(*rc::gen::inRange<std::uint32_t>(1, 12),
+                          *rc::gen::inRange(1, 9));
+    wanted.all_or_nothing = *rc::gen::arbitrary<bool>();
+    wanted.same_rack = *rc::gen::arbitrary<bool>();
+    wanted.other_racks_allowed = *rc::gen::arbitrary<bool>();
+    wanted.last_resort_allowed = *rc::gen::arbitrary<bool>();
+    wanted.isolated = *rc::gen::arbitrary<bool>();
+    wanted.preferred_rack = *rc::gen::element<std::string>("", "r1");
+    wanted.failed_workers = {"103", "105"};
+    const auto without = choose_workers(candidates, wanted);
+    wanted.urgent = *rc::gen::arbitrary<bool>();
+    wanted.slowest_speed = *rc::gen::inRange(0, 30) / 10.0;
+    for (auto& candidate : candidates)
+    {
+        candidate.speed = *rc::gen::inRange(5, 20) / 10.0;
+    }
+    RC_ASSERT(choose_workers(candidates, wanted) == without);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
