Observe the speed of workers on the leader, and place by it

The leader feeds the estimates from the lists of the workers: single subtasks of a step by their time to the end, members of a gang by the last percent that shows their pace, once for each run; runs of 5 s and more by their slope. A member that is first listed when it is done counts only as evidence that its worker is faster than thought. Runs whose start this leader did not see, filler runs and lasting runs are not observed. The estimate belongs to the session of a worker incarnation. Classes are computed once a second and given to the candidates of each round.

--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -65,6 +65,7 @@
     candidates_.clear();
     unplaceable_shapes_.clear();
     losses_rare_ = workers_.are_losses_rare(now);
+    const auto& speeds = workers_.refreshed_speed_classes(now);
     for (const auto& [id, worker] : workers_.workers())
     {
         const auto availability = workers_.availability(worker, now);
@@ -77,7 +78,9 @@
                  availability == worker_availability::avoided,
                  workers_.is_quiet(worker, now),
                  worker_fleet::is_steady(worker, now), now < worker.trial_until,
-                 workers_.is_verified(worker, now)});
+                 workers_.is_verified(worker, now),
+                 class_of(worker.speed, speeds, now),
+                 speed_of(worker.speed, speeds, now)});
         }
     }
     for (auto at = reservations_.begin(); at != reservations_.end();)
@@ -241,6 +244,7 @@
         }
     }
     placements_left_ -= std::min(placements_left_, chosen.size());
+    const auto& speeds = workers_.refreshed_speed_classes(now);
     const auto placed = first_of(indices, chosen.size());
     for (std::size_t i = 0; i < chosen.size(); ++i)
     {
@@ -257,7 +261,10 @@
                    {"rack", worker.record.rack()},
                    {"priority", absl::StrCat(item.queue.priority)},
                    {"waited_ms", absl::StrCat((now - item.since).count())},
-                   {"document", absl::StrCat(state_.document().version())}});
+                   {"document", absl::StrCat(state_.document().version())},
+                   {"speed", speeds.count() > 1
+                                 ? absl::StrCat(candidates[chosen[i]].speed)
+                                 : std::string()}});
         const auto* const ticket =
             tickets_.find({item.job, item.occurrence, item.step},
                           {worker.record.id(), worker.record.born_ms()}, now);
--- a/src/coordination/fleet/live_run.hpp
+++ b/src/coordination/fleet/live_run.hpp
@@ -91,6 +91,13 @@
     time_point listed_at; // When the worker last listed the run.
     // The last rise of `percent` or change of the checkpoint.
     time_point progressed_at;
+    // Its speed was observed, or can not be: its start was not seen.
+    bool speed_observed = false;
+    // The last listing with a percent that shows the speed; 0: none yet.
+    int sampled_percent = 0;
+    time_point sampled_at;
+    // The first listing that showed the whole run's own work as done.
+    std::optional<time_point> done_listed_at;
 };
 
 } // namespace limpetstack::fleet
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -5,9 +5,11 @@
 #include "coordination/fleet/answer_loss.hpp"
 #include "coordination/fleet/live_run.hpp"
 #include "coordination/fleet/resource_amounts.hpp"
+#include "coordination/fleet/step_run_times.hpp"
 #include "coordination/fleet/worker_availability.hpp"
 #include "coordination/fleet/worker_port.hpp"
 #include "coordination/fleet/worker_session.hpp"
+#include "coordination/fleet/worker_speed.hpp"
 #include "state/fleet_state.hpp"
 
 #include <cstdint>
@@ -142,6 +144,9 @@
     /// one is evidence against such a run.
     bool are_losses_rare(time_point at) const;
 
+    /// Returns the speed classes of the workers, at most a second old.
+    const speed_classes& refreshed_speed_classes(time_point now);
+
     /// Sends no other start to the worker until the run that was just placed
     /// there has been at work for some time.
     void begin_trial(const std::string& worker, time_point now);
@@ -230,7 +235,7 @@
                   const hold_answer& answer, time_point sent,
                   std::uint64_t sent_end, bool is_hold, time_point now);
     void process_ended(worker_session& worker, const worker_lists& lists,
-                       std::set<std::string>& seen);
+                       std::set<std::string>& seen, time_point now);
     void propose_late_end(worker_session& worker, const listed_end& item);
     void on_end_applied(const ended_run& ended, time_point now);
     bool is_superseded(const live_run& run) const;
@@ -240,6 +245,16 @@
     void process_running(worker_session& worker, const worker_lists& lists,
                          std::set<std::string>& seen, time_point sent,
                          time_point now);
+    void sample_progress(live_run& run, int percent, bool start_seen,
+                         time_point now);
+    void observe_end(live_run& run, time_point now);
+    void observe_single(live_run& run, double time_ms, time_point now);
+    void observe_gang(live_run& run, bool ended, time_point now);
+    void record_speeds(const std::vector<step_run>& runs,
+                       const std::vector<bool>& upper_bounds, std::size_t first,
+                       time_point now);
+    void log_slowest(const run_ref& ref, const std::vector<step_run>& runs,
+                     time_point now) const;
     bool is_stop_over(time_point acknowledged_at, time_point sent) const;
     void repeat_stop(live_run& run, time_point now);
     void end_missing(worker_session& worker, const std::set<std::string>& seen,
@@ -347,6 +362,9 @@
     std::map<std::string, address_owner> address_owners_; // By address.
     // Recent losses of workers on which no run had just started.
     std::deque<time_point> unexplained_losses_;
+    step_run_times step_times_;
+    speed_classes speed_classes_;
+    time_point speeds_classified_at_;
     time_point scanned_at_; // Last scan of all workers.
     bool deposed_ = false;
     bool checked_adopted_runs_ = false;
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -195,7 +195,7 @@
     worker->acknowledged_end = std::max(worker->acknowledged_end, sent_end);
     worker->clock.sample(answer.lists.worker_time_ms, now);
     std::set<std::string> seen;
-    process_ended(*worker, answer.lists, seen);
+    process_ended(*worker, answer.lists, seen, now);
     process_running(*worker, answer.lists, seen, sent, now);
     // A full page of ends may be followed by further ends that it does not
     // contain, so a missing run may still be listed later.
@@ -236,7 +236,7 @@
 
 void worker_fleet::process_ended(worker_session& worker,
                                  const worker_lists& lists,
-                                 std::set<std::string>& seen)
+                                 std::set<std::string>& seen, time_point now)
 {
     for (const auto& item : lists.ended)
     {
@@ -261,6 +261,10 @@
         }
         // The end is acknowledged to the worker only when it is committed.
         worker.pending_ends.insert(key);
+        if (item.end == run_done)
+        {
+            observe_end(found->second, now);
+        }
         propose_end(found->second, item.end, item.checkpoint, "listed");
     }
 }
@@ -312,6 +316,9 @@
             continue;
         }
         auto& run = found->second;
+        const bool start_seen =
+            run.phase == run_phase::present ||
+            (run.phase == run_phase::starting && item.percent == 0);
         if (run.phase == run_phase::starting || run.phase == run_phase::adopted)
         {
             run.phase = run_phase::present;
@@ -332,6 +339,7 @@
         run.listed_by_incarnation =
             run.listed_by_incarnation ||
             (lists.born_ms != 0 && lists.born_ms == run.incarnation.born_ms);
+        sample_progress(run, item.percent, start_seen, now);
         run.percent = item.percent;
         if (!item.checkpoint.empty())
         {
--- a/src/coordination/fleet/worker_session.hpp
+++ b/src/coordination/fleet/worker_session.hpp
@@ -4,6 +4,7 @@
 #include "coordination/fleet/lease_clock.hpp"
 #include "coordination/fleet/resource_amounts.hpp"
 #include "coordination/fleet/unknown_run.hpp"
+#include "coordination/fleet/worker_speed.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -93,6 +94,7 @@
     // A run that may crash the worker is on trial until then; no other start is
     // sent to the worker.
     time_point trial_until;
+    speed_estimate speed; // From the times of its runs under this leader.
 };
 
 } // namespace limpetstack::fleet
--- a/src/coordination/fleet/worker_speed.cpp
+++ b/src/coordination/fleet/worker_speed.cpp
@@ -51,8 +51,6 @@
 // long must not make one worker the evidence for a fleet.
 constexpr double max_deviation = 0.7;
 
-// More speeds share classes; a fourth class would often be half of a true one.
-constexpr std::size_t max_classes = 3;
 constexpr double min_class_share = 0.05;
 constexpr std::size_t min_class_size = 3;
 
@@ -382,7 +380,8 @@
         return classes;
     }
     std::sort(speeds.begin(), speeds.end());
-    for (auto count = max_classes; count > 1 && classes.bounds.empty(); --count)
+    for (auto count = max_speed_classes; count > 1 && classes.bounds.empty();
+         --count)
     {
         classes.bounds = bounds_of(
             speeds, count, std::max(min_gap, min_gap_in_noise * spread.noise));
--- a/src/coordination/fleet/worker_speed.hpp
+++ b/src/coordination/fleet/worker_speed.hpp
@@ -10,6 +10,9 @@
 namespace limpetstack::fleet
 {
 
+/// More speeds share classes; a fourth class would often be half of a true one.
+constexpr std::size_t max_speed_classes = 3;
+
 /// What is known of the speed of one worker incarnation. Speeds are logarithms;
 /// an observed one is rounded to thousandths.
 struct speed_estimate
