Keep evacuations of data centres in the control state

Operators need a state that survives restarts and that racing calls change in one order. The rule for names moves out of the YAML reader to be shared.

--- a/src/protocol/yaml_reader.cpp
+++ b/src/protocol/yaml_reader.cpp
@@ -1,4 +1,5 @@
 #include "protocol/yaml_reader.hpp"
+#include "base/name_rule.hpp"
 #include "protocol/yaml_errors.hpp"
 
 #include <yaml-cpp/yaml.h>
@@ -16,8 +17,6 @@
 namespace
 {
 
-constexpr std::size_t max_name_length = 63;
-
 struct unit
 {
     std::string_view suffix;
@@ -99,30 +98,12 @@
     return row.back();
 }
 
-bool is_name(std::string_view text)
-{
-    const auto letter_or_digit = [](char c)
-    {
-        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-               (c >= '0' && c <= '9');
-    };
-    return !text.empty() && text.size() <= max_name_length &&
-           letter_or_digit(text.front()) &&
-           std::all_of(text.begin(), text.end(),
-                       [&](char c)
-                       {
-                           return letter_or_digit(c) || c == '.' || c == '-' ||
-                                  c == '_';
-                       });
-}
-
 std::string_view expectation(text_rule rule)
 {
     switch (rule)
     {
     case text_rule::name:
-        return "a name of 1 to 63 letters, digits, '.', '-' or '_' that "
-               "starts with a letter or digit";
+        return name_expectation;
     case text_rule::any:
         return "a text that is not empty";
     case text_rule::address:
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -1,6 +1,7 @@
 #include "state/control_state.hpp"
 #include "base/hash.hpp"
 #include "base/log.hpp"
+#include "base/name_rule.hpp"
 #include "state/document_changes.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -61,6 +62,19 @@
                                        command.owner().data_centre(), " (",
                                        owner_text(command.owner()), ")"));
     }
+    else if (command.has_evacuation())
+    {
+        const auto& change = command.evacuation();
+        // A name that was refused may have any length.
+        record.set_action(absl::StrCat(
+            change.active() ? "start_evacuation " : "end_evacuation ",
+            is_name(change.data_centre()) ? change.data_centre()
+                                          : "(invalid name)"));
+        if (outcome.unchanged())
+        {
+            record.set_message("unchanged");
+        }
+    }
     else
     {
         record.set_action("unsupported command");
@@ -98,6 +112,11 @@
     {
         outcome = apply_owner(command.owner());
     }
+    else if (command.has_evacuation())
+    {
+        outcome = evacuations_.apply(index, command);
+        outcome.set_version(version_);
+    }
     else
     {
         outcome = refusal(wire::command_invalid, version_,
@@ -254,6 +273,7 @@
     {
         *state.add_past() = past;
     }
+    *state.mutable_evacuations() = evacuations_.set();
     return state.SerializeAsString();
 }
 
@@ -277,6 +297,7 @@
     {
         owners_[record.data_centre()] = record;
     }
+    evacuations_.restore(source.evacuations());
     audit_.restore({source.audit().begin(), source.audit().end()});
     remembered_ids_.clear();
     outcomes_.clear();
@@ -323,6 +344,12 @@
     return sorted_owners();
 }
 
+wire::evacuation_set control_state::evacuations() const
+{
+    const std::shared_lock lock(mutex_);
+    return evacuations_.set();
+}
+
 std::vector<wire::audit_record> control_state::audit(std::uint64_t after,
                                                      std::size_t limit) const
 {
@@ -333,7 +360,8 @@
 config_view control_state::view() const
 {
     const std::shared_lock lock(mutex_);
-    return {version_, document_, last_operator_, sorted_owners(), applied_};
+    return {version_,        document_,          last_operator_,
+            sorted_owners(), evacuations_.set(), applied_};
 }
 
 std::vector<wire::owner_record> control_state::sorted_owners() const
--- a/src/state/control_state.hpp
+++ b/src/state/control_state.hpp
@@ -3,6 +3,7 @@
 #include "coordination/state_machine.hpp"
 #include "state/audit_trail.hpp"
 #include "state/config_view.hpp"
+#include "state/evacuation_table.hpp"
 
 #include "peer.pb.h"
 
@@ -27,9 +28,10 @@
 constexpr std::size_t max_past_versions = 64;
 
 /// The replicated control state: the configuration document, the data centre
-/// owner records, the audit trail and the outcomes of recent commands. Equal
-/// commands give equal states; nothing depends on the time, on the host or on
-/// the parser's release. All functions may be called from several threads.
+/// owner records, the evacuated data centres, the audit trail and the outcomes
+/// of recent commands. Equal commands give equal states; nothing depends on the
+/// time, on the host or on the parser's release. All functions may be called
+/// from several threads.
 class control_state : public state_machine
 {
 public:
@@ -51,11 +53,15 @@
     /// Returns the owner records, sorted by data centre.
     std::vector<wire::owner_record> owners() const;
 
+    /// Returns the evacuations in force.
+    wire::evacuation_set evacuations() const;
+
     /// Returns up to `limit` audit records with a sequence above `after`.
     std::vector<wire::audit_record> audit(std::uint64_t after,
                                           std::size_t limit) const;
 
-    /// Returns version, document, owners and applied index of one moment.
+    /// Returns version, document, owners, evacuations and applied index of one
+    /// moment.
     config_view view() const;
 
 private:
@@ -72,6 +78,7 @@
     std::shared_ptr<const std::string> document_;
     std::string last_operator_;
     std::map<std::string, wire::owner_record> owners_;
+    evacuation_table evacuations_;
     audit_trail audit_;
     std::deque<std::string> remembered_ids_; // Oldest first.
     std::unordered_map<std::string, wire::command_outcome> outcomes_;
--- a/test/control_state-test.cpp
+++ b/test/control_state-test.cpp
@@ -44,6 +44,30 @@
     return command;
 }
 
+wire::control_command evacuate(const std::string& id, const std::string& name,
+                               bool active = true)
+{
+    wire::control_command command;
+    command.set_request_id(id);
+    command.set_operator_name("ana");
+    command.set_time_ms(2000);
+    command.mutable_evacuation()->set_data_centre(name);
+    command.mutable_evacuation()->set_active(active);
+    return command;
+}
+
+// Returns the evacuated data centres, each followed by a space.
+std::string evacuated(const control_state& state)
+{
+    std::string names;
+    const auto set = state.evacuations();
+    for (const auto& entry : set.evacuations())
+    {
+        names += entry.data_centre() + " ";
+    }
+    return names;
+}
+
 bool contains(const std::string& text, const std::string& part)
 {
     return text.find(part) != std::string::npos;
@@ -141,6 +165,120 @@
     EXPECT_EQ(state.version(), 0U);
 }
 
+// Guards against an evacuation that a repeated call changes or undoes, and
+// against one that nobody can trace to an operator.
+TEST(control_state, evacuations_are_idempotent_and_audited)
+{
+    control_state state;
+    EXPECT_FALSE(state.apply(1, evacuate("a", "dc2")).unchanged());
+    const auto repeated = state.apply(2, evacuate("b", "dc2"));
+    EXPECT_EQ(repeated.code(), wire::command_accepted);
+    EXPECT_TRUE(repeated.unchanged());
+    EXPECT_EQ(state.evacuations().index(), 1U);
+    EXPECT_FALSE(state.apply(3, evacuate("c", "dc1")).unchanged());
+    EXPECT_EQ(evacuated(state), "dc1 dc2 ");
+    EXPECT_TRUE(state.apply(4, evacuate("d", "dc3", false)).unchanged());
+    EXPECT_FALSE(state.apply(5, evacuate("e", "dc2", false)).unchanged());
+    EXPECT_TRUE(state.apply(6, evacuate("f", "dc2", false)).unchanged());
+    EXPECT_EQ(evacuated(state), "dc1 ");
+    EXPECT_EQ(state.evacuations().index(), 5U);
+    EXPECT_EQ(state.evacuations().evacuations(0).operator_name(), "ana");
+    EXPECT_EQ(state.evacuations().evacuations(0).time_ms(), 2000);
+    EXPECT_EQ(state.version(), 0U);
+    const auto records = state.audit(0, 10);
+    ASSERT_EQ(records.size(), 6U);
+    EXPECT_EQ(records[0].action(), "start_evacuation dc2");
+    EXPECT_EQ(records[0].operator_name(), "ana");
+    EXPECT_EQ(records[1].message(), "unchanged");
+    EXPECT_EQ(records[4].action(), "end_evacuation dc2");
+    EXPECT_EQ(records[4].message(), "");
+}
+
+// Guards against a late resend of a start that undoes the end after it.
+TEST(control_state, late_resend_of_a_start_does_not_evacuate_again)
+{
+    control_state state;
+    state.apply(1, evacuate("a", "dc1"));
+    state.apply(2, evacuate("b", "dc1", false));
+    control_state restored;
+    restored.restore(2, state.snapshot());
+    for (auto* replica : {&state, &restored})
+    {
+        const auto resent = replica->apply(3, evacuate("a", "dc1"));
+        EXPECT_EQ(resent.code(), wire::command_accepted);
+        EXPECT_EQ(evacuated(*replica), "");
+    }
+}
+
+// Guards against memory that grows with every name, and against an end that is
+// refused when the table is full.
+TEST(control_state, at_most_64_evacuations_are_kept)
+{
+    control_state state;
+    std::uint64_t index = 0;
+    for (std::size_t i = 0; i < max_evacuations; ++i)
+    {
+        ++index;
+        EXPECT_EQ(
+            state.apply(index, evacuate("", "dc" + std::to_string(i))).code(),
+            wire::command_accepted);
+    }
+    const auto before = state.evacuations().SerializeAsString();
+    const auto refused = state.apply(++index, evacuate("", "one-more"));
+    EXPECT_EQ(refused.code(), wire::command_conflict);
+    EXPECT_TRUE(contains(refused.message(), "64")) << refused.message();
+    EXPECT_EQ(state.evacuations().SerializeAsString(), before);
+    EXPECT_TRUE(state.apply(++index, evacuate("", "dc7")).unchanged());
+    EXPECT_TRUE(state.apply(++index, evacuate("", "other", false)).unchanged());
+    state.apply(++index, evacuate("", "dc7", false));
+    EXPECT_EQ(state.apply(++index, evacuate("", "one-more")).code(),
+              wire::command_accepted);
+}
+
+// Guards against names that could not be sent in a path or stored in settings.
+TEST(control_state, malformed_names_are_not_evacuated)
+{
+    control_state state;
+    std::uint64_t index = 0;
+    const std::string longest(63, 'a');
+    for (const auto& name :
+         {std::string(), std::string("-a"), std::string("a/b"),
+          std::string("a b"), std::string("a\0b", 3), longest + "a"})
+    {
+        for (const bool active : {true, false})
+        {
+            EXPECT_EQ(state.apply(++index, evacuate("", name, active)).code(),
+                      wire::command_invalid)
+                << name;
+        }
+    }
+    EXPECT_EQ(evacuated(state), "");
+    EXPECT_EQ(state.audit(0, 100).back().action(),
+              "end_evacuation (invalid name)");
+    EXPECT_EQ(state.apply(++index, evacuate("", longest)).code(),
+              wire::command_accepted);
+}
+
+// Guards against a host that can not start on the snapshot of an earlier
+// release, which has no evacuations, and against evacuations that stay from
+// before a restore.
+TEST(control_state, snapshots_of_earlier_releases_have_no_evacuations)
+{
+    control_state state;
+    state.apply(1, write("r1", 0, "a"));
+    wire::control_snapshot earlier;
+    ASSERT_TRUE(earlier.ParseFromString(state.snapshot()));
+    earlier.clear_evacuations();
+    state.apply(2, evacuate("e", "dc1"));
+    state.restore(1, earlier.SerializeAsString());
+    EXPECT_EQ(evacuated(state), "");
+    EXPECT_EQ(state.evacuations().index(), 0U);
+    EXPECT_EQ(*state.document_text(), "a");
+    state.apply(2, evacuate("e", "dc1"));
+    EXPECT_EQ(evacuated(state), "dc1 ");
+    EXPECT_EQ(state.view().evacuations.index(), 2U);
+}
+
 // Guards against refused writes that leave no trace.
 TEST(control_state, refused_commands_are_audited)
 {
@@ -176,9 +314,10 @@
         const auto id = "r" + std::to_string(*rc::gen::inRange(0, 40));
         const auto back = *rc::gen::inRange<std::uint64_t>(0, 3);
         const auto text = std::string(1, *rc::gen::inRange('a', 'e'));
-        const auto epoch = *rc::gen::inRange<std::uint64_t>(0, 6);
+        const auto epoch = *rc::gen::inRange<std::uint64_t>(0, 8);
         const auto command =
-            epoch > 3
+            epoch > 5 ? evacuate(id, text, epoch == 6)
+            : epoch > 3
                 ? owner(id, epoch - 3, back)
                 : write(id, whole.version() - std::min(back, whole.version()),
                         text);
