Add the operators' interface for evacuations

Operators need calls to start, end and list evacuations on any host. The operators' listener takes GET, PUT and DELETE under /v1/evacuations, passes changes to the leader as it does with documents, and answers after the commit. Hosts learn the set from config_response; the one with the higher log index is in force, and hosts with a disk store it. limpetctl has evacuation list, start and end. Calls without a body and its length are answered at once; the HTTP library would wait for its time-out.

--- a/src/coordination/config_distributor.cpp
+++ b/src/coordination/config_distributor.cpp
@@ -19,9 +19,10 @@
     std::uint64_t version = 0;
     std::shared_ptr<const std::string> text;
     std::vector<wire::owner_record> owners;
+    wire::evacuation_set evacuations;
     std::uint64_t applied = 0;
     bool confirmed = false;
-    bool usable = true; // False when only the owner records may be taken.
+    bool usable = true; // False when the document may not be taken.
 };
 
 struct config_distributor::subscriber
@@ -97,10 +98,12 @@
             candidate offered{stored->version(),
                               std::make_shared<std::string>(stored->document()),
                               owners_of(*stored),
+                              stored->evacuations(),
                               stored->applied(),
                               false,
                               true};
             merge_owners(offered.owners);
+            merge_evacuations(offered.evacuations);
             if (offered.version > 0 && !install(offered))
             {
                 return absl::FailedPreconditionError(absl::StrCat(
@@ -166,8 +169,8 @@
         {
             return answer;
         }
-        accept({view->version, view->document, view->owners, view->applied,
-                true, true});
+        accept({view->version, view->document, view->owners, view->evacuations,
+                view->applied, true, true});
         answer.set_available(true);
         answer.set_from_disk(file_ != nullptr && version() >= view->version);
         answer.set_version(view->version);
@@ -180,6 +183,7 @@
         {
             *answer.add_owners() = record;
         }
+        *answer.mutable_evacuations() = evacuations();
         return answer;
     }
     const std::lock_guard lock(state_mutex_);
@@ -195,6 +199,7 @@
     {
         *answer.add_owners() = record;
     }
+    *answer.mutable_evacuations() = evacuations_;
     return answer;
 }
 
@@ -222,14 +227,16 @@
                                const std::vector<wire::owner_record>& owners,
                                bool confirmed)
 {
-    accept({version, std::make_shared<const std::string>(text), owners, 0,
-            confirmed, true});
+    accept({version, std::make_shared<const std::string>(text), owners,
+            wire::evacuation_set(), 0, confirmed, true});
 }
 
 void config_distributor::accept(const candidate& offered)
 {
     const std::lock_guard lock(accept_mutex_);
-    bool changed = merge_owners(offered.owners);
+    const bool owners_changed = merge_owners(offered.owners);
+    const bool changed =
+        merge_evacuations(offered.evacuations) || owners_changed;
     const bool first = !settled();
     const bool allowed = offered.usable && (!first || offered.confirmed);
     bool installed = false;
@@ -239,7 +246,7 @@
     }
     else if (changed && file_ && !first)
     {
-        // A lost owner record is learned again from the peers, so a failure
+        // A lost record is learned again from the peers, so a failure
         // here needs no other answer than the log line of `store`.
         static_cast<void>(store(version(), *text_));
     }
@@ -321,6 +328,7 @@
     {
         *content.add_owners() = record;
     }
+    *content.mutable_evacuations() = evacuations();
     auto status = file_->save(encode_stored_config(content));
     if (!status.ok())
     {
@@ -382,8 +390,8 @@
     const auto view = read_local_(confirmed);
     if (view.ok())
     {
-        accept({view->version, view->document, view->owners, view->applied,
-                confirmed, true});
+        accept({view->version, view->document, view->owners, view->evacuations,
+                view->applied, confirmed, true});
     }
 }
 
@@ -405,8 +413,8 @@
 {
     const bool whole = answer.version() == 0 || !answer.document().empty();
     accept({answer.version(), std::make_shared<std::string>(answer.document()),
-            owners_of(answer), answer.applied(), confirmed,
-            answer.available() && whole});
+            owners_of(answer), answer.evacuations(), answer.applied(),
+            confirmed, answer.available() && whole});
 }
 
 void config_distributor::poll_voters()
--- a/src/coordination/config_distributor.hpp
+++ b/src/coordination/config_distributor.hpp
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,8 +33,9 @@
 /// for a call that is running on another thread.
 using config_subscription = std::shared_ptr<void>;
 
-/// Holds the configuration in force on this daemon and the newest owner
-/// records, and polls other daemons for higher versions.
+/// Holds the configuration in force on this daemon, the newest owner records
+/// and the newest set of evacuations, and polls other daemons for higher
+/// versions.
 ///
 /// With a file, a version is synced before it is in force. Without one, only
 /// versions that a disk host of the same data centre has synced, or that a
@@ -88,11 +90,18 @@
     /// Returns the newest known owner record of each data centre, sorted.
     std::vector<wire::owner_record> owners() const;
 
+    /// Returns the newest known set of evacuations.
+    wire::evacuation_set evacuations() const;
+
+    /// Returns true while the data centre is evacuated as far as is known here.
+    bool evacuated(const std::string& data_centre) const;
+
     /// Answers a peer. A confirmed read blocks until a majority answered.
     wire::config_response serve(const wire::config_request& request);
 
-    /// Calls `changed` after each change of the version or of an owner record,
-    /// on the thread that made it. It must not call `offer`, `poll` or `serve`.
+    /// Calls `changed` after each change of the version, of an owner record or
+    /// of the evacuations, on the thread that made it. It must not call
+    /// `offer`, `poll` or `serve`.
     [[nodiscard]] config_subscription subscribe(std::function<void()> changed);
 
     /// Takes a version that the local control state has applied. `confirmed`
@@ -111,6 +120,7 @@
 
     void accept(const candidate& offered);
     bool merge_owners(const std::vector<wire::owner_record>& owners);
+    bool merge_evacuations(const wire::evacuation_set& offered);
     bool install(const candidate& offered);
     absl::Status store(std::uint64_t version, const std::string& text);
     void notify();
@@ -147,6 +157,8 @@
     std::shared_ptr<const std::string> text_;
     std::shared_ptr<const document> document_;
     std::map<std::string, wire::owner_record> owners_;
+    wire::evacuation_set evacuations_;
+    std::set<std::string> evacuated_; // Names in `evacuations_`.
     std::uint64_t applied_ = 0;
     std::vector<std::weak_ptr<subscriber>> subscribers_;
 
--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -1,4 +1,5 @@
 #include "ctl/command_line.hpp"
+#include "base/name_rule.hpp"
 #include "protocol/yaml_reader.hpp"
 
 #include <CLI/CLI.hpp>
@@ -17,6 +18,11 @@
                : "must be IP:port, for example 127.0.0.1:7002";
 }
 
+std::string check_data_centre(const std::string& text)
+{
+    return is_name(text) ? "" : "must be " + std::string(name_expectation);
+}
+
 CLI::App* add_command(CLI::App& parent, const std::string& name,
                       const std::string& help)
 {
@@ -48,6 +54,26 @@
         ->check(CLI::ExistingFile);
 }
 
+void add_evacuation_commands(CLI::App& app, command_line& result)
+{
+    auto* evacuation =
+        add_command(app, "evacuation", "Evacuation of data centres");
+    evacuation->require_subcommand(1);
+    add_command(*evacuation, "list", "List evacuated data centres");
+    const auto add_change = [&](const char* name, const char* help)
+    {
+        auto* change = add_command(*evacuation, name, help);
+        change->add_option("name", result.data_centre, "Data centre")
+            ->required()
+            ->check(CLI::Validator(check_data_centre, "NAME"));
+        change->add_option("--request-id", result.request_id,
+                           "Request id of an earlier run whose outcome is "
+                           "unknown");
+    };
+    add_change("start", "Start nothing more in a data centre");
+    add_change("end", "Use a data centre again");
+}
+
 void add_options(CLI::App& app, command_line& result)
 {
     app.add_option("--server", result.servers,
@@ -84,12 +110,16 @@
     {
         throw CLI::RequiredError("--server");
     }
-    if (result.command == "config apply" && result.operator_name.empty())
+    const bool writes = result.command == "config apply" ||
+                        result.command == "evacuation start" ||
+                        result.command == "evacuation end";
+    if (writes && result.operator_name.empty())
     {
         throw CLI::RequiredError("--operator");
     }
     // A resend with another base version would be another write.
-    if (!result.request_id.empty() && !result.base_version)
+    if (result.command == "config apply" && !result.request_id.empty() &&
+        !result.base_version)
     {
         throw CLI::RequiresError("--request-id", "--base-version");
     }
@@ -108,6 +138,7 @@
     app.require_subcommand(1);
     add_options(app, result);
     add_config_commands(app, result);
+    add_evacuation_commands(app, result);
     add_command(app, "accounts", "List client accounts");
     add_command(app, "upstreams", "List live upstreams");
     add_command(app, "workers", "List live workers");
--- a/src/ctl/command_line.hpp
+++ b/src/ctl/command_line.hpp
@@ -24,6 +24,7 @@
     std::vector<std::string> servers;
     std::string operator_name;
     std::string file;
+    std::string data_centre;        // To evacuate.
     std::string id;                 // Job, worker or target to explain.
     std::vector<std::string> files; // Logs to read.
     std::string request_id;         // Empty for a new one.
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -1,6 +1,7 @@
 #include "ctl/commands.hpp"
 #include "base/hash.hpp"
 #include "ctl/audit_json.hpp"
+#include "ctl/evacuation_command.hpp"
 #include "ctl/operator_client.hpp"
 #include "ctl/table.hpp"
 #include "limpetstack/document.hpp"
@@ -41,8 +42,8 @@
     {"hash", "HASH", cell_format::hash},
     {"message", "MESSAGE", cell_format::plain}};
 
-// Columns of each list command; the command is also the key of its list.
-const std::vector<table_column>& columns_of(const std::string& command)
+// Columns of each list.
+const std::vector<table_column>& columns_of(const std::string& name)
 {
     const auto plain = cell_format::plain;
     static const std::map<std::string, std::vector<table_column>> columns = {
@@ -84,13 +85,17 @@
           {"disk", "DISK", plain},
           {"config_version", "CONFIG VERSION", plain},
           {"draining", "DRAINING", plain}}},
+        {"evacuations",
+         {{"data_centre", "DATA CENTRE", plain},
+          {"operator", "OPERATOR", plain},
+          {"time_ms", "SINCE", cell_format::time}}},
         {"members",
          {{"host", "HOST", plain},
           {"id", "ID", plain},
           {"data_centre", "DATA CENTRE", plain},
           {"voter", "VOTER", plain},
           {"leader", "LEADER", plain}}}};
-    return columns.at(command);
+    return columns.at(name);
 }
 
 std::string file_text(const std::string& path)
@@ -144,10 +149,10 @@
     return json_answer{std::move(body), answer.body};
 }
 
-exit_code show_list(const command_line& line, operator_client& client,
-                    const command_output& output)
+exit_code show_list(const command_line& line, const std::string& name,
+                    operator_client& client, const command_output& output)
 {
-    const auto answer = read_json(client, "/v1/" + line.command, output);
+    const auto answer = read_json(client, "/v1/" + name, output);
     if (!answer)
     {
         return exit_code::refused;
@@ -157,8 +162,8 @@
         output.out << answer->text << '\n';
         return exit_code::done;
     }
-    write_table(output.out, columns_of(line.command),
-                list_at(answer->body, line.command), output.colour);
+    write_table(output.out, columns_of(name), list_at(answer->body, name),
+                output.colour);
     return exit_code::done;
 }
 
@@ -434,7 +439,15 @@
     {
         return show_audit(line, client, output);
     }
-    return show_list(line, client, output);
+    if (line.command == "evacuation list")
+    {
+        return show_list(line, "evacuations", client, output);
+    }
+    if (line.command == "evacuation start" || line.command == "evacuation end")
+    {
+        return change_evacuation(line, client, output);
+    }
+    return show_list(line, line.command, client, output);
 }
 
 } // namespace
--- a/src/ctl/http_transport.cpp
+++ b/src/ctl/http_transport.cpp
@@ -63,4 +63,16 @@
     return reply_of(connect(server).Post(path, body, "application/json"));
 }
 
+operator_reply http_transport::put(const std::string& server,
+                                   const std::string& path)
+{
+    return reply_of(connect(server).Put(path));
+}
+
+operator_reply http_transport::remove(const std::string& server,
+                                      const std::string& path)
+{
+    return reply_of(connect(server).Delete(path));
+}
+
 } // namespace limpetstack
--- a/src/ctl/http_transport.hpp
+++ b/src/ctl/http_transport.hpp
@@ -13,6 +13,10 @@
                        const std::string& path) override;
     operator_reply post(const std::string& server, const std::string& path,
                         const std::string& body) override;
+    operator_reply put(const std::string& server,
+                       const std::string& path) override;
+    operator_reply remove(const std::string& server,
+                          const std::string& path) override;
 };
 
 } // namespace limpetstack
--- a/src/ctl/operator_client.cpp
+++ b/src/ctl/operator_client.cpp
@@ -66,6 +66,33 @@
 
 operator_answer operator_client::write(const std::string& path,
                                        const std::string& body)
+{
+    return write_with(
+        [&](const std::string& server)
+        {
+            return transport_.post(server, path, body);
+        });
+}
+
+operator_answer operator_client::put(const std::string& path)
+{
+    return write_with(
+        [&](const std::string& server)
+        {
+            return transport_.put(server, path);
+        });
+}
+
+operator_answer operator_client::remove(const std::string& path)
+{
+    return write_with(
+        [&](const std::string& server)
+        {
+            return transport_.remove(server, path);
+        });
+}
+
+operator_answer operator_client::write_with(const attempt& send)
 {
     operator_answer answer;
     bool maybe_done = false;
@@ -77,7 +104,7 @@
         }
         for (const auto& server : servers_)
         {
-            auto reply = transport_.post(server, path, body);
+            auto reply = send(server);
             // Once an attempt may have been carried out, only an answer that
             // comes from the control log is final; a refusal before the log
             // says nothing about that attempt.
--- a/src/ctl/operator_client.hpp
+++ b/src/ctl/operator_client.hpp
@@ -9,6 +9,7 @@
 {
 
 class operator_transport;
+struct operator_reply;
 
 /// What became of a call.
 enum class call_result
@@ -46,7 +47,16 @@
     /// resend.
     operator_answer write(const std::string& path, const std::string& body);
 
+    /// As `write`, by PUT or DELETE without a body; the path holds the request
+    /// id.
+    operator_answer put(const std::string& path);
+    operator_answer remove(const std::string& path);
+
 private:
+    using attempt = std::function<operator_reply(const std::string& server)>;
+
+    operator_answer write_with(const attempt& send);
+
     operator_transport& transport_;
     const std::vector<std::string> servers_;
     const sleeper sleep_;
--- a/src/ctl/operator_transport.hpp
+++ b/src/ctl/operator_transport.hpp
@@ -28,6 +28,11 @@
     virtual operator_reply post(const std::string& server,
                                 const std::string& path,
                                 const std::string& body) = 0;
+    /// Without a body.
+    virtual operator_reply put(const std::string& server,
+                               const std::string& path) = 0;
+    virtual operator_reply remove(const std::string& server,
+                                  const std::string& path) = 0;
 };
 
 } // namespace limpetstack
--- a/src/daemon/operator_service.cpp
+++ b/src/daemon/operator_service.cpp
@@ -1,6 +1,9 @@
 #include "daemon/operator_service.hpp"
 
+#include "base/hash.hpp"
+#include "base/log.hpp"
 #include "base/metrics.hpp"
+#include "base/name_rule.hpp"
 #include "coordination/guarantee.hpp"
 #include "coordination/membership.hpp"
 #include "daemon/control_service.hpp"
@@ -21,6 +24,7 @@
 using nlohmann::json;
 
 constexpr milliseconds change_timeout{10000};
+constexpr int request_id_bytes = 16;
 
 operator_answer show_config(control_service& control)
 {
@@ -99,6 +103,76 @@
     return to_answer(outcome);
 }
 
+json list_evacuations(control_service& control)
+{
+    json list = json::array();
+    const auto set = control.config().evacuations();
+    for (const auto& entry : set.evacuations())
+    {
+        list.push_back({{"data_centre", entry.data_centre()},
+                        {"operator", entry.operator_name()},
+                        {"time_ms", entry.time_ms()}});
+    }
+    return list;
+}
+
+// Tasks that workers of a data centre announce; they go on.
+std::size_t count_tasks(work_service& work, const std::string& data_centre)
+{
+    std::size_t count = 0;
+    for (const auto& worker : work.soft_state().workers(data_centre))
+    {
+        count += static_cast<std::size_t>(worker->tasks_size());
+    }
+    return count;
+}
+
+operator_answer change_evacuation(control_service& control, work_service& work,
+                                  const evacuation_change& change)
+{
+    if (!is_name(change.data_centre))
+    {
+        return {400,
+                {{"code", "invalid"},
+                 {"message",
+                  "data centre: must be " + std::string(name_expectation)}}};
+    }
+    wire::control_command command;
+    // The command may be sent to several leaders until one confirms it.
+    command.set_request_id(change.request_id.empty()
+                               ? random_hex(request_id_bytes)
+                               : change.request_id);
+    command.set_operator_name(
+        change.operator_name.empty() ? "anonymous" : change.operator_name);
+    command.set_host(control.host());
+    command.set_time_ms(wall_clock_ms());
+    command.mutable_evacuation()->set_data_centre(change.data_centre);
+    command.mutable_evacuation()->set_active(change.active);
+    const auto outcome = control.client().submit(command, change_timeout);
+    if (outcome.code() != wire::command_accepted)
+    {
+        log_event(log_level::warning, "evacuation_refused",
+                  {{"data_centre", change.data_centre},
+                   {"active", change.active ? "true" : "false"},
+                   {"reason", outcome.message()}});
+        return to_answer(outcome);
+    }
+    // An operator who reads the list here next sees the change.
+    control.config().poll();
+    const auto tasks = count_tasks(work, change.data_centre);
+    log_event(log_level::info,
+              change.active ? "evacuation_started" : "evacuation_ended",
+              {{"data_centre", change.data_centre},
+               {"operator", command.operator_name()},
+               {"changed", outcome.unchanged() ? "false" : "true"},
+               {"tasks", std::to_string(tasks)}});
+    return {200,
+            {{"code", "accepted"},
+             {"data_centre", change.data_centre},
+             {"changed", !outcome.unchanged()},
+             {"tasks", tasks}}};
+}
+
 json list_accounts(control_service& control)
 {
     json list = json::array();
@@ -188,6 +262,15 @@
     {
         return find_errors(parse_document(yaml));
     };
+    handlers.evacuations = [&control]
+    {
+        return list_evacuations(control);
+    };
+    handlers.change_evacuation =
+        [&control, &work](const evacuation_change& change)
+    {
+        return change_evacuation(control, work, change);
+    };
     handlers.accounts = [&control]
     {
         return list_accounts(control);
--- a/src/transport/operator_api.cpp
+++ b/src/transport/operator_api.cpp
@@ -60,6 +60,55 @@
     write(given.audit(after, limit), response);
 }
 
+constexpr const char* evacuation_prefix = "/v1/evacuations/";
+constexpr std::size_t longest_parameter = 128;
+
+void handle_evacuation(const operator_handlers& given, const Request& request,
+                       Response& response)
+{
+    evacuation_change change;
+    change.data_centre =
+        request.path.substr(std::string(evacuation_prefix).size());
+    change.active = request.method == "PUT";
+    change.operator_name = request.get_param_value("operator");
+    change.request_id = request.get_param_value("request_id");
+    if (change.operator_name.size() > longest_parameter ||
+        change.request_id.size() > longest_parameter)
+    {
+        set_error(response, 400,
+                  "operator and request_id have at most 128 bytes");
+        return;
+    }
+    write(given.change_evacuation(change), response);
+}
+
+void add_evacuations(httplib::Server& server, const handlers_ptr& given)
+{
+    const auto handle = [given](const Request& request, Response& response)
+    {
+        handle_evacuation(*given, request, response);
+    };
+    const auto pattern = std::string(evacuation_prefix) + R"([\s\S]*)";
+    server.Put(pattern, handle);
+    server.Delete(pattern, handle);
+    // Without a length the library reads a body until the client closes, so
+    // that such a call without a body would wait for the time-out.
+    server.set_pre_routing_handler(
+        [handle](const Request& request, Response& response)
+        {
+            const bool matches =
+                (request.method == "PUT" || request.method == "DELETE") &&
+                request.path.rfind(evacuation_prefix, 0) == 0;
+            if (!matches || request.has_header("Content-Length") ||
+                request.has_header("Transfer-Encoding"))
+            {
+                return httplib::Server::HandlerResponse::Unhandled;
+            }
+            handle(request, response);
+            return httplib::Server::HandlerResponse::Handled;
+        });
+}
+
 void add_list(httplib::Server& server, const handlers_ptr& given,
               const std::string& name,
               std::function<json()> operator_handlers::*list)
@@ -110,6 +159,8 @@
 {
     add_answer(server, given, "/v1/config", &operator_handlers::config);
     add_answer(server, given, "/v1/members", &operator_handlers::members);
+    add_list(server, given, "evacuations", &operator_handlers::evacuations);
+    add_evacuations(server, given);
     add_list(server, given, "accounts", &operator_handlers::accounts);
     add_list(server, given, "upstreams", &operator_handlers::upstreams);
     add_list(server, given, "workers", &operator_handlers::workers);
--- a/src/transport/operator_api.hpp
+++ b/src/transport/operator_api.hpp
@@ -17,6 +17,15 @@
 /// Status and body of a response to an operator.
 struct operator_answer;
 
+/// An operator's call to start or end the evacuation of a data centre.
+struct evacuation_change
+{
+    std::string data_centre; // As it was sent; may be no valid name.
+    bool active = false;
+    std::string operator_name; // Empty when none was given.
+    std::string request_id;    // Empty when none was given.
+};
+
 /// What the daemon does for operators. Calls come from several threads; each
 /// may block.
 struct operator_handlers
@@ -26,6 +35,8 @@
     /// Returns every error of a document, without changing anything.
     std::function<std::vector<document_error>(const std::string&)>
         check_document;
+    std::function<nlohmann::json()> evacuations;
+    std::function<operator_answer(const evacuation_change&)> change_evacuation;
     std::function<nlohmann::json()> accounts;
     std::function<nlohmann::json()> upstreams;
     std::function<nlohmann::json()> workers;
--- a/test/command_line-test.cpp
+++ b/test/command_line-test.cpp
@@ -48,7 +48,12 @@
         {"config", "apply", "/dev/null", "--server", "127.0.0.1:1",
          "--request-id", "r"},
         {"config", "apply", "/dev/null", "--server", "127.0.0.1:1",
-         "--base-version", "x"}};
+         "--base-version", "x"},
+        {"evacuation", "--server", "127.0.0.1:1"},
+        {"evacuation", "start", "--server", "127.0.0.1:1"},
+        {"evacuation", "start", "a/b", "--server", "127.0.0.1:1"},
+        {"evacuation", "end", "dc1", "--operator", "ana"},
+        {"evacuation", "list", "dc1", "--server", "127.0.0.1:1"}};
     for (const auto& arguments : wrong)
     {
         const auto result = parse(arguments);
@@ -64,5 +69,25 @@
     EXPECT_TRUE(parse({"config", "validate", "/dev/null"}).value);
 }
 
+// Guards against an evacuation of another data centre than named, and against
+// a resend that needs a base version.
+TEST(command_line, evacuation_takes_a_data_centre)
+{
+    unsetenv("LIMPETCTL_SERVER");
+    const auto start =
+        parse({"evacuation", "start", "dc-1", "--server", "127.0.0.1:1",
+               "--operator", "ana", "--request-id", "r"});
+    ASSERT_TRUE(start.value);
+    EXPECT_EQ(start.value->command, "evacuation start");
+    EXPECT_EQ(start.value->data_centre, "dc-1");
+    EXPECT_EQ(start.value->request_id, "r");
+    const auto end = parse({"evacuation", "end", "dc2", "--server",
+                            "127.0.0.1:1", "--operator", "ana"});
+    ASSERT_TRUE(end.value);
+    EXPECT_EQ(end.value->command, "evacuation end");
+    EXPECT_EQ(end.value->data_centre, "dc2");
+    EXPECT_TRUE(parse({"evacuation", "list", "--server", "127.0.0.1:1"}).value);
+}
+
 } // namespace
 } // namespace limpetstack
--- a/test/commands-test.cpp
+++ b/test/commands-test.cpp
@@ -126,6 +126,66 @@
     EXPECT_EQ(run(apply), exit_code::refused) << "no server was reached";
 }
 
+// Guards against a list that the table can not show, and against a changed
+// answer under --json.
+TEST_F(command_test, evacuation_list_shows_every_data_centre)
+{
+    const json body = {
+        {"evacuations",
+         {{{"data_centre", "dc2"}, {"operator", "ana"}, {"time_ms", 0}}}}};
+    reply(200, body);
+    EXPECT_EQ(run(line("evacuation list")), exit_code::done);
+    EXPECT_NE(out.str().find("dc2"), std::string::npos);
+    EXPECT_NE(out.str().find("DATA CENTRE"), std::string::npos);
+    auto as_json = line("evacuation list");
+    as_json.json = true;
+    reply(200, body);
+    EXPECT_EQ(run(as_json), exit_code::done);
+    EXPECT_EQ(json::parse(out.str()), body);
+    EXPECT_EQ(transport.calls.front(), "a GET /v1/evacuations");
+}
+
+// Guards against a call with another method, name or operator than asked for,
+// and against exit codes that differ from those of `config apply`.
+TEST_F(command_test, evacuation_change_reports_each_outcome)
+{
+    auto start = line("evacuation start");
+    start.data_centre = "dc2";
+    start.request_id = "r&1";
+    reply(200, {{"code", "accepted"}, {"changed", true}});
+    EXPECT_EQ(run(start), exit_code::done);
+    EXPECT_EQ(out.str(), "data centre dc2 is evacuated\n");
+    EXPECT_EQ(transport.calls.back(),
+              "a PUT /v1/evacuations/dc2?operator=ana&request_id=r%261");
+    auto end = line("evacuation end");
+    end.data_centre = "dc2";
+    reply(200, {{"code", "accepted"}, {"changed", false}});
+    EXPECT_EQ(run(end), exit_code::done);
+    EXPECT_EQ(out.str(), "data centre dc2 is not evacuated, as before\n");
+    EXPECT_EQ(transport.calls.back().find(
+                  "a DELETE /v1/evacuations/dc2?operator=ana&request_id="),
+              0U);
+    start.json = true;
+    reply(200, {{"code", "accepted"}, {"changed", true}});
+    EXPECT_EQ(run(start), exit_code::done);
+    EXPECT_EQ(json::parse(out.str()).at("code"), "accepted");
+    reply(409, {{"code", "conflict"}, {"message", "64 are evacuated"}});
+    EXPECT_EQ(run(start), exit_code::refused);
+    EXPECT_EQ(errors.str(), "refused: 64 are evacuated\n");
+    reply(400, {{"code", "invalid"}, {"message", "bad name"}});
+    EXPECT_EQ(run(start), exit_code::refused);
+    EXPECT_EQ(errors.str(), "refused: a answered 400 bad name\n");
+    EXPECT_EQ(run(start), exit_code::refused) << "no server was reached";
+    for (int i = 0; i < 4; ++i)
+    {
+        reply(504, {{"code", "unknown"}});
+    }
+    EXPECT_EQ(run(start), exit_code::unknown);
+    EXPECT_NE(errors.str().find("--request-id r&1"), std::string::npos);
+    reply(200, json::object());
+    EXPECT_EQ(run(start), exit_code::refused) << "another form of answer";
+}
+
 // Guards against errors of a document that only the server would show.
 TEST_F(command_test, validate_needs_no_server)
 {
--- a/test/config_distributor-test.cpp
+++ b/test/config_distributor-test.cpp
@@ -115,6 +115,75 @@
     EXPECT_NE(cluster.at("plain-1").daemon->current(), nullptr);
 }
 
+wire::evacuation_set evacuated_set(std::uint64_t index,
+                                   const std::vector<std::string>& names)
+{
+    wire::evacuation_set set;
+    set.set_index(index);
+    for (const auto& name : names)
+    {
+        set.add_evacuations()->set_data_centre(name);
+    }
+    return set;
+}
+
+// Guards against a host that does not learn of an evacuation or of its end,
+// with or without a disk, while the document stays the same.
+TEST(config_distributor, evacuations_reach_every_daemon)
+{
+    config_cluster cluster;
+    add_hosts(cluster);
+    ASSERT_TRUE(cluster.commit());
+    poll_all(cluster, 3);
+    cluster.evacuations = evacuated_set(5, {"dc2", "dc3"});
+    poll_all(cluster, 3);
+    for (const auto& name : cluster.names())
+    {
+        auto& host = cluster.at(name);
+        EXPECT_TRUE(host.daemon->evacuated("dc2")) << name;
+        EXPECT_FALSE(host.daemon->evacuated("dc1")) << name;
+        EXPECT_NE(host.counters.text().find("evacuated_data_centres 2"),
+                  std::string::npos)
+            << name;
+    }
+    cluster.evacuations = evacuated_set(6, {"dc3"});
+    poll_all(cluster, 3);
+    for (const auto& name : cluster.names())
+    {
+        EXPECT_FALSE(cluster.at(name).daemon->evacuated("dc2")) << name;
+        EXPECT_TRUE(cluster.at(name).daemon->evacuated("dc3")) << name;
+    }
+}
+
+// Guards against a cut-off data centre that forgets an evacuation in a
+// restart, and against one that takes an older set from a peer.
+TEST(config_distributor, cut_off_data_centre_keeps_its_evacuations)
+{
+    config_cluster cluster;
+    add_hosts(cluster);
+    ASSERT_TRUE(cluster.commit());
+    cluster.evacuations = evacuated_set(5, {"dc1"});
+    poll_all(cluster, 3);
+    // A peer that is behind answers polls of dc1.
+    cluster.at("disk-1").evacuations = evacuated_set(4, {});
+    cluster.isolate("dc1");
+    cluster.evacuations = evacuated_set(6, {});
+    for (const auto* name : {"disk-1", "disk-2"})
+    {
+        ASSERT_TRUE(cluster.start(name).ok());
+        cluster.poll(name);
+        EXPECT_TRUE(cluster.at(name).daemon->evacuated("dc1")) << name;
+    }
+    cluster.poll("plain-1");
+    EXPECT_TRUE(cluster.at("plain-1").daemon->evacuated("dc1"));
+    cluster.heal();
+    poll_all(cluster, 3);
+    for (const auto& name : cluster.names())
+    {
+        EXPECT_FALSE(cluster.at(name).daemon->evacuated("dc1")) << name;
+    }
+}
+
 // Guards against any order of commits, cuts, restarts, lagging voters, lost
 // answers, full and erased disks in which a version goes down, is in force
 // before its sync, or is not reached everywhere after the faults end.
--- a/test/support/config_cluster.cpp
+++ b/test/support/config_cluster.cpp
@@ -233,12 +233,14 @@
             return absl::UnavailableError("no majority");
         }
         target.applied = committed_;
+        target.evacuations = evacuations;
     }
     config_view view;
     view.version = target.applied;
     view.document =
         std::make_shared<std::string>(cluster_document(target.applied));
     view.applied = target.applied;
+    view.evacuations = target.evacuations;
     return view;
 }
 
--- a/test/support/config_cluster.hpp
+++ b/test/support/config_cluster.hpp
@@ -45,8 +45,9 @@
         metrics counters;
         std::unique_ptr<peer_network> network;
         std::unique_ptr<config_distributor> daemon;
-        std::uint64_t applied = 0; // By its control state.
-        std::uint64_t highest = 0; // Version ever in force.
+        std::uint64_t applied = 0;        // By its control state.
+        wire::evacuation_set evacuations; // As above.
+        std::uint64_t highest = 0;        // Version ever in force.
         bool lose_next_answer = false;
     };
 
@@ -71,6 +72,8 @@
     std::uint64_t committed() const { return committed_; }
     std::uint64_t version(const std::string& name);
 
+    wire::evacuation_set evacuations; // Committed.
+
     /// Returns what is wrong on any host: a version that went down, a document
     /// that is not the committed one, a version in force before its sync.
     std::string violation();
--- a/test/support/fake_operator_transport.hpp
+++ b/test/support/fake_operator_transport.hpp
@@ -28,6 +28,18 @@
         return call(server, "POST " + path);
     }
 
+    operator_reply put(const std::string& server,
+                       const std::string& path) override
+    {
+        return call(server, "PUT " + path);
+    }
+
+    operator_reply remove(const std::string& server,
+                          const std::string& path) override
+    {
+        return call(server, "DELETE " + path);
+    }
+
     std::map<std::string, std::deque<operator_reply>> replies;
     std::vector<std::string> calls; // `SERVER METHOD PATH`.
     std::vector<std::string> bodies;
