--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -49,7 +49,7 @@
 dispatcher::dispatcher(const settings& own, const registry& state,
                        upstream_caller& caller, timer_service& timers,
                        metrics& counters, document_function document_in_force,
-                       decide_function decide)
+                       decide_function decide, evacuated_function evacuated)
     : settings_(own)
     , registry_(state)
     , caller_(caller)
@@ -57,6 +57,7 @@
     , metrics_(counters)
     , document_(std::move(document_in_force))
     , decide_(std::move(decide))
+    , evacuated_(std::move(evacuated))
     , shards_(std::make_unique<std::array<shard, shard_count>>())
 {
 }
@@ -102,9 +103,9 @@
     auto& out = part.queues[service];
     if (!out)
     {
-        out = std::make_shared<service_queue>(service, settings_.data_centre,
-                                              settings_.limits.queue_length,
-                                              registry_, timers_, metrics_);
+        out = std::make_shared<service_queue>(
+            service, settings_.data_centre, settings_.limits.queue_length,
+            registry_, timers_, metrics_, evacuated_);
     }
     return out;
 }
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -47,10 +47,13 @@
     /// Returns the document in force, null when there is none.
     using document_function = std::function<std::shared_ptr<const document>()>;
 
+    /// Returns true while this host's data centre is evacuated.
+    using evacuated_function = std::function<bool()>;
+
     dispatcher(const settings& own, const registry& state,
                upstream_caller& caller, timer_service& timers,
                metrics& counters, document_function document_in_force,
-               decide_function decide);
+               decide_function decide, evacuated_function evacuated = {});
     ~dispatcher();
     dispatcher(const dispatcher&) = delete;
     dispatcher& operator=(const dispatcher&) = delete;
@@ -96,6 +99,7 @@
     metrics& metrics_;
     document_function document_;
     decide_function decide_;
+    evacuated_function evacuated_;
 
     std::unique_ptr<std::array<shard, shard_count>> shards_;
 
--- a/src/coordination/dispatcher_run.cpp
+++ b/src/coordination/dispatcher_run.cpp
@@ -46,6 +46,8 @@
         return "queue is full";
     case slot_outcome::hopeless:
         return "deadline can not be met";
+    case slot_outcome::evacuated:
+        return reason_evacuated;
     }
     return "";
 }
--- a/src/coordination/gang_coordinator.cpp
+++ b/src/coordination/gang_coordinator.cpp
@@ -79,7 +79,7 @@
 gang_coordinator::implementation::implementation(
     std::string data_centre, owned_journal& journal, worker_control& control,
     worker_source workers, document_source config, timer_service& timers,
-    metrics& counters, gang_timing timing)
+    metrics& counters, gang_timing timing, evacuation_source evacuated)
     : data_centre_(std::move(data_centre))
     , journal_(journal)
     , workers_(std::move(workers))
@@ -87,6 +87,7 @@
     , timers_(timers)
     , counters_(counters)
     , timing_(timing)
+    , evacuated_(std::move(evacuated))
     , calls_(control, timers, counters, timing.parallel_calls)
     , scheduler_(data_centre_)
 {
@@ -249,11 +250,17 @@
     {
         jobs.push_back(std::move(*one));
     }
+    const bool waits_for_end = evacuated();
     for (auto& job : jobs)
     {
         if (query.account().empty() || query.account() == job.spec().account())
         {
             with_progress(job);
+            if (waits_for_end && job.state() == "queued")
+            {
+                job.set_reason("waits: data centre " + data_centre_ +
+                               " is evacuated");
+            }
             *result.add_jobs() = std::move(job);
         }
     }
@@ -349,10 +356,10 @@
 gang_coordinator::gang_coordinator(
     std::string data_centre, owned_journal& journal, worker_control& control,
     worker_source workers, document_source config, timer_service& timers,
-    metrics& counters, gang_timing timing)
+    metrics& counters, gang_timing timing, evacuation_source evacuated)
     : implementation_(std::make_unique<implementation>(
           std::move(data_centre), journal, control, std::move(workers),
-          std::move(config), timers, counters, timing))
+          std::move(config), timers, counters, timing, std::move(evacuated)))
 {
 }
 
--- a/src/coordination/gang_coordinator.hpp
+++ b/src/coordination/gang_coordinator.hpp
@@ -46,13 +46,16 @@
 public:
     using worker_source = std::function<std::vector<wire::worker_entry>()>;
     using document_source = std::function<std::shared_ptr<const document>()>;
+    using evacuation_source = std::function<bool()>;
 
     /// `workers` returns the live workers of the data centre; `config` returns
-    /// the document in force, or null when there is none yet.
+    /// the document in force, or null when there is none yet; `evacuated` says
+    /// whether the data centre is evacuated, empty: never.
     gang_coordinator(std::string data_centre, owned_journal& journal,
                      worker_control& control, worker_source workers,
                      document_source config, timer_service& timers,
-                     metrics& counters, gang_timing timing = {});
+                     metrics& counters, gang_timing timing = {},
+                     evacuation_source evacuated = {});
     ~gang_coordinator();
 
     gang_coordinator(const gang_coordinator&) = delete;
--- a/src/coordination/gang_coordinator_impl.hpp
+++ b/src/coordination/gang_coordinator_impl.hpp
@@ -32,7 +32,8 @@
     implementation(std::string data_centre, owned_journal& journal,
                    worker_control& control, worker_source workers,
                    document_source config, timer_service& timers,
-                   metrics& counters, gang_timing timing);
+                   metrics& counters, gang_timing timing,
+                   evacuation_source evacuated);
     ~implementation();
 
     implementation(const implementation&) = delete;
@@ -63,6 +64,7 @@
     // gang_coordinator.cpp
     std::string refusal(const wire::job_submission& request) const;
     bool owner_now() const;
+    bool evacuated() const { return evacuated_ && evacuated_(); }
     void with_progress(wire::job_record& job) const;
     wire::job_answer cancel_waiting(wire::job_record job);
     wire::job_answer cancel_gang(const std::string& id);
@@ -133,6 +135,7 @@
     timer_service& timers_;
     metrics& counters_;
     const gang_timing timing_;
+    const evacuation_source evacuated_;
     worker_calls calls_;
 
     mutable std::mutex mutex_;
--- a/src/coordination/gang_start.cpp
+++ b/src/coordination/gang_start.cpp
@@ -61,6 +61,7 @@
 gang_coordinator::implementation::decide(const lock& held)
 {
     const auto now = timers_.now();
+    scheduler_.set_evacuated(evacuated());
     auto decisions = scheduler_.decide(now, starts_per_interval);
     for (const auto& decision : decisions)
     {
@@ -256,6 +257,10 @@
         {
             return "the start was withdrawn";
         }
+        if (evacuated())
+        {
+            return "data centre " + data_centre_ + " is evacuated";
+        }
         const auto now = timers_.now();
         found->started = now;
         for (std::size_t i = 0; i < found->members.size(); ++i)
--- a/src/coordination/job_scheduler.cpp
+++ b/src/coordination/job_scheduler.cpp
@@ -66,6 +66,20 @@
     changed_ = true;
 }
 
+void job_scheduler::set_evacuated(bool evacuated)
+{
+    if (std::exchange(evacuated_, evacuated) == evacuated)
+    {
+        return;
+    }
+    // What a reservation expects to become free is not used meanwhile.
+    if (reservation_)
+    {
+        cancel_reservation();
+    }
+    changed_ = true;
+}
+
 void job_scheduler::put_worker(const worker_capacity& worker)
 {
     const auto before = capacity_.free(worker.id);
@@ -111,43 +125,6 @@
     return queue_.find(id) != nullptr || placed_.count(id) > 0;
 }
 
-std::string job_scheduler::refusal(const gang_shape& shape) const
-{
-    if (shape.members == 0)
-    {
-        return "a job needs at least one member";
-    }
-    const auto runs = [this](const gang_shape& s)
-    {
-        return declared_.place(data_centre_, s, {}).has_value() ||
-               capacity_.place(data_centre_, s, {}).has_value();
-    };
-    if (runs(shape))
-    {
-        return {};
-    }
-    auto one = shape;
-    one.members = 1;
-    if (!runs(one))
-    {
-        return "no worker of data centre " + data_centre_ + " has " +
-               std::to_string(shape.each.accelerators) + " accelerators, " +
-               std::to_string(shape.each.cores) + " cores and " +
-               std::to_string(shape.each.memory_mib) + " MiB for one member";
-    }
-    if (shape.placement == adjacency::rack)
-    {
-        const auto most =
-            std::max(declared_.largest_rack_gang(data_centre_, shape.each),
-                     capacity_.largest_rack_gang(data_centre_, shape.each));
-        return "no rack of data centre " + data_centre_ + " holds " +
-               std::to_string(shape.members) + " such members; the most is " +
-               std::to_string(most);
-    }
-    return "data centre " + data_centre_ + " does not hold " +
-           std::to_string(shape.members) + " such members even when empty";
-}
-
 void job_scheduler::submit(queued_job job, bool front)
 {
     job.coverable = plan_.coverable(job.account, job.shape);
@@ -455,6 +432,10 @@
                                                   std::size_t limit)
 {
     std::vector<start_decision> result;
+    if (evacuated_)
+    {
+        return result;
+    }
     release_waiting(result);
     if (!changed_ || result.size() >= limit)
     {
--- a/src/coordination/job_scheduler.hpp
+++ b/src/coordination/job_scheduler.hpp
@@ -53,6 +53,10 @@
     /// still counts as room for guarantees.
     void enable_worker(const std::string& id, bool enabled, bool counts);
 
+    /// While the data centre is evacuated, nothing starts and nothing is
+    /// stopped for other work. What runs goes on, and jobs wait.
+    void set_evacuated(bool evacuated);
+
     /// Returns why the job can never run, or an empty string.
     std::string refusal(const gang_shape& shape) const;
 
@@ -160,6 +164,7 @@
     std::map<std::string, std::set<std::string>> borrowing_of_; // By account.
     std::set<std::string> promotions_; // Accounts with members to claim.
     std::optional<reservation> reservation_;
+    bool evacuated_ = false;
     bool changed_ = true; // Since the last walk over the queue.
 };
 
--- a/src/coordination/request_answers.hpp
+++ b/src/coordination/request_answers.hpp
@@ -15,6 +15,10 @@
 /// sends the request to the next dispatcher.
 constexpr const char* reason_dispatcher_stopping = "dispatcher is stopping";
 
+/// Reason of a refusal in an evacuated data centre. The entry host sends an
+/// idempotent request to another one.
+constexpr const char* reason_evacuated = "data centre is evacuated";
+
 /// HTTP statuses that accompany the outcomes.
 constexpr std::uint32_t status_bad_request = 400;
 constexpr std::uint32_t status_not_found = 404;
--- a/src/coordination/request_coordinator.cpp
+++ b/src/coordination/request_coordinator.cpp
@@ -46,6 +46,12 @@
 // request's outcome.
 bool took_nothing(const wire::forwarded_answer& answer)
 {
+    // Only idempotent requests get `not_run` for this reason.
+    if (answer.reason() == reason_evacuated)
+    {
+        return answer.outcome() == wire::outcome_not_run &&
+               answer.attempts() == 0;
+    }
     return answer.reason() == reason_dispatcher_stopping &&
            (answer.outcome() == wire::outcome_not_run ||
             answer.outcome() == wire::outcome_refused);
@@ -72,7 +78,7 @@
     const settings& own, const membership& hosts, const registry& state,
     dispatcher& local, peer_network& network, timer_service& timers,
     metrics& counters, document_function document_in_force,
-    incarnation_function journal_incarnation)
+    incarnation_function journal_incarnation, evacuated_function evacuated)
     : settings_(own)
     , membership_(hosts)
     , registry_(state)
@@ -82,6 +88,7 @@
     , metrics_(counters)
     , document_(std::move(document_in_force))
     , incarnation_(std::move(journal_incarnation))
+    , evacuated_(std::move(evacuated))
     , limiter_(own.limits.http_threads)
 {
     data_centres_.insert(own.data_centre);
@@ -205,7 +212,7 @@
 }
 
 // An idempotent request stays in this data centre as long as it has upstreams
-// for the service.
+// for the service and is not evacuated.
 std::string request_coordinator::choose_data_centre(
     const wire::forwarded_request& request) const
 {
@@ -215,7 +222,8 @@
     }
     const auto serves = [&](const std::string& data_centre)
     {
-        return !registry_.ready_upstreams(request.service(), data_centre)
+        return !(evacuated_ && evacuated_(data_centre)) &&
+               !registry_.ready_upstreams(request.service(), data_centre)
                     .empty() &&
                !membership_.live_hosts(data_centre).empty();
     };
--- a/src/coordination/request_coordinator.hpp
+++ b/src/coordination/request_coordinator.hpp
@@ -41,11 +41,15 @@
     /// while it has no owner.
     using incarnation_function = std::function<std::optional<std::uint64_t>()>;
 
+    /// Returns true while a data centre is evacuated.
+    using evacuated_function = std::function<bool(const std::string&)>;
+
     request_coordinator(const settings& own, const membership& hosts,
                         const registry& state, dispatcher& local,
                         peer_network& network, timer_service& timers,
                         metrics& counters, document_function document_in_force,
-                        incarnation_function journal_incarnation);
+                        incarnation_function journal_incarnation,
+                        evacuated_function evacuated = {});
 
     /// Blocks until the request has an outcome. Takes id (may be empty for an
     /// idempotent service), account, caller, service, content type, body and
@@ -76,6 +80,7 @@
     metrics& metrics_;
     document_function document_;
     incarnation_function incarnation_;
+    evacuated_function evacuated_;
     std::set<std::string> data_centres_;
     account_limiter limiter_;
 };
--- a/src/coordination/service_queue.cpp
+++ b/src/coordination/service_queue.cpp
@@ -20,6 +20,9 @@
 constexpr milliseconds longest_hold{1000};
 constexpr std::uint32_t most_doublings = 6;
 
+// An evacuation ends by an operator's call, not by itself.
+constexpr milliseconds evacuated_retry{1000};
+
 } // namespace
 
 struct service_queue::waiter
@@ -32,12 +35,14 @@
 
 service_queue::service_queue(std::string service, std::string data_centre,
                              std::size_t length, const registry& state,
-                             timer_service& timers, metrics& counters)
+                             timer_service& timers, metrics& counters,
+                             std::function<bool()> evacuated)
     : service_(std::move(service))
     , data_centre_(std::move(data_centre))
     , registry_(state)
     , timers_(timers)
     , metrics_(counters)
+    , evacuated_(std::move(evacuated))
     , queue_(length)
 {
 }
@@ -47,6 +52,11 @@
 slot_grant service_queue::acquire(const slot_request& request)
 {
     std::unique_lock lock(mutex_);
+    if (evacuated())
+    {
+        metrics_.add("queue_evacuated_total");
+        return {slot_outcome::evacuated, nullptr, evacuated_retry};
+    }
     const auto now = timers_.now();
     refresh();
     const auto ticket = next_ticket_++;
@@ -142,6 +152,11 @@
 {
     const std::lock_guard lock(mutex_);
     refresh();
+    if (!waiters_.empty() && evacuated())
+    {
+        turn_away_all();
+        return;
+    }
     for (const auto& item : queue_.expire(now))
     {
         const auto found = waiters_.find(item.ticket);
@@ -177,6 +192,21 @@
     return found == upstreams_.end() ? 0 : found->second.in_use;
 }
 
+void service_queue::turn_away_all()
+{
+    metrics_.add("queue_evacuated_total",
+                 static_cast<std::uint64_t>(waiters_.size()));
+    while (queue_.pop())
+    {
+    }
+    again_.clear();
+    for (const auto& item : waiters_)
+    {
+        finish(*item.second, slot_outcome::evacuated, evacuated_retry);
+    }
+    waiters_.clear();
+}
+
 // Follows the registry when its set of upstreams has changed.
 void service_queue::refresh()
 {
@@ -208,6 +238,10 @@
 // Grants free slots, first to requests that had one before.
 void service_queue::pump(time_point now)
 {
+    if (waiters_.empty() || evacuated())
+    {
+        return;
+    }
     while (serve_again(now))
     {
     }
--- a/src/coordination/service_queue.hpp
+++ b/src/coordination/service_queue.hpp
@@ -7,6 +7,7 @@
 #include "peer.pb.h"
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -37,7 +38,8 @@
     granted,
     expired,   // The deadline passed in the queue.
     displaced, // The queue is full.
-    hopeless   // The deadline can not be met.
+    hopeless,  // The deadline can not be met.
+    evacuated  // The data centre is evacuated.
 };
 
 /// An upstream on which the request holds a slot, or why it has none.
@@ -62,9 +64,12 @@
 class service_queue
 {
 public:
+    /// `evacuated` says whether the data centre is evacuated, empty: never.
+    /// Meanwhile no slot is granted and what waits is turned away.
     service_queue(std::string service, std::string data_centre,
                   std::size_t length, const registry& state,
-                  timer_service& timers, metrics& counters);
+                  timer_service& timers, metrics& counters,
+                  std::function<bool()> evacuated = {});
     ~service_queue();
     service_queue(const service_queue&) = delete;
     service_queue& operator=(const service_queue&) = delete;
@@ -99,6 +104,8 @@
         time_point hold_until{};
     };
 
+    bool evacuated() const { return evacuated_ && evacuated_(); }
+    void turn_away_all();
     void refresh();
     void pump(time_point now);
     bool serve_again(time_point now);
@@ -115,6 +122,7 @@
     const registry& registry_;
     timer_service& timers_;
     metrics& metrics_;
+    const std::function<bool()> evacuated_;
 
     mutable std::mutex mutex_;
     fair_queue queue_;
--- a/src/daemon/work_service.cpp
+++ b/src/daemon/work_service.cpp
@@ -148,15 +148,20 @@
     {
         return control_.config().current();
     };
+    const auto evacuated_here = [this]
+    {
+        return control_.config().evacuated(settings_.data_centre);
+    };
     upstreams_ =
         std::make_unique<upstream_client>(answer_limit_bytes, metrics_);
-    dispatcher_ =
-        std::make_unique<dispatcher>(settings_, *registry_, *upstreams_,
-                                     timers_, metrics_, document_in_force,
-                                     [this](const wire::request_record& record)
-                                     {
-                                         return decide(record);
-                                     });
+    dispatcher_ = std::make_unique<dispatcher>(
+        settings_, *registry_, *upstreams_, timers_, metrics_,
+        document_in_force,
+        [this](const wire::request_record& record)
+        {
+            return decide(record);
+        },
+        evacuated_here);
     requests_ = std::make_unique<request_coordinator>(
         settings_, *membership_, *registry_, *dispatcher_, network_, timers_,
         metrics_, document_in_force,
@@ -165,6 +170,10 @@
             const auto incarnation = incarnation_of(settings_.data_centre);
             return incarnation == 0 ? std::nullopt
                                     : std::make_optional(incarnation);
+        },
+        [this](const std::string& data_centre)
+        {
+            return control_.config().evacuated(data_centre);
         });
 }
 
@@ -188,7 +197,11 @@
         {
             return control_.config().current();
         },
-        timers_, metrics_, timing);
+        timers_, metrics_, timing,
+        [this]
+        {
+            return control_.config().evacuated(settings_.data_centre);
+        });
 }
 
 void work_service::start()
--- a/test/gang_coordinator-test.cpp
+++ b/test/gang_coordinator-test.cpp
@@ -1,7 +1,6 @@
 #include "coordination/gang_coordinator.hpp"
 
-#include "base/metrics.hpp"
-#include "support/job_test_bed.hpp"
+#include "support/gang_bed.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -13,96 +12,10 @@
 namespace
 {
 
-using test::fake_fleet;
-using test::fake_journal;
-using test::fleet_view;
-using test::job_store;
+using test::lease;
+using test::step;
 using test::submission;
-
-constexpr milliseconds step{50};
-constexpr milliseconds lease{3000};
-
-gang_timing test_timing()
-{
-    gang_timing timing;
-    timing.lease = lease;
-    timing.parallel_calls = 1;
-    return timing;
-}
-
-/// One owner at a time on a fleet of two racks of three workers.
-struct bed
-{
-    explicit bed(std::uint64_t seed = 1,
-                 std::vector<guaranteed_shape> guarantees = {})
-        : fleet(timers, seed)
-        , config(std::make_shared<document>(
-              test::two_accounts(2, 3, 8, std::move(guarantees))))
-    {
-        fleet.add_racks(2, 3, 8);
-        open();
-    }
-
-    void open()
-    {
-        journals.push_back(std::make_unique<fake_journal>(store, store.epoch));
-        views.push_back(std::make_unique<fleet_view>(fleet));
-        views.back()->cut_off = cut_off;
-        owners.push_back(std::make_unique<gang_coordinator>(
-            "dc1", *journals.back(), *views.back(),
-            [this]
-            {
-                return fleet.live();
-            },
-            [this]
-            {
-                return config;
-            },
-            timers, counters, test_timing()));
-        owners.back()->start();
-        run(milliseconds(200));
-    }
-
-    void run(milliseconds time)
-    {
-        for (auto left = time; left.count() > 0; left -= step)
-        {
-            timers.advance(step);
-            fleet.settle();
-        }
-    }
-
-    wire::job_answer submit(const wire::job_submission& job)
-    {
-        members[job.id()] = job.spec().members();
-        return owner().submit(job);
-    }
-
-    gang_coordinator& owner() { return *owners.back(); }
-
-    std::string state(int number)
-    {
-        const auto found =
-            store.jobs.find("job-dc1-1-" + std::to_string(number));
-        return found == store.jobs.end() ? "none" : found->second.state();
-    }
-
-    std::string violation(milliseconds bound)
-    {
-        return test::gang_violation(fleet.history(), members, bound);
-    }
-
-    manual_timer_service timers;
-    metrics counters;
-    fake_fleet fleet;
-    job_store store;
-    std::shared_ptr<const document> config;
-    std::map<std::string, std::uint32_t> members;
-    std::set<std::string> cut_off; // From the next owner.
-    std::vector<std::unique_ptr<fake_journal>> journals;
-    std::vector<std::unique_ptr<fleet_view>> views;
-    std::vector<std::unique_ptr<gang_coordinator>> owners;
-};
+using bed = test::gang_bed;
 
 guaranteed_shape whole_rack()
 {
@@ -195,6 +108,30 @@
     EXPECT_EQ(b.fleet.calls, calls);
 }
 
+// Guards against an evacuation that stops running work or lets new work start,
+// and against a wait that nobody can explain.
+TEST(gang_coordinator, evacuated_data_centre_starts_nothing)
+{
+    bed b;
+    b.submit(submission("a", 1, 1, 8));
+    b.run(milliseconds(1000));
+    ASSERT_EQ(b.state(1), "running");
+    b.evacuated = true;
+    EXPECT_EQ(b.submit(submission("a", 2, 1, 8)).job().state(), "queued");
+    b.run(milliseconds(10000));
+    EXPECT_EQ(b.state(1), "done");
+    EXPECT_EQ(b.state(2), "queued");
+    EXPECT_EQ(b.fleet.history().size(), 1U);
+    wire::job_query query;
+    query.set_id("job-dc1-1-2");
+    EXPECT_EQ(b.owner().list(query).jobs(0).reason(),
+              "waits: data centre dc1 is evacuated");
+    b.evacuated = false;
+    b.run(milliseconds(10000));
+    EXPECT_EQ(b.state(2), "done");
+    EXPECT_EQ(b.owner().list(query).jobs(0).reason(), "");
+}
+
 // Guards against a job that fails for ever and holds workers.
 TEST(gang_coordinator, gives_up_after_five_attempts)
 {
--- a/test/job_scheduler-test.cpp
+++ b/test/job_scheduler-test.cpp
@@ -306,5 +306,54 @@
     EXPECT_TRUE(scheduler.decide(start_time, 100).empty());
 }
 
+// Guards against starts in an evacuated data centre, against work that is
+// stopped for a guaranteed job that may not start, and against jobs that do not
+// start when the evacuation has ended.
+TEST(job_scheduler, nothing_starts_or_is_reclaimed_during_an_evacuation)
+{
+    auto config =
+        test::two_accounts(1, 2, 8, {guarantee(2, 8, adjacency::rack)});
+    job_scheduler scheduler("dc1");
+    scheduler.configure(config);
+    add_workers(scheduler, 1, 2);
+    const auto rack = shape(2, 8, adjacency::rack);
+    scheduler.submit(job_of("borrows", "b", rack), false);
+    EXPECT_EQ(run_decisions(scheduler, start_time).count("borrows"), 1U);
+    scheduler.set_evacuated(true);
+    scheduler.submit(job_of("guaranteed", "a", rack), false);
+    EXPECT_TRUE(scheduler.decide(start_time, 100).empty());
+    EXPECT_EQ(scheduler.refusal(rack), "");
+    scheduler.finished("borrows", std::nullopt);
+    EXPECT_TRUE(scheduler.decide(start_time, 100).empty());
+    EXPECT_EQ(scheduler.queue_length(), 1U);
+    scheduler.set_evacuated(false);
+    EXPECT_EQ(run_decisions(scheduler, start_time),
+              std::set<std::string>({"guaranteed"}));
+}
+
+// Guards against a start in an evacuated data centre of a job that was placed
+// before and waited for its victims to stop.
+TEST(job_scheduler, placed_job_that_waits_for_victims_does_not_start)
+{
+    auto config =
+        test::two_accounts(1, 2, 8, {guarantee(2, 8, adjacency::rack)});
+    job_scheduler scheduler("dc1");
+    scheduler.configure(config);
+    add_workers(scheduler, 1, 2);
+    const auto rack = shape(2, 8, adjacency::rack);
+    scheduler.submit(job_of("borrows", "b", rack), false);
+    run_decisions(scheduler, start_time);
+    scheduler.submit(job_of("guaranteed", "a", rack), false);
+    const auto decided = scheduler.decide(start_time, 100);
+    ASSERT_EQ(decided.size(), 1U);
+    ASSERT_EQ(decided[0].victims, std::vector<std::string>({"borrows"}));
+    scheduler.set_evacuated(true);
+    scheduler.finished("borrows", std::nullopt);
+    EXPECT_TRUE(scheduler.decide(start_time, 100).empty());
+    scheduler.set_evacuated(false);
+    EXPECT_EQ(run_decisions(scheduler, start_time),
+              std::set<std::string>({"guaranteed"}));
+}
+
 } // namespace
 } // namespace limpetstack
--- a/test/request_coordinator-test.cpp
+++ b/test/request_coordinator-test.cpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <deque>
 #include <functional>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -73,12 +74,17 @@
         : hosts(own, path.state, network, path.timers, path.counters, nullptr,
                 1, 1)
         , local(path.make_dispatcher())
-        , subject(own, hosts, path.state, *local, network, path.timers,
-                  path.counters, request_document,
-                  []
-                  {
-                      return std::optional<std::uint64_t>(3);
-                  })
+        , subject(
+              own, hosts, path.state, *local, network, path.timers,
+              path.counters, request_document,
+              []
+              {
+                  return std::optional<std::uint64_t>(3);
+              },
+              [this](const std::string& data_centre)
+              {
+                  return known_here && data_centre == "dc1" && path.evacuated;
+              })
     {
         network.answer = [](const std::string&) -> dispatch_network::result
         {
@@ -100,6 +106,7 @@
         return subject.submit(request);
     }
 
+    std::atomic<bool> known_here{true}; // To the entry host.
     const settings own = entry_settings();
     request_path path;
     dispatch_network network;
@@ -162,6 +169,52 @@
     EXPECT_FALSE(network.last.id().empty());
 }
 
+// Guards against requests that use upstreams of an evacuated data centre while
+// another one serves them.
+TEST_F(request_coordinator_test, idempotent_request_leaves_evacuated_centre)
+{
+    path.announce("u");
+    path.state.merge(make_upstream("far", "dc2"), path.timers.now());
+    path.evacuated = true;
+    EXPECT_EQ(submit("check", "").body(), "remote");
+    EXPECT_EQ(network.last.data_centre(), "dc2");
+    // The dispatcher knows of the evacuation before the entry host does.
+    known_here = false;
+    auto learned = std::async(std::launch::async,
+                              [this]
+                              {
+                                  std::this_thread::sleep_for(short_time);
+                                  known_here = true;
+                              });
+    EXPECT_EQ(submit("check", "").body(), "remote");
+    learned.get();
+    EXPECT_EQ(path.upstreams.total_attempts(), 0);
+    path.evacuated = false;
+    EXPECT_EQ(submit("check", "").outcome(), wire::outcome_done);
+    EXPECT_EQ(path.upstreams.total_attempts(), 1);
+}
+
+// Guards against a request that fits nowhere and is told no reason, and against
+// a non-idempotent id that is used up although nothing was decided.
+TEST_F(request_coordinator_test, refusal_names_the_evacuation)
+{
+    path.announce("u");
+    path.evacuated = true;
+    const auto idempotent = submit("check", "", short_time);
+    EXPECT_EQ(idempotent.outcome(), wire::outcome_not_run);
+    EXPECT_EQ(idempotent.reason(), reason_evacuated);
+    const auto id = subject.new_request_id();
+    ASSERT_TRUE(id.ok());
+    const auto once = submit("pay", *id);
+    EXPECT_EQ(once.outcome(), wire::outcome_refused);
+    EXPECT_EQ(once.status(), status_overloaded);
+    EXPECT_EQ(once.reason(), reason_evacuated);
+    EXPECT_GT(once.retry_after_ms(), 0U);
+    EXPECT_EQ(path.upstreams.total_attempts(), 0);
+    path.evacuated = false;
+    EXPECT_EQ(submit("pay", *id).outcome(), wire::outcome_done);
+}
+
 // Guards against "not run" when a dispatch without an answer may still run.
 // Only the journal, which decides on non-idempotent ids, can say so then.
 TEST_F(request_coordinator_test, not_run_after_a_lost_dispatch)
--- a/test/service_queue-test.cpp
+++ b/test/service_queue-test.cpp
@@ -20,7 +20,11 @@
 {
 protected:
     service_queue_test()
-        : queue("check", "dc1", 8, state, timers, counters)
+        : queue("check", "dc1", 8, state, timers, counters,
+                [this]
+                {
+                    return evacuated.load();
+                })
         , ticks(timers.every(milliseconds(2),
                              [this](time_point now)
                              {
@@ -48,6 +52,7 @@
         return out;
     }
 
+    std::atomic<bool> evacuated{false};
     system_timer_service timers{1};
     metrics counters;
     registry state{milliseconds(60000), milliseconds(60000)};
@@ -162,5 +167,36 @@
     }
 }
 
+// Guards against slots that are granted in an evacuated data centre, against
+// requests that wait there while another could serve them, and against a slot
+// that is lost when its request ends during the evacuation.
+TEST_F(service_queue_test, evacuated_data_centre_grants_no_slot)
+{
+    announce("u", 1, wire::upstream_ready, 1);
+    const auto running = request(long_time);
+    ASSERT_EQ(queue.acquire(running).outcome, slot_outcome::granted);
+    auto waiting = std::async(std::launch::async,
+                              [&]
+                              {
+                                  return queue.acquire(request(long_time));
+                              });
+    while (queue.waiting() < 1)
+    {
+        std::this_thread::yield();
+    }
+    evacuated = true;
+    const auto turned_away = waiting.get();
+    EXPECT_EQ(turned_away.outcome, slot_outcome::evacuated);
+    EXPECT_GT(turned_away.retry_after, milliseconds(0));
+    EXPECT_EQ(queue.in_use("u"), 1U);
+    queue.release(running, "u", slot_use::answered, milliseconds(1));
+    auto again = request(long_time);
+    again.again = true;
+    EXPECT_EQ(queue.acquire(again).outcome, slot_outcome::evacuated);
+    EXPECT_EQ(queue.in_use("u"), 0U);
+    evacuated = false;
+    EXPECT_EQ(queue.acquire(request(long_time)).outcome, slot_outcome::granted);
+}
+
 } // namespace
 } // namespace limpetstack
--- a/test/support/request_path.hpp
+++ b/test/support/request_path.hpp
@@ -10,6 +10,7 @@
 #include "support/fake_upstreams.hpp"
 #include "support/soft_state_cluster.hpp"
 
+#include <atomic>
 #include <memory>
 #include <string>
 
@@ -78,12 +79,17 @@
             [this](const wire::request_record& record)
             {
                 return journal.decide(record);
+            },
+            [this]
+            {
+                return evacuated.load();
             });
         out->start();
         return out;
     }
 
     settings own;
+    std::atomic<bool> evacuated{false}; // dc1
     system_timer_service timers{2};
     metrics counters;
     registry state{milliseconds(600000), milliseconds(600000)};
