--- a/src/coordination/fleet/run_progress.cpp
+++ b/src/coordination/fleet/run_progress.cpp
@@ -59,23 +59,30 @@
 std::vector<std::size_t>
 stalled_members(const std::vector<run_progress>& members)
 {
-    const bool all_done = std::all_of(members.begin(), members.end(),
-                                      [](const run_progress& run)
-                                      {
-                                          return run.percent >= all_percent;
-                                      });
     time_point latest;
     for (const auto& run : members)
     {
         latest = std::max(latest, last_progress(run));
     }
+    const auto is_done = [](const run_progress& run)
+    {
+        return run.percent >= all_percent;
+    };
+    const bool all_done = std::all_of(members.begin(), members.end(), is_done);
+    // A member that is not listed any more may have kept the gang from ending.
+    const bool all_stalled =
+        std::all_of(members.begin(), members.end(),
+                    [latest](const run_progress& run)
+                    {
+                        return is_stalled_since(run, latest);
+                    });
     std::vector<std::size_t> stalled;
     for (std::size_t i = 0; i < members.size(); ++i)
     {
         const auto& run = members[i];
-        const bool is_done = run.percent >= all_percent;
-        if (all_done ? is_stalled_since(run, latest)
-                     : !is_done && is_stalled_since(run, last_progress(run)))
+        if (all_done
+                ? all_stalled
+                : !is_done(run) && is_stalled_since(run, last_progress(run)))
         {
             stalled.push_back(i);
         }
--- a/test/run_progress-test.cpp
+++ b/test/run_progress-test.cpp
@@ -56,6 +56,15 @@
         indices({0, 1}));
 }
 
+// Guards against blaming members that wait for one on a worker which does not
+// answer: that one ends with its lease.
+TEST(run_progress, finished_members_wait_for_one_that_is_not_listed)
+{
+    EXPECT_TRUE(
+        stalled_members({run_at(100, 4000, 30000), run_at(100, 4000, 4000)})
+            .empty());
+}
+
 TEST(run_progress, finds_a_single_run_that_hangs_at_any_percent)
 {
     for (const int percent : {0, 1, 50, 99, 100})
