Test that a reserved gang does not start after an evacuation

A gang may be reserved before its owner learns of the evacuation. The test lets the owner learn it between the reservation and the commit.

--- a/test/gang_coordinator-test.cpp
+++ b/test/gang_coordinator-test.cpp
@@ -116,7 +116,11 @@
     b.submit(submission("a", 1, 1, 8));
     b.run(milliseconds(1000));
     ASSERT_EQ(b.state(1), "running");
-    b.evacuated = true;
+    bool evacuated = true;
+    b.evacuated = [&evacuated]
+    {
+        return evacuated;
+    };
     EXPECT_EQ(b.submit(submission("a", 2, 1, 8)).job().state(), "queued");
     b.run(milliseconds(10000));
     EXPECT_EQ(b.state(1), "done");
@@ -126,12 +130,37 @@
     query.set_id("job-dc1-1-2");
     EXPECT_EQ(b.owner().list(query).jobs(0).reason(),
               "waits: data centre dc1 is evacuated");
-    b.evacuated = false;
+    evacuated = false;
     b.run(milliseconds(10000));
     EXPECT_EQ(b.state(2), "done");
     EXPECT_EQ(b.owner().list(query).jobs(0).reason(), "");
 }
 
+// Guards against a gang that is reserved before the evacuation is known and
+// starts after it, and against a job that is lost or has failed by that.
+TEST(gang_coordinator, reserved_gang_does_not_start_after_an_evacuation)
+{
+    bed b;
+    bool evacuated = false;
+    b.evacuated = [&]
+    {
+        // Known between the reservation and the start of the members.
+        evacuated = evacuated || b.state(1) == "starting";
+        return evacuated;
+    };
+    b.submit(submission("a", 1, 2, 8));
+    b.run(milliseconds(5000));
+    EXPECT_TRUE(evacuated);
+    EXPECT_EQ(b.state(1), "queued");
+    EXPECT_TRUE(b.fleet.history().empty());
+    b.evacuated = []
+    {
+        return false;
+    };
+    b.run(milliseconds(10000));
+    EXPECT_EQ(b.state(1), "done");
+}
+
 // Guards against a job that fails for ever and holds workers.
 TEST(gang_coordinator, gives_up_after_five_attempts)
 {
--- a/test/support/gang_bed.hpp
+++ b/test/support/gang_bed.hpp
@@ -4,6 +4,7 @@
 #include "coordination/gang_coordinator.hpp"
 #include "support/job_test_bed.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -56,7 +57,7 @@
             timers, counters, gang_test_timing(),
             [this]
             {
-                return evacuated;
+                return evacuated();
             }));
         owners.back()->start();
         run(milliseconds(200));
@@ -97,7 +98,10 @@
     job_store store;
     std::shared_ptr<const document> config;
     std::map<std::string, std::uint32_t> members;
-    bool evacuated = false;
+    std::function<bool()> evacuated = []
+    {
+        return false;
+    };
     std::set<std::string> cut_off; // From the next owner.
     std::vector<std::unique_ptr<fake_journal>> journals;
     std::vector<std::unique_ptr<fleet_view>> views;
