--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -4,6 +4,7 @@
 #include "support/fleet_fixture.hpp"
 
 #include <chrono>
+#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <queue>
@@ -140,6 +141,62 @@
             spent_us / static_cast<double>(rounds), runs};
 }
 
+struct speed_measurement
+{
+    double us_per_observation = 0;
+    double us_per_classification = 0;
+};
+
+// Measures the estimation of worker speed: gangs of five on workers of three
+// speeds, each worker observed 30 times, and the classes after each time.
+speed_measurement measure_speed(std::size_t workers)
+{
+    constexpr std::size_t gang_size = 5;
+    constexpr int rounds = 30;
+    static constexpr double speeds[] = {0.6, 1.0, 1.6};
+    std::mt19937 random(20261204);
+    std::normal_distribution<double> noise(0, 0.2);
+    std::vector<speed_estimate> estimates(workers);
+    const time_point now{milliseconds(1000)};
+    std::size_t observations = 0;
+    double observing_us = 0;
+    double classifying_us = 0;
+    std::size_t classes = 0;
+    const auto us_since = [](std::chrono::steady_clock::time_point began)
+    {
+        return std::chrono::duration<double, std::micro>(
+                   std::chrono::steady_clock::now() - began)
+            .count();
+    };
+    for (int round = 0; round < rounds; ++round)
+    {
+        const auto began = std::chrono::steady_clock::now();
+        for (std::size_t i = 0; i < workers; ++i)
+        {
+            std::vector<run_time> others;
+            for (std::size_t k = 1; k < gang_size; ++k)
+            {
+                const auto other = (i + k * 7 + k * round) % workers;
+                others.push_back({noise(random) - std::log(speeds[other % 3]),
+                                  estimates[other].log_speed,
+                                  certainty_of(estimates[other], now), false});
+            }
+            const run_time run{noise(random) - std::log(speeds[i % 3]),
+                               estimates[i].log_speed, 0, false};
+            record_speed(estimates[i], observed_speed(run, others), now);
+            ++observations;
+        }
+        observing_us += us_since(began);
+        const auto classified = std::chrono::steady_clock::now();
+        classes += classify_speeds(estimates, now).count();
+        classifying_us += us_since(classified);
+    }
+    std::fprintf(stderr, "%zu workers: %.1f classes on average\n", workers,
+                 static_cast<double>(classes) / rounds);
+    return {observing_us / static_cast<double>(observations),
+            classifying_us / rounds};
+}
+
 } // namespace
 
 // Without arguments it measures three fleet sizes. With two arguments, the
@@ -159,5 +216,14 @@
         std::printf("%8d %8.1f %10zu %12.1f %12.1f\n", workers, rate,
                     result.runs, result.us_per_run, result.us_per_round);
     }
+    std::printf("%8s %8s %16s %18s\n", "workers", "bytes", "us an observation",
+                "us a classification");
+    for (const std::size_t workers : {350, 2400})
+    {
+        const auto result = measure_speed(workers);
+        std::printf("%8zu %8zu %16.2f %18.1f\n", workers,
+                    sizeof(speed_estimate), result.us_per_observation,
+                    result.us_per_classification);
+    }
     return EXIT_SUCCESS;
 }
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -24,6 +24,18 @@
 class_ranks rank_classes(const std::vector<placement_candidate>& candidates,
                          const placement_request& request)
 {
+    const bool one_class = std::all_of(
+        candidates.begin(), candidates.end(),
+        [&candidates](const placement_candidate& candidate)
+        {
+            return candidate.speed_class == candidates.front().speed_class;
+        });
+    if (one_class)
+    {
+        return candidates.empty()
+                   ? class_ranks()
+                   : class_ranks{{candidates.front().speed_class, 0}};
+    }
     struct class_speed
     {
         double sum = 0;
