Bound what clients of limpetstackd make it keep

Cause: cpp-httplib 0.11 buffers lines of any length, chunked bodies and bodies without a length of any size, and compressed bodies without a bound.

Change: http_listener gives the library a stream of our own that ends at a limit for the header, for each line behind it and for the body, and at time limits for header, request and answer (431, 413). Compressed bodies get 415. A budget over the connections of a listener refuses the largest incomplete requests (503 with Retry-After, not run). Connections that wait for a thread are bounded by memory and descriptors. New setting limits.memory_bytes; counters and log lines as for the fleet daemon. The tests' wait for a steady process allows 1 MiB of growth: an idle limpetstackd takes a page now and then, and the wait did not end.

--- a/include/limpetstack/settings.hpp
+++ b/include/limpetstack/settings.hpp
@@ -42,6 +42,7 @@
     std::uint32_t queue_length = 4096; // Each service and data centre.
     std::uint32_t snapshot_entries = 256;
     std::uint32_t http_threads = 64;
+    std::uint64_t memory_bytes = 256U << 20U; // What the daemon may use.
 };
 
 /// Settings of one daemon, from its YAML file.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -20,9 +20,11 @@
 
 #include <peer.pb.h>
 
-#include <csignal>
+#include <sys/resource.h>
 
+#include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <memory>
 #include <string>
 #include <utility>
@@ -203,9 +205,32 @@
     return handlers;
 }
 
-absl::Status open_callers(daemon_parts& parts)
+// Bounds on what the clients of one listener make the daemon keep.
+http_listener_options listener_options(daemon_parts& parts)
 {
+    // For files, peers and connections to upstreams.
+    constexpr rlim_t reserved_descriptors = 200;
+    constexpr rlim_t min_connections = 16;
+    constexpr std::uint64_t bytes_per_connection = 32768;
+    constexpr int listeners = 2;
+    const auto memory = parts.own.limits.memory_bytes;
+    rlimit descriptors{};
+    ::getrlimit(RLIMIT_NOFILE, &descriptors);
+    const auto available =
+        std::max(descriptors.rlim_cur, reserved_descriptors) -
+        reserved_descriptors;
     http_listener_options options;
+    options.kept_bytes = memory / 4;
+    options.connections = static_cast<std::uint32_t>(
+        std::clamp<std::uint64_t>(available / listeners, min_connections,
+                                  memory / 2 / bytes_per_connection));
+    options.counters = &parts.counters;
+    return options;
+}
+
+absl::Status open_callers(daemon_parts& parts)
+{
+    auto options = listener_options(parts);
     options.threads = parts.own.limits.http_threads;
     options.body_limit_bytes = parts.own.limits.request_body_bytes;
     auto listener = open_caller_api(parts.own.callers_address, options,
@@ -235,7 +260,7 @@
     {
         return not_ready(parts);
     };
-    http_listener_options options;
+    auto options = listener_options(parts);
     options.threads = operator_threads;
     options.body_limit_bytes = form_factor * parts.own.limits.document_bytes;
     auto listener =
--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds longest_interval{60 * 60 * 1000};
 constexpr std::uint64_t kibibyte = 1U << 10U;
 constexpr std::uint64_t largest_body_bytes = 1U << 30U;
+constexpr std::uint64_t smallest_memory_bytes = 64U << 20U;
+constexpr std::uint64_t largest_memory_bytes = std::uint64_t{1} << 40U;
 
 // A time-out that covers fewer intervals than this expires on one lost or
 // late message.
@@ -163,7 +165,7 @@
     const auto map =
         root.map("limits", presence::optional,
                  {"request_body_bytes", "document_bytes", "queue_length",
-                  "snapshot_entries", "http_threads"});
+                  "snapshot_entries", "http_threads", "memory_bytes"});
     if (!map)
     {
         return;
@@ -177,6 +179,8 @@
     map->read("snapshot_entries", optional, 1U, 1000000U,
               limits.snapshot_entries);
     map->read("http_threads", optional, 1U, 4096U, limits.http_threads);
+    map->read_size("memory_bytes", optional, smallest_memory_bytes,
+                   largest_memory_bytes, limits.memory_bytes);
 }
 
 void read_settings(yaml_errors& errors, const YAML::Node& root,
--- a/src/transport/http_listener.cpp
+++ b/src/transport/http_listener.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_listener.hpp"
 
+#include "transport/bounded_http_server.hpp"
+
 #include <absl/strings/numbers.h>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -9,9 +11,6 @@
 namespace
 {
 
-// A client that sends or reads nothing for this long is disconnected, so that
-// it does not occupy a thread.
-constexpr time_t io_timeout_s = 5;
 constexpr time_t idle_timeout_s = 2;
 constexpr std::size_t requests_per_connection = 1000;
 
@@ -47,8 +46,8 @@
                          "application/json");
 }
 
-http_listener::http_listener()
-    : server_(std::make_unique<httplib::Server>())
+http_listener::http_listener(const http_listener_options& options)
+    : server_(std::make_unique<bounded_http_server>(options))
 {
 }
 
@@ -65,12 +64,8 @@
         return absl::InvalidArgumentError("address " + address +
                                           " must be IP:port");
     }
-    std::unique_ptr<http_listener> opened(new http_listener());
+    std::unique_ptr<http_listener> opened(new http_listener(options));
     auto& server = *opened->server_;
-    server.new_task_queue = [threads = options.threads]
-    {
-        return new httplib::ThreadPool(threads);
-    };
     // By default the library sets SO_REUSEPORT, with which a second daemon on
     // the same port would share it instead of failing.
     server.set_socket_options(
@@ -81,8 +76,6 @@
                          sizeof enabled);
         });
     server.set_payload_max_length(options.body_limit_bytes);
-    server.set_read_timeout(io_timeout_s);
-    server.set_write_timeout(io_timeout_s);
     server.set_keep_alive_timeout(idle_timeout_s);
     server.set_keep_alive_max_count(requests_per_connection);
     server.set_tcp_nodelay(true);
--- a/src/transport/http_listener.hpp
+++ b/src/transport/http_listener.hpp
@@ -19,11 +19,19 @@
 namespace limpetstack
 {
 
+class bounded_http_server;
+class metrics;
+
 /// Limits of one HTTP listener.
 struct http_listener_options
 {
     std::uint32_t threads = 64; // Requests that are handled at once.
     std::uint64_t body_limit_bytes = 1U << 20U;
+    // Bytes kept for incomplete requests. One request of the largest size fits
+    // always.
+    std::uint64_t kept_bytes = 64U << 20U;
+    std::uint32_t connections = 1024; // Served or waiting for a thread.
+    metrics* counters = nullptr;
 };
 
 /// An HTTP server that runs on its own threads.
@@ -45,9 +53,9 @@
     void stop();
 
 private:
-    http_listener();
+    explicit http_listener(const http_listener_options& options);
 
-    std::unique_ptr<httplib::Server> server_;
+    std::unique_ptr<bounded_http_server> server_;
     std::atomic<bool> server_returned_{false}; // The server's loop has ended.
     std::thread thread_;
 };
--- a/test/settings_file-test.cpp
+++ b/test/settings_file-test.cpp
@@ -31,6 +31,7 @@
 limits:
   request_body_bytes: 2MiB
   queue_length: 100
+  memory_bytes: 128MiB
 )";
 
 std::string replaced(const std::string& from, const std::string& to)
@@ -77,6 +78,7 @@
     EXPECT_EQ(value.timing.config_poll.count(), 500);
     EXPECT_EQ(value.limits.request_body_bytes, 2U << 20U);
     EXPECT_EQ(value.limits.queue_length, 100U);
+    EXPECT_EQ(value.limits.memory_bytes, 128U << 20U);
 }
 
 // Guards against settings that start a daemon in a state nobody asked for.
@@ -100,6 +102,8 @@
         "peers[2].votes: a host that votes needs a disk"));
     EXPECT_TRUE(contains(only_error(replaced("2MiB", "2")),
                          "with the unit B, KiB, MiB or GiB"));
+    EXPECT_TRUE(contains(only_error(replaced("128MiB", "63MiB")),
+                         "limits.memory_bytes"));
     EXPECT_TRUE(contains(only_error(replaced("50ms", "500ms")),
                          "timing.election_timeout: must be at least 3 times "
                          "heartbeat (500ms), but is 1s"));
--- a/test/support/client_crowd.hpp
+++ b/test/support/client_crowd.hpp
@@ -60,7 +60,8 @@
     /// Takes a sample of `pid`; a process that has ended uses nothing.
     void sample(pid_t pid);
 
-    /// Takes samples until the highest values have not risen for two seconds.
+    /// Takes samples until the highest values have hardly risen for two
+    /// seconds.
     void sample_until_steady(pid_t pid);
 };
 
