Count received bytes twice in the budget of limpetstackd's listeners

The library collects a body in a string that grows by doubling: with bytes counted once, bodies inside the limit took up to 124 MB of the 134 MB allowed (untrusted_listener_clients-test, operators).

--- a/src/transport/bounded_http_server.cpp
+++ b/src/transport/bounded_http_server.cpp
@@ -22,7 +22,7 @@
 // A stopping server notices within this time that a connection is idle.
 constexpr milliseconds stop_check_interval{100};
 
-// Beside the largest body: its header and what is read ahead.
+// Beside twice the largest body: its header and what is read ahead.
 constexpr std::uint64_t request_overhead_bytes = 65536;
 
 // Connections wait for a moment also while threads are free.
@@ -94,7 +94,7 @@
 
 bounded_http_server::bounded_http_server(const http_listener_options& options)
     : budget_(std::max(options.kept_bytes,
-                       options.body_limit_bytes + request_overhead_bytes))
+                       2 * options.body_limit_bytes + request_overhead_bytes))
     , counters_(options.counters)
 {
     limits_.body_bytes = options.body_limit_bytes;
--- a/src/transport/bounded_stream.cpp
+++ b/src/transport/bounded_stream.cpp
@@ -21,6 +21,9 @@
 // What is kept below it is bounded by the number of threads.
 constexpr std::size_t reservation_step = 16384;
 
+// The library collects a body in a string, which grows by doubling.
+constexpr std::size_t bytes_per_input_byte = 2;
+
 // Bodies of chunks of one byte arrive as lines of six bytes for each byte.
 constexpr std::size_t line_bytes_per_body_byte = 6;
 
@@ -125,7 +128,7 @@
     unreserved_ += count;
     if (unreserved_ >= reservation_step)
     {
-        if (!budget_.reserve(account_, unreserved_))
+        if (!budget_.reserve(account_, bytes_per_input_byte * unreserved_))
         {
             return refuse(read_refusal::budget_exhausted);
         }
