Let other connections have the threads of silent clients

Cause: 60 clients of the operators' listener (8 threads) that sent a body but for one byte kept ordinary requests waiting for 51 s; with 60 that read no answer none was answered within 60 s (answers_that_nobody_reads/operators).

Change: a client that sends or reads nothing for 1 s loses its thread while other connections wait for one.

Measured, beside other load: the first case takes 6 s in all. http_listener (4), connection_budget (5) and bad_input (8) pass. Of untrusted_listener_clients, endless_body_without_length/callers failed in this run: 154 MB resident of 134 allowed (68 MB before the change); the others that had ended passed.

--- a/src/transport/bounded_http_server.cpp
+++ b/src/transport/bounded_http_server.cpp
@@ -7,7 +7,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <atomic>
 #include <functional>
 #include <utility>
 
@@ -52,9 +51,10 @@
 class bounded_task_queue : public httplib::TaskQueue
 {
 public:
-    bounded_task_queue(bounded_http_server& server,
+    bounded_task_queue(bounded_http_server& server, connection_budget& budget,
                        const http_listener_options& options)
         : server_(server)
+        , budget_(budget)
         , threads_(std::min(options.threads, options.connections))
         , max_waiting_(
               std::max(options.connections - threads_, min_waiting_connections))
@@ -64,18 +64,19 @@
 
     void enqueue(std::function<void()> serve) override
     {
-        if (waiting_ >= max_waiting_ && !server_.make_room_for_connection())
+        if (budget_.waiting() >= max_waiting_ &&
+            !server_.make_room_for_connection())
         {
             refuse_connection = true;
             serve();
             refuse_connection = false;
             return;
         }
-        ++waiting_;
+        budget_.add_waiting();
         pool_.enqueue(
             [this, serve = std::move(serve)]
             {
-                --waiting_;
+                budget_.remove_waiting();
                 serve();
             });
     }
@@ -84,9 +85,9 @@
 
 private:
     bounded_http_server& server_;
+    connection_budget& budget_;
     const std::uint32_t threads_;
     const std::uint32_t max_waiting_;
-    std::atomic<std::uint32_t> waiting_{0};
     httplib::ThreadPool pool_;
 };
 
@@ -101,7 +102,7 @@
     set_pre_routing_handler(refuse_encoded_body);
     new_task_queue = [this, options]
     {
-        return new bounded_task_queue(*this, options);
+        return new bounded_task_queue(*this, budget_, options);
     };
 }
 
@@ -162,8 +163,8 @@
 
 bool bounded_http_server::wait_for_request(const bounded_stream& stream) const
 {
-    const auto deadline =
-        steady_now() + std::chrono::seconds(keep_alive_timeout_sec_);
+    const auto began = steady_now();
+    const auto deadline = began + std::chrono::seconds(keep_alive_timeout_sec_);
     while (svr_sock_ != INVALID_SOCKET && !stream.is_refused() &&
            steady_now() < deadline)
     {
@@ -171,6 +172,11 @@
         {
             return !stream.is_refused();
         }
+        if (budget_.waiting() > 0 &&
+            steady_now() - began >= limits_.contended_silence)
+        {
+            return false; // Another connection needs the thread.
+        }
     }
     return false;
 }
--- a/src/transport/bounded_stream.cpp
+++ b/src/transport/bounded_stream.cpp
@@ -191,8 +191,12 @@
 // Reads what has arrived. Leaves the buffer empty at the end of the input.
 bool bounded_stream::fill(milliseconds timeout)
 {
-    if (!poll_socket(POLLIN, timeout))
+    if (!wait_in_turn(POLLIN, timeout))
     {
+        if (budget_.waiting() > 0)
+        {
+            refuse(read_refusal::budget_exhausted);
+        }
         return false;
     }
     const auto count = ::recv(socket_, buffer_.data(), buffer_.size(), 0);
@@ -234,7 +238,7 @@
         const auto left = duration_cast<milliseconds>(
             answer_began_ + limits_.answer - steady_now());
         if (left <= milliseconds(0) ||
-            !poll_socket(POLLOUT, std::min(left, limits_.silence)))
+            !wait_in_turn(POLLOUT, std::min(left, limits_.silence)))
         {
             return -1;
         }
@@ -285,6 +289,17 @@
     }
 }
 
+// Waits for a shorter time while other connections wait for the thread.
+bool bounded_stream::wait_in_turn(short events, milliseconds timeout) const
+{
+    const auto first = std::min(timeout, limits_.contended_silence);
+    if (poll_socket(events, first))
+    {
+        return true;
+    }
+    return budget_.waiting() == 0 && poll_socket(events, timeout - first);
+}
+
 bool bounded_stream::poll_socket(short events, milliseconds timeout) const
 {
     const auto deadline = steady_now() + timeout;
--- a/src/transport/bounded_stream.hpp
+++ b/src/transport/bounded_stream.hpp
@@ -19,7 +19,9 @@
     std::size_t header_bytes = 16384; // Request line and header.
     std::size_t line_bytes = 4096;    // Of any line behind the header.
     std::size_t body_bytes = 1U << 20U;
-    std::chrono::milliseconds silence{5000};  // Nothing is sent or read.
+    std::chrono::milliseconds silence{5000}; // Nothing is sent or read.
+    // The same while other connections wait for a thread.
+    std::chrono::milliseconds contended_silence{1000};
     std::chrono::milliseconds header{5000};   // From its first byte.
     std::chrono::milliseconds request{15000}; // From its first byte.
     std::chrono::milliseconds answer{15000};  // Until it is read.
@@ -82,6 +84,7 @@
     bool check_limits(char byte);
     bool fill(std::chrono::milliseconds timeout);
     ssize_t send_all(const char* data, std::size_t size);
+    bool wait_in_turn(short events, std::chrono::milliseconds timeout) const;
     bool poll_socket(short events, std::chrono::milliseconds timeout) const;
 
     const int socket_;
--- a/src/transport/connection_budget.hpp
+++ b/src/transport/connection_budget.hpp
@@ -2,8 +2,10 @@
 
 #include "base/clock.hpp"
 
+#include <atomic>
 #include <condition_variable>
 #include <cstddef>
+#include <cstdint>
 #include <mutex>
 #include <set>
 
@@ -52,6 +54,11 @@
     /// Returns false when there is none.
     bool refuse_oldest();
 
+    /// Counts the connections that wait for a thread to serve them.
+    void add_waiting() { ++waiting_; }
+    void remove_waiting() { --waiting_; }
+    std::uint32_t waiting() const { return waiting_; }
+
     std::size_t used_bytes() const;
     std::size_t limit_bytes() const { return limit_; }
 
@@ -59,6 +66,7 @@
     static void refuse(connection& item);
 
     const std::size_t limit_;
+    std::atomic<std::uint32_t> waiting_{0};
     mutable std::mutex mutex_;
     std::condition_variable released_;
     std::size_t used_ = 0;
