Show the gauge of evacuations from the start

Without an evacuation the gauge was missing, which looks like a host that does not answer; and a call with an unknown outcome was logged as refused.

--- a/src/coordination/config_distributor.cpp
+++ b/src/coordination/config_distributor.cpp
@@ -77,6 +77,7 @@
 
 absl::Status config_distributor::start()
 {
+    metrics_.set("evacuated_data_centres", 0);
     if (file_)
     {
         const auto content = file_->load();
--- a/src/daemon/operator_service.cpp
+++ b/src/daemon/operator_service.cpp
@@ -151,7 +151,10 @@
     const auto outcome = control.client().submit(command, change_timeout);
     if (outcome.code() != wire::command_accepted)
     {
-        log_event(log_level::warning, "evacuation_refused",
+        log_event(log_level::warning,
+                  outcome.code() == wire::command_unknown
+                      ? "evacuation_outcome_unknown"
+                      : "evacuation_refused",
                   {{"data_centre", change.data_centre},
                    {"active", change.active ? "true" : "false"},
                    {"reason", outcome.message()}});
