--- a/src/transport/bounded_http_server.cpp
+++ b/src/transport/bounded_http_server.cpp
@@ -34,19 +34,6 @@
 // The connection whose request this thread reads.
 thread_local bounded_stream* current_stream = nullptr;
 
-// The library would decompress a body without a limit.
-httplib::Server::HandlerResponse
-refuse_encoded_body(const httplib::Request& request, httplib::Response&)
-{
-    const auto encoding = request.get_header_value("Content-Encoding");
-    if (encoding.empty() || encoding == "identity")
-    {
-        return httplib::Server::HandlerResponse::Unhandled;
-    }
-    current_stream->refuse(read_refusal::encoded_body);
-    return httplib::Server::HandlerResponse::Handled;
-}
-
 // Limits the connections that wait for a thread.
 class bounded_task_queue : public httplib::TaskQueue
 {
@@ -93,13 +80,30 @@
 
 } // namespace
 
+bool refuse_encoded_body(const httplib::Request& request)
+{
+    const auto encoding = request.get_header_value("Content-Encoding");
+    if (encoding.empty() || encoding == "identity")
+    {
+        return false;
+    }
+    current_stream->refuse(read_refusal::encoded_body);
+    return true;
+}
+
 bounded_http_server::bounded_http_server(const http_listener_options& options)
     : budget_(std::max(options.kept_bytes,
                        2 * options.body_limit_bytes + request_overhead_bytes))
     , counters_(options.counters)
 {
     limits_.body_bytes = options.body_limit_bytes;
-    set_pre_routing_handler(refuse_encoded_body);
+    set_pre_routing_handler(
+        [](const httplib::Request& request, httplib::Response&)
+        {
+            return refuse_encoded_body(request)
+                       ? httplib::Server::HandlerResponse::Handled
+                       : httplib::Server::HandlerResponse::Unhandled;
+        });
     new_task_queue = [this, options]
     {
         return new bounded_task_queue(*this, budget_, options);
--- a/src/transport/bounded_http_server.hpp
+++ b/src/transport/bounded_http_server.hpp
@@ -12,6 +12,12 @@
 namespace limpetstack
 {
 
+/// Refuses the request that this thread reads if its body is compressed: the
+/// library would decompress it without a limit. Returns true when it did. The
+/// server does so for each request, unless the pre-routing handler is replaced;
+/// a new one has to call this function.
+bool refuse_encoded_body(const httplib::Request& request);
+
 /// The library's HTTP server with bounds on what clients make it keep: for each
 /// connection (`bounded_stream`), for all of them (`connection_budget`), and on
 /// their number.
--- a/src/transport/operator_api.cpp
+++ b/src/transport/operator_api.cpp
@@ -2,6 +2,7 @@
 
 #include "limpetstack/document.hpp"
 #include "protocol/json_codec.hpp"
+#include "transport/bounded_http_server.hpp"
 #include "transport/console_api.hpp"
 #include "transport/operator_answer.hpp"
 
@@ -96,6 +97,10 @@
     server.set_pre_routing_handler(
         [handle](const Request& request, Response& response)
         {
+            if (refuse_encoded_body(request))
+            {
+                return httplib::Server::HandlerResponse::Handled;
+            }
             const bool matches =
                 (request.method == "PUT" || request.method == "DELETE") &&
                 request.path.rfind(evacuation_prefix, 0) == 0;
--- a/test/operator_api-test.cpp
+++ b/test/operator_api-test.cpp
@@ -132,5 +132,15 @@
     EXPECT_EQ(changes.size(), 2U);
 }
 
+// Guards against compressed bodies on the operators' listener, which the
+// library would decompress without a limit.
+TEST_F(operator_api_test, compressed_bodies_are_refused)
+{
+    const auto answer =
+        exchange("POST /v1/config HTTP/1.1\r\nHost: a\r\n"
+                 "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\n{}");
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 415");
+}
+
 } // namespace
 } // namespace limpetstack
