Let one hold of each gang member end while its progress shows its speed

The usual hold of 2 s ends when short gangs are over, or their fast members done: what remained showed fast workers as middle ones. A hold to a worker with a gang member that is not sampled yet ends after 0.4 of the estimated run time.

The tests of speed_observations, fleet_scheduler, fleet_progress, fleet_preemption, takeover and fleet_model pass.

--- a/src/coordination/fleet/speed_observations.cpp
+++ b/src/coordination/fleet/speed_observations.cpp
@@ -32,6 +32,11 @@
 
 constexpr milliseconds classification_interval{1000};
 
+// Gangs are often over, or their fast members done, before the usual hold ends.
+// So one hold ends after this share of the estimated run time.
+constexpr double sampled_share_of_estimate = 0.4;
+constexpr milliseconds min_wait_for_sample{100};
+
 double ms_between(time_point from, time_point to)
 {
     return static_cast<double>((to - from).count());
@@ -90,6 +95,29 @@
     }
 }
 
+// Returns the time until the progress of a gang's member on the worker shows
+// its speed, if no list has shown it yet.
+std::optional<milliseconds>
+worker_fleet::wait_for_speed(const worker_session& worker, time_point now) const
+{
+    std::optional<milliseconds> wait;
+    for (const auto& key : worker.runs)
+    {
+        const auto& run = runs_.at(key);
+        const auto due =
+            run.started_at +
+            milliseconds(std::llround(sampled_share_of_estimate *
+                                      static_cast<double>(run.estimate_ms)));
+        if (run.gang && run.phase == run_phase::present &&
+            !run.speed_observed && !run.lasting && !run.filler &&
+            run.sampled_percent == 0 && !run.done_listed_at && due > now)
+        {
+            wait = std::min(wait.value_or(due - now), due - now);
+        }
+    }
+    return wait ? std::max(*wait, min_wait_for_sample) : wait;
+}
+
 // Observes the speed of a run that its worker lists as done.
 void worker_fleet::observe_end(live_run& run, time_point now)
 {
