Observe a gang as soon as each member has a sample

A gang was observed at its end, which a member of the tail delays by seven times. Now the first sample of its last member is enough; gang_slowest is still logged at the end, once.

The tests of speed_observations pass; the other tests of the fleet were not run on this change by this commit.

--- a/src/coordination/fleet/speed_observations.cpp
+++ b/src/coordination/fleet/speed_observations.cpp
@@ -67,18 +67,25 @@
     {
         return;
     }
+    const bool first_sample = run.sampled_percent == 0 && !run.done_listed_at &&
+                              percent >= min_percent;
     if (percent >= all_percent)
     {
         run.done_listed_at = run.done_listed_at.value_or(now);
-        return;
     }
-    if (percent >= min_percent)
+    else if (percent >= min_percent)
     {
         run.sampled_percent = percent;
         run.sampled_at = now;
     }
+    if (run.gang && first_sample)
+    {
+        observe_gang(run, false, now);
+        return;
+    }
     // The attempts are limited, because each looks at the whole gang.
-    if (now - run.started_at < long_run || percent < min_percent_of_long_run ||
+    if (percent >= all_percent || now - run.started_at < long_run ||
+        percent < min_percent_of_long_run ||
         percent / percent_between_attempts ==
             run.percent / percent_between_attempts)
     {
@@ -121,16 +128,16 @@
 // Observes the speed of a run that its worker lists as done.
 void worker_fleet::observe_end(live_run& run, time_point now)
 {
-    if (run.speed_observed || run.lasting || run.filler ||
-        run.phase != run_phase::present || run.stop_requested)
+    if (run.lasting || run.filler || run.phase != run_phase::present ||
+        run.stop_requested)
     {
         return;
     }
-    if (run.gang)
+    if (run.gang && !run.gang_end_listed)
     {
         observe_gang(run, true, now);
     }
-    else
+    else if (!run.gang && !run.speed_observed)
     {
         observe_single(run, ms_between(run.started_at, now), now);
     }
@@ -163,14 +170,18 @@
 {
     std::vector<live_run*> members;
     time_point began_at;
+    bool observed = false;
     for (const auto& key : gang_members(run.ref))
     {
         auto& member = runs_.at(key);
-        if (member.phase != run_phase::present || member.speed_observed ||
-            member.stop_requested)
+        const bool sampled =
+            member.sampled_percent > 0 || member.done_listed_at.has_value();
+        if (member.phase != run_phase::present || member.stop_requested ||
+            (member.speed_observed && (!ended || !sampled)))
         {
             return;
         }
+        observed = observed || member.speed_observed;
         began_at = std::max(began_at, member.started_at);
         members.push_back(&member);
     }
@@ -196,11 +207,16 @@
     for (auto* const member : members)
     {
         member->speed_observed = true;
+        member->gang_end_listed = ended;
     }
     if (ended)
     {
         log_slowest(run.ref, runs, now);
     }
+    if (observed)
+    {
+        return;
+    }
     record_speeds(runs, upper_bounds, 0, now);
 }
 
