--- a/src/coordination/fleet/speed_observations.cpp
+++ b/src/coordination/fleet/speed_observations.cpp
@@ -103,11 +103,16 @@
 }
 
 // Returns the time until the progress of a gang's member on the worker shows
-// its speed, if no list has shown it yet.
+// its speed, if no list has shown it yet. Where workers differ, fast members of
+// short gangs are done before the usual hold ends and would look like others.
 std::optional<milliseconds>
 worker_fleet::wait_for_speed(const worker_session& worker, time_point now) const
 {
     std::optional<milliseconds> wait;
+    if (speed_classes_.count() < 2)
+    {
+        return wait; // Workers of one speed are asked as without estimates.
+    }
     for (const auto& key : worker.runs)
     {
         const auto& run = runs_.at(key);
