--- a/src/coordination/fleet/live_run.hpp
+++ b/src/coordination/fleet/live_run.hpp
@@ -93,7 +93,6 @@
     time_point progressed_at;
     // Its speed was observed, or can not be: its start was not seen.
     bool speed_observed = false;
-    bool gang_end_listed = false; // A member of its gang is listed as done.
     // The last listing with a percent that shows the speed; 0: none yet.
     int sampled_percent = 0;
     time_point sampled_at;
--- a/src/coordination/fleet/speed_observations.cpp
+++ b/src/coordination/fleet/speed_observations.cpp
@@ -32,11 +32,6 @@
 
 constexpr milliseconds classification_interval{1000};
 
-// Gangs are often over, or their fast members done, before the usual hold ends.
-// So one hold ends after this share of the estimated run time.
-constexpr double sampled_share_of_estimate = 0.4;
-constexpr milliseconds min_wait_for_sample{100};
-
 double ms_between(time_point from, time_point to)
 {
     return static_cast<double>((to - from).count());
@@ -67,25 +62,18 @@
     {
         return;
     }
-    const bool first_sample = run.sampled_percent == 0 && !run.done_listed_at &&
-                              percent >= min_percent;
     if (percent >= all_percent)
     {
         run.done_listed_at = run.done_listed_at.value_or(now);
+        return;
     }
-    else if (percent >= min_percent)
+    if (percent >= min_percent)
     {
         run.sampled_percent = percent;
         run.sampled_at = now;
     }
-    if (run.gang && first_sample)
-    {
-        observe_gang(run, false, now);
-        return;
-    }
     // The attempts are limited, because each looks at the whole gang.
-    if (percent >= all_percent || now - run.started_at < long_run ||
-        percent < min_percent_of_long_run ||
+    if (now - run.started_at < long_run || percent < min_percent_of_long_run ||
         percent / percent_between_attempts ==
             run.percent / percent_between_attempts)
     {
@@ -102,47 +90,19 @@
     }
 }
 
-// Returns the time until the progress of a gang's member on the worker shows
-// its speed, if no list has shown it yet. Where workers differ, fast members of
-// short gangs are done before the usual hold ends and would look like others.
-std::optional<milliseconds>
-worker_fleet::wait_for_speed(const worker_session& worker, time_point now) const
-{
-    std::optional<milliseconds> wait;
-    if (speed_classes_.count() < 2)
-    {
-        return wait; // Workers of one speed are asked as without estimates.
-    }
-    for (const auto& key : worker.runs)
-    {
-        const auto& run = runs_.at(key);
-        const auto due =
-            run.started_at +
-            milliseconds(std::llround(sampled_share_of_estimate *
-                                      static_cast<double>(run.estimate_ms)));
-        if (run.gang && run.phase == run_phase::present &&
-            !run.speed_observed && !run.lasting && !run.filler &&
-            run.sampled_percent == 0 && !run.done_listed_at && due > now)
-        {
-            wait = std::min(wait.value_or(due - now), due - now);
-        }
-    }
-    return wait ? std::max(*wait, min_wait_for_sample) : wait;
-}
-
 // Observes the speed of a run that its worker lists as done.
 void worker_fleet::observe_end(live_run& run, time_point now)
 {
-    if (run.lasting || run.filler || run.phase != run_phase::present ||
-        run.stop_requested)
+    if (run.speed_observed || run.lasting || run.filler ||
+        run.phase != run_phase::present || run.stop_requested)
     {
         return;
     }
-    if (run.gang && !run.gang_end_listed)
+    if (run.gang)
     {
         observe_gang(run, true, now);
     }
-    else if (!run.gang && !run.speed_observed)
+    else
     {
         observe_single(run, ms_between(run.started_at, now), now);
     }
@@ -175,18 +135,14 @@
 {
     std::vector<live_run*> members;
     time_point began_at;
-    bool observed = false;
     for (const auto& key : gang_members(run.ref))
     {
         auto& member = runs_.at(key);
-        const bool sampled =
-            member.sampled_percent > 0 || member.done_listed_at.has_value();
-        if (member.phase != run_phase::present || member.stop_requested ||
-            (member.speed_observed && (!ended || !sampled)))
+        if (member.phase != run_phase::present || member.speed_observed ||
+            member.stop_requested)
         {
             return;
         }
-        observed = observed || member.speed_observed;
         began_at = std::max(began_at, member.started_at);
         members.push_back(&member);
     }
@@ -212,16 +168,11 @@
     for (auto* const member : members)
     {
         member->speed_observed = true;
-        member->gang_end_listed = ended;
     }
     if (ended)
     {
         log_slowest(run.ref, runs, now);
     }
-    if (observed)
-    {
-        return;
-    }
     record_speeds(runs, upper_bounds, 0, now);
 }
 
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -256,8 +256,6 @@
                          time_point now);
     void sample_progress(live_run& run, int percent, bool start_seen,
                          time_point now);
-    std::optional<milliseconds> wait_for_speed(const worker_session& worker,
-                                               time_point now) const;
     void observe_end(live_run& run, time_point now);
     void observe_single(live_run& run, double time_ms, time_point now);
     void observe_gang(live_run& run, bool ended, time_point now);
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -87,11 +87,10 @@
     const milliseconds wait_for_size(
         static_cast<std::int64_t>(workers_.size()) * 1000 /
         idle_holds_per_second);
-    const auto wait = now < worker.short_holds_until || worker.record.draining()
-                          ? shortest_hold_wait
-                          : std::clamp(wait_for_size, shortest_hold_wait,
-                                       options_.max_hold_wait);
-    return std::min(wait, wait_for_speed(worker, now).value_or(wait));
+    return now < worker.short_holds_until || worker.record.draining()
+               ? shortest_hold_wait
+               : std::clamp(wait_for_size, shortest_hold_wait,
+                            options_.max_hold_wait);
 }
 
 // Limits the holds that a new leader opens at once, so that a large fleet does
