--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -138,15 +138,6 @@
                   static_cast<double>(headroom_accelerators));
 }
 
-// Returns true when the worker is slow because it was not used during an
-// evacuation.
-bool fleet_scheduler::is_cold(const worker_session& worker,
-                              time_point now) const
-{
-    return now < worker.warm_at &&
-           returned_data_centres_.count(worker.record.data_centre()) > 0;
-}
-
 fleet_scheduler::service_capacity&
 fleet_scheduler::capacity_of(const std::string& service)
 {
--- a/src/coordination/fleet/fleet_preferences.cpp
+++ b/src/coordination/fleet/fleet_preferences.cpp
@@ -191,29 +191,6 @@
     return request;
 }
 
-// Returns true when all workers of the rack are in evacuated data centres.
-// Waiting for them would take as long as the evacuation.
-bool fleet_scheduler::is_rack_evacuated(const std::string& rack) const
-{
-    if (rack.empty() || state_.evacuated().empty())
-    {
-        return false;
-    }
-    bool known = false;
-    for (const auto& [id, worker] : workers_.workers())
-    {
-        if (worker.record.rack() == rack)
-        {
-            if (!workers_.is_evacuated(worker))
-            {
-                return false;
-            }
-            known = true;
-        }
-    }
-    return known;
-}
-
 // Returns true when some rack's usable workers could hold the request if they
 // were empty.
 bool fleet_scheduler::fits_in_one_rack(const placement_request& request) const
--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -111,26 +111,6 @@
     }
 }
 
-// Returns true when the request would fit if nothing were evacuated.
-bool fleet_scheduler::would_fit_with_evacuated(
-    const placement_request& request) const
-{
-    std::uint32_t slots = 0;
-    bool any_evacuated = false;
-    for (const auto& [id, worker] : workers_.workers())
-    {
-        const placement_candidate candidate{&worker,
-                                            worker.capacity - worker.used};
-        if (is_eligible(candidate, request))
-        {
-            slots += count_fitting(candidate, candidate.free, request);
-            any_evacuated = any_evacuated || workers_.is_evacuated(worker);
-        }
-    }
-    return any_evacuated &&
-           slots >= (request.all_or_nothing ? request.count : 1U);
-}
-
 milliseconds fleet_scheduler::wait_before_log(const queue_config& queue) const
 {
     return queue.priority == 0 ? options_.reclaim_limit / 2 : first_wait_log;
