Limit each read to what may stay unparsed

A read of 16 KiB could exceed the bound on what is buffered beside the body: a listener with a header limit of 8 KiB kept 43.8 kB for one connection.

--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -142,8 +142,7 @@
     }
     // The parser searches the line of a chunk's size, and the trailer, for
     // their end without a limit of its own.
-    if (buffer_.size() >=
-        connections_->limits.max_header_bytes + parse_margin_bytes)
+    if (buffer_.size() >= max_unparsed_bytes())
     {
         on_read(http::make_error_code(http::error::header_limit));
         return;
@@ -180,17 +179,27 @@
     counted_bytes_ = bytes;
 }
 
-// Returns how many bytes the next read asks for.
+// Returns how many bytes may be buffered that are not parsed.
+std::size_t http_session::max_unparsed_bytes() const
+{
+    return connections_->limits.max_header_bytes + parse_margin_bytes;
+}
+
+// Returns how many bytes the next read asks for. A body of known length is
+// parsed as it arrives; anything else may have to stay in the buffer.
 std::size_t http_session::piece_bytes() const
 {
-    if (!parser_->is_header_done())
+    const auto remaining = parser_->is_header_done()
+                               ? parser_->content_length_remaining()
+                               : boost::none;
+    if (remaining)
     {
-        return min_piece_bytes;
+        return static_cast<std::size_t>(std::clamp<std::uint64_t>(
+            *remaining, min_piece_bytes, max_piece_bytes));
     }
-    const auto remaining = parser_->content_length_remaining();
-    return remaining ? static_cast<std::size_t>(std::clamp<std::uint64_t>(
-                           *remaining, min_piece_bytes, max_piece_bytes))
-                     : chunked_piece_bytes;
+    const auto room = max_unparsed_bytes() - buffer_.size();
+    return std::min(room, parser_->is_header_done() ? chunked_piece_bytes
+                                                    : min_piece_bytes);
 }
 
 void http_session::read_some()
--- a/src/transport/http_session.hpp
+++ b/src/transport/http_session.hpp
@@ -49,6 +49,7 @@
     void parse();
     bool reserve_input();
     void read_some();
+    std::size_t max_unparsed_bytes() const;
     std::size_t piece_bytes() const;
     std::size_t input_bytes() const;
     void on_piece(error_code error, std::size_t bytes);
