--- a/test/process/untrusted_clients-test.cpp
+++ b/test/process/untrusted_clients-test.cpp
@@ -20,6 +20,7 @@
 #include <filesystem>
 #include <fstream>
 #include <memory>
+#include <ostream>
 #include <string>
 
 namespace limpetstack::test
@@ -46,6 +47,12 @@
     control
 };
 
+// Names the parameter of a test.
+std::ostream& operator<<(std::ostream& out, listener attacked)
+{
+    return out << (attacked == listener::callers ? "callers" : "control");
+}
+
 class untrusted_clients : public testing::TestWithParam<listener>
 {
 protected:
@@ -342,12 +349,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(listeners, untrusted_clients,
-                         testing::Values(listener::callers, listener::control),
-                         [](const testing::TestParamInfo<listener>& info)
-                         {
-                             return info.param == listener::callers ? "callers"
-                                                                    : "control";
-                         });
+                         testing::Values(listener::callers, listener::control));
 
 } // namespace
 } // namespace limpetstack::test
--- a/test/process/untrusted_listener_clients-test.cpp
+++ b/test/process/untrusted_listener_clients-test.cpp
@@ -17,6 +17,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <ostream>
 #include <string>
 
 namespace limpetstack::test
@@ -41,6 +42,12 @@
     operators
 };
 
+// Names the parameter of a test.
+std::ostream& operator<<(std::ostream& out, listener attacked)
+{
+    return out << (attacked == listener::callers ? "callers" : "operators");
+}
+
 class untrusted_listener_clients : public testing::TestWithParam<listener>
 {
 protected:
@@ -293,13 +300,7 @@
 
 INSTANTIATE_TEST_SUITE_P(listeners, untrusted_listener_clients,
                          testing::Values(listener::callers,
-                                         listener::operators),
-                         [](const testing::TestParamInfo<listener>& info)
-                         {
-                             return info.param == listener::callers
-                                        ? "callers"
-                                        : "operators";
-                         });
+                                         listener::operators));
 
 } // namespace
 } // namespace limpetstack::test
