Add failing tests of clients that fill the state, the forms and the peers

Each test starts a core and an entry process with 64 MB, 32 MB of disk and 1,024 descriptors in their settings, attacks one of them, and checks that it lives, stays within these limits, and answers an ordinary request.

untrusted_clients uses the same processes as the new tests; its checks, crowds and bounds are unchanged.

--- a/test/process/untrusted_clients-test.cpp
+++ b/test/process/untrusted_clients-test.cpp
@@ -5,21 +5,17 @@
 // is still connected.
 
 #include "experiment/deployment.hpp"
-#include "experiment/process.hpp"
+#include "support/caller_connection.hpp"
 #include "support/client_crowd.hpp"
+#include "support/fleet_hosts.hpp"
 
 #include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
 
 #include <sys/resource.h>
 
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <memory>
 #include <ostream>
 #include <string>
 
@@ -28,10 +24,7 @@
 namespace
 {
 
-using nlohmann::json;
-
 constexpr std::size_t mebibyte = 1U << 20U;
-constexpr std::size_t memory_mb = 64; // limits.memory_mb, the bound.
 
 // Of the document for callers, and of the control listener.
 constexpr std::size_t caller_body_limit = 262144;
@@ -57,78 +50,36 @@
 {
 protected:
     untrusted_clients()
-        : folder_(make_folder())
-        , network_(make_network())
-        , peer_port_(free_port())
-        , control_(network_ + "1:" + std::to_string(free_port()))
-        , callers_(network_ + "2:" + std::to_string(free_port()))
-        , ready_(network_ + "2:" + std::to_string(free_port()))
-    {
-    }
-
-    ~untrusted_clients() override
+        : hosts_(folder_name())
     {
-        core_.reset();
-        entry_.reset();
-        if (!HasFailure())
-        {
-            std::error_code ignored;
-            std::filesystem::remove_all(folder_, ignored);
-        }
     }
 
     // `padding` is the size of a text in the document that nobody uses.
     void start(std::size_t max_descriptors = 1024, std::size_t padding = 0)
     {
-        max_descriptors_ = max_descriptors;
-        core_ = start_host("core", network_ + "1", {{"control", control_}});
-        entry_ = start_host("entry", network_ + "2",
-                            {{"front", callers_}, {"ready", ready_}});
-        const json document{{"version", 1},
-                            {"padding", std::string(padding, 'x')},
-                            {"routes",
-                             {{{"name", "q"},
-                               {"host", "localhost"},
-                               {"prefix", "/q/"},
-                               {"service", "s"},
-                               {"timeout_ms", 3000},
-                               {"priority", 1},
-                               {"stretch", 3.0}}}},
-                            {"services", {{{"name", "s"}}}},
-                            {"tenants", {{{"name", "t"}, {"keys", {"key"}}}}}};
-        const auto text = document.dump();
-        ASSERT_TRUE(wait_until(
-            [&]
-            {
-                return call_status(control_,
-                                   "PUT /-/config HTTP/1.1\r\nHost: h\r\n"
-                                   "Content-Length: " +
-                                       std::to_string(text.size()) +
-                                       "\r\n\r\n" + text) == 200;
-            }));
-        ASSERT_TRUE(wait_until(
-            [&]
-            {
-                return submit_job() == 200;
-            }));
+        limits_.max_descriptors = max_descriptors;
+        ASSERT_TRUE(hosts_.start(limits_, padding));
         usage_.sample(target().pid());
-        ASSERT_LE(usage_.resident_bytes, memory_mb * mebibyte / 2);
+        ASSERT_LE(usage_.resident_bytes, limits_.memory_mb * mebibyte / 2);
     }
 
     static bool attacks_callers() { return GetParam() == listener::callers; }
-    process& target() { return attacks_callers() ? *entry_ : *core_; }
-    process& core() { return *core_; }
-    std::string address() const
+    process& target()
+    {
+        return attacks_callers() ? hosts_.entry() : hosts_.core();
+    }
+    fleet_hosts& hosts() { return hosts_; }
+    const std::string& address() const
     {
-        return attacks_callers() ? callers_ : control_;
+        return attacks_callers() ? hosts_.callers() : hosts_.control();
     }
 
     // A complete request of an ordinary client; returns its status.
     int ordinary_request()
     {
         return attacks_callers()
-                   ? submit_job()
-                   : call_status(control_,
+                   ? hosts_.submit_job()
+                   : call_status(hosts_.control(),
                                  "GET /-/config HTTP/1.1\r\nHost: h\r\n\r\n");
     }
 
@@ -136,7 +87,7 @@
     {
         return attacks_callers() ? "POST /q/00000000000000ff HTTP/1.1\r\n"
                                    "Host: localhost\r\n"
-                                   "Authorization: Bearer key\r\n"
+                                   "Authorization: Bearer ordinary\r\n"
                                  : "PUT /-/config HTTP/1.1\r\nHost: h\r\n";
     }
 
@@ -174,78 +125,23 @@
         std::printf("at most %zu bytes resident and %zu descriptors\n",
                     usage_.resident_bytes, usage_.descriptors);
         EXPECT_TRUE(target().running());
-        EXPECT_LE(usage_.resident_bytes, memory_mb * mebibyte);
-        EXPECT_LE(usage_.descriptors, max_descriptors_);
+        EXPECT_LE(usage_.resident_bytes, limits_.memory_mb * mebibyte);
+        EXPECT_LE(usage_.descriptors, limits_.max_descriptors);
         EXPECT_TRUE(answered);
     }
 
 private:
-    static std::string make_folder()
+    static std::string folder_name()
     {
         std::string name =
             testing::UnitTest::GetInstance()->current_test_info()->name();
         std::replace(name.begin(), name.end(), '/', '-');
-        return test_folder("untrusted-" + name);
+        return "untrusted-" + name;
     }
 
-    // Metrics always listen on one port, so each test needs addresses of its
-    // own. The reserved number makes them unique on this machine.
-    static std::string make_network()
-    {
-        const int number = free_port();
-        return "127." + std::to_string(number / 256) + "." +
-               std::to_string(number % 256) + ".";
-    }
-
-    std::unique_ptr<process> start_host(const std::string& name,
-                                        const std::string& ip,
-                                        const json& listen)
-    {
-        const json settings{
-            {"node_name", name},
-            {"ip", ip},
-            {"zone", "z"},
-            {"listen", listen},
-            {"port_range", {peer_port_, peer_port_}},
-            {"seeds", {control_}},
-            {"bootstrap", true},
-            {"data_dir", name == "core" ? folder_ + "/data" : ""},
-            {"fault_tolerance", {{"machines", 0}}},
-            {"limits",
-             {{"memory_mb", memory_mb}, {"max_fds", max_descriptors_}}}};
-        const auto file = folder_ + "/" + name + ".json";
-        std::ofstream(file) << settings.dump();
-        ::setenv("LIMPETSTACK_NODE_FILE", file.c_str(), 1);
-        return std::make_unique<process>(
-            program_folder() + "/limpetstack-fleetd",
-            std::vector<std::string>{}, folder_ + "/" + name + ".log");
-    }
-
-    int submit_job()
-    {
-        static constexpr char body[] =
-            R"({"spec":"x","steps":[{"count":1,"cpu":1000}]})";
-        char id[17];
-        std::snprintf(id, sizeof id, "%016x", ++last_job_);
-        return call_status(callers_, std::string("POST /q/") + id +
-                                         " HTTP/1.1\r\nHost: localhost\r\n"
-                                         "Authorization: Bearer key\r\n"
-                                         "Content-Length: " +
-                                         std::to_string(sizeof body - 1) +
-                                         "\r\n\r\n" + body);
-    }
-
-    const std::string folder_;
-    const std::string network_;
-    const int peer_port_;
-    const std::string control_;
-    const std::string callers_;
-    const std::string ready_;
-    std::size_t max_descriptors_ = 0;
-    std::unique_ptr<process> core_;
-    std::unique_ptr<process> entry_;
+    host_limits limits_;
+    fleet_hosts hosts_;
     process_usage usage_;
-    unsigned last_job_ = 0;
 };
 
 // Guards against trailers that are buffered without a bound until the process
@@ -302,10 +198,10 @@
     client_crowd crowd(address(), 40, {first, first, 4 * mebibyte});
     if (attacks_callers())
     {
-        core().signal(SIGSTOP);
+        hosts().core().signal(SIGSTOP);
     }
     attack(crowd);
-    core().signal(SIGCONT);
+    hosts().core().signal(SIGCONT);
     check();
 }
 
@@ -318,7 +214,7 @@
     const std::string request =
         attacks_callers() ? "GET /q/00000000000000ff HTTP/1.1\r\n"
                             "Host: localhost\r\n"
-                            "Authorization: Bearer key\r\n\r\n"
+                            "Authorization: Bearer ordinary\r\n\r\n"
                           : "GET /-/config HTTP/1.1\r\nHost: h\r\n\r\n";
     client_crowd crowd(address(), 60, {request, request, mebibyte / 2});
     attack(crowd);
@@ -348,6 +244,60 @@
     check();
 }
 
+// Guards against header fields that cost far more once they are parsed than the
+// bytes that are counted: 3,000 fields without a value in 12 kB.
+TEST_P(untrusted_clients, many_header_fields)
+{
+    start();
+    std::string fields;
+    for (int i = 0; i < 3000; ++i)
+    {
+        fields += "a:\r\n";
+    }
+    client_crowd crowd(
+        address(), 800,
+        {request_line() + fields + "Content-Length: 100\r\n\r\n", "", 0});
+    attack(crowd);
+    check();
+}
+
+// Guards against a document that takes many times its size once it is parsed.
+// Callers' bodies are smaller.
+TEST_P(untrusted_clients, body_of_empty_arrays)
+{
+    start();
+    std::string body = "{\"version\":2,\"routes\":[[]";
+    const auto limit =
+        attacks_callers() ? caller_body_limit - 4 : std::size_t{2100000};
+    while (body.size() < limit - 3)
+    {
+        body += ",[]";
+    }
+    body += "]}";
+    client_crowd crowd(address(), 6,
+                       {request_line() + "Content-Length: " +
+                            std::to_string(body.size()) + "\r\n\r\n" + body,
+                        "", 0});
+    attack(crowd);
+    check();
+}
+
+// Guards against metrics whose labels hold what clients send: each method that
+// a client invents must not be kept.
+TEST_P(untrusted_clients, invented_methods)
+{
+    start();
+    caller_connection connection(address());
+    for (int i = 0; i < 10000; ++i)
+    {
+        connection.call(fleet_hosts::request(
+            std::string(8000, 'M') + std::to_string(i), "/q/", "ordinary", ""));
+    }
+    client_crowd crowd(address(), 0, {"", "", 0});
+    attack(crowd);
+    check();
+}
+
 INSTANTIATE_TEST_SUITE_P(listeners, untrusted_clients,
                          testing::Values(listener::callers, listener::control));
 
--- a/test/support/client_crowd.cpp
+++ b/test/support/client_crowd.cpp
@@ -31,6 +31,8 @@
 // Small, so that an answer that nobody reads stays with its sender.
 constexpr int receive_buffer_bytes = 4096;
 
+} // namespace
+
 int connect_to(const std::string& address, std::chrono::milliseconds timeout)
 {
     const auto colon = address.rfind(':');
@@ -58,8 +60,6 @@
     return socket;
 }
 
-} // namespace
-
 client_crowd::client_crowd(const std::string& address, int size,
                            crowd_input input)
     : input_(std::move(input))
--- a/test/support/client_crowd.hpp
+++ b/test/support/client_crowd.hpp
@@ -65,6 +65,10 @@
     void sample_until_steady(pid_t pid);
 };
 
+/// Connects to `address` (IP:port) and limits each later operation to
+/// `timeout`. Returns the socket, or -1 when the connection is not accepted.
+int connect_to(const std::string& address, std::chrono::milliseconds timeout);
+
 /// Sends `request` on a connection of its own and returns the status code of
 /// the answer if it arrives whole within `timeout`, else 0.
 int call_status(const std::string& address, const std::string& request,
