Refuse jobs for which there is no room

The leader now counts what accepted and proposed jobs cost and refuses a job for which there is no room with 503 and Retry-After, before anything is proposed, so that the job never runs. Followers and later leaders check nothing. Repetitions of an accepted or proposed id, queries, cancelling and ends are not checked.

--- a/src/coordination/fleet/fleet_service.cpp
+++ b/src/coordination/fleet/fleet_service.cpp
@@ -2,14 +2,34 @@
 
 #include "base/log.hpp"
 #include "coordination/fleet/fleet_answers.hpp"
+#include "state/job_cost.hpp"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+#include <cstdlib>
+#include <limits>
 #include <utility>
 
 namespace limpetstack::fleet
 {
+namespace
+{
+
+// Clients must not be able to fill the log.
+constexpr milliseconds refusal_log_interval{1000};
+
+// To find when a job is forgotten, all jobs are searched at most this often for
+// each holder.
+constexpr milliseconds expected_room_age{1000};
+
+// While no job of the holder has ended, it is not known when one will be
+// forgotten.
+constexpr milliseconds default_time_until_room{5000};
+
+} // namespace
+
 job_phase phase_of(const job_state& job)
 {
     if (job.cancelled)
@@ -254,6 +274,14 @@
     job.set_origin(call.origin());
     job.set_call(call.id());
     *job.mutable_spec() = std::move(*spec);
+    const auto holder = holder_of(job);
+    const auto cost = job_cost(job);
+    if (!proposed_.contains(id) && !has_room(room_for(holder), cost))
+    {
+        done(refuse_job(job, cost));
+        return;
+    }
+    proposed_.add(id, holder, cost);
     std::int64_t subtasks = 0;
     std::int64_t accelerators = 0;
     for (const auto& step : job.spec().steps())
@@ -261,21 +289,88 @@
         subtasks += step.subtask_count();
         accelerators += step.subtask_count() * step.need().accelerators();
     }
-    propose(std::move(command), done,
-            [id, queue = queue.name, account, subtasks, accelerators,
-             version = dependencies_.document()->version](apply_result result)
+    propose(
+        std::move(command),
+        [this, id, done](const forwarded_answer& answer)
+        {
+            proposed_.remove(id);
+            done(answer);
+        },
+        [id, queue = queue.name, account, subtasks, accelerators,
+         version = dependencies_.document()->version](apply_result result)
+        {
+            log_event(
+                log_level::info, "job_accepted",
+                {{"job", id},
+                 {"queue", queue},
+                 {"account", account},
+                 {"subtasks", absl::StrCat(subtasks)},
+                 {"accelerators", absl::StrCat(accelerators)},
+                 {"document", absl::StrCat(version)},
+                 {"repeated", result == apply_result::changed ? "no" : "yes"}});
+            return json_answer(200);
+        });
+}
+
+job_room fleet_service::room_for(const job_holder& holder) const
+{
+    return {dependencies_.job_room_limit(),
+            state_.jobs_cost() + proposed_.cost(),
+            state_.jobs_cost(holder) + proposed_.cost(holder)};
+}
+
+// Answers that the job was not accepted, and when to come back.
+forwarded_answer fleet_service::refuse_job(const accepted_job& job,
+                                           std::size_t cost)
+{
+    ++jobs_without_room_;
+    const auto holder = holder_of(job);
+    auto answer = json_answer(
+        503, protocol_.encode_error("too many jobs are kept for this account"));
+    answer.set_retry_after_ms(
+        static_cast<std::uint32_t>(time_until_room(holder).count()));
+    const auto now = dependencies_.wall_ms();
+    if (std::abs(now - refusal_logged_ms_) >= refusal_log_interval.count())
+    {
+        refusal_logged_ms_ = now;
+        const auto room = room_for(holder);
+        log_event(log_level::warning, "job_room_exhausted",
+                  {{"job", job.id()},
+                   {"queue", job.queue()},
+                   {"account", job.account()},
+                   {"cost_bytes", absl::StrCat(cost)},
+                   {"kept_for_holder_bytes", absl::StrCat(room.kept_by_holder)},
+                   {"kept_bytes", absl::StrCat(room.kept)},
+                   {"limit_bytes", absl::StrCat(room.limit)},
+                   {"retry_after_ms", absl::StrCat(answer.retry_after_ms())},
+                   {"refused", absl::StrCat(jobs_without_room_)}});
+    }
+    return answer;
+}
+
+// Returns the time until the next job of the holder is forgotten.
+milliseconds fleet_service::time_until_room(const job_holder& holder)
+{
+    const auto now = dependencies_.wall_ms();
+    auto& expected = expected_room_[holder];
+    if (std::abs(now - expected.computed_ms) >= expected_room_age.count())
+    {
+        expected = {now, now + default_time_until_room.count()};
+        std::int64_t first_end = std::numeric_limits<std::int64_t>::max();
+        for (const auto& [id, job] : state_.jobs())
+        {
+            if (job.finished_ms > 0 && job.finished_ms < first_end &&
+                holder_of(job.job) == holder)
             {
-                log_event(log_level::info, "job_accepted",
-                          {{"job", id},
-                           {"queue", queue},
-                           {"account", account},
-                           {"subtasks", absl::StrCat(subtasks)},
-                           {"accelerators", absl::StrCat(accelerators)},
-                           {"document", absl::StrCat(version)},
-                           {"repeated",
-                            result == apply_result::changed ? "no" : "yes"}});
-                return json_answer(200);
-            });
+                first_end = job.finished_ms;
+                expected.at_ms =
+                    first_end + dependencies_.ended_job_retention.count();
+            }
+        }
+    }
+    return std::clamp(milliseconds(expected.at_ms - now),
+                      milliseconds(retry_after_ms),
+                      dependencies_.ended_job_retention);
 }
 
 void fleet_service::cancel(const std::string& id, const answer_handler& done)
--- a/src/coordination/fleet/fleet_service.hpp
+++ b/src/coordination/fleet/fleet_service.hpp
@@ -2,11 +2,14 @@
 
 #include "coordination/fleet/call_fence.hpp"
 #include "coordination/fleet/consensus_runner.hpp"
+#include "coordination/fleet/job_room.hpp"
+#include "coordination/fleet/proposed_jobs.hpp"
 #include "protocol/external_protocol.hpp"
 #include "state/fleet_state.hpp"
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -35,6 +38,11 @@
     std::function<bool()> group_applies_evacuations;
     std::function<std::uint64_t()> term;   // Of this host's leadership.
     std::function<std::int64_t()> wall_ms; // Wall clock in milliseconds.
+    // Returns what accepted jobs may cost together, in bytes as `job_cost`
+    // counts them.
+    std::function<std::size_t()> job_room_limit;
+    // Time for which an ended job is kept.
+    milliseconds ended_job_retention{130000};
     std::string report_address; // Address that workers report to from now on.
 };
 
@@ -57,6 +65,9 @@
     /// out, because a later sending may have been answered.
     std::uint64_t superseded_calls() const { return superseded_calls_; }
 
+    /// Returns the number of jobs that were refused for lack of room.
+    std::uint64_t jobs_without_room() const { return jobs_without_room_; }
+
 private:
     struct selected_queue
     {
@@ -77,6 +88,9 @@
     void submit(const forwarded_call& call, const queue_config& queue,
                 const std::string& account, const std::string& id,
                 const answer_handler& done);
+    job_room room_for(const job_holder& holder) const;
+    forwarded_answer refuse_job(const accepted_job& job, std::size_t cost);
+    milliseconds time_until_room(const job_holder& holder);
     void cancel(const std::string& id, const answer_handler& done);
     void refuse(const forwarded_call& call, const answer_handler& done);
     void answer_confirmed(const forwarded_call& call,
@@ -111,6 +125,17 @@
     fleet_service_dependencies dependencies_;
     call_fence fence_;
     std::uint64_t superseded_calls_ = 0;
+    proposed_jobs proposed_;
+    std::uint64_t jobs_without_room_ = 0;
+    // When the next ended job of a holder is forgotten, by holder, and when
+    // this was computed, in milliseconds of the wall clock.
+    struct expected_room
+    {
+        std::int64_t computed_ms = 0;
+        std::int64_t at_ms = 0;
+    };
+    std::map<job_holder, expected_room> expected_room_;
+    std::int64_t refusal_logged_ms_ = 0;
 };
 
 /// Returns the phase of the job that callers are shown.
--- a/src/daemon/fleet/core_calls.cpp
+++ b/src/daemon/fleet/core_calls.cpp
@@ -80,6 +80,11 @@
         return runner_->replica().term();
     };
     dependencies.wall_ms = wall_clock_ms;
+    dependencies.job_room_limit = [this]
+    {
+        return job_room_limit(settings_.memory_bytes, settings_.disk_bytes);
+    };
+    dependencies.ended_job_retention = settings_.scheduler.ended_job_retention;
     dependencies.report_address = settings_.control_address;
     return dependencies;
 }
@@ -128,6 +133,9 @@
              done](const forwarded_answer& answer)
             {
                 log_refusal(method, target, answer);
+                counters_.set(
+                    "jobs_without_room",
+                    static_cast<double>(service_.jobs_without_room()));
                 counters_.set("calls_superseded",
                               static_cast<double>(service_.superseded_calls()));
                 done(answer);
--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -171,6 +171,9 @@
     {
         return false;
     }
+    counters_.set("job_room_limit_bytes",
+                  static_cast<double>(job_room_limit(settings_.memory_bytes,
+                                                     settings_.disk_bytes)));
     schedule_tick();
     return true;
 }
@@ -222,6 +225,8 @@
     update_leadership();
     run_due_work();
     fail_expired_calls();
+    counters_.set("job_room_used_bytes",
+                  static_cast<double>(state_.jobs_cost()));
     listener_.close_idle(peer_silence_timeout);
 }
 
--- a/src/daemon/fleet/node_settings.hpp
+++ b/src/daemon/fleet/node_settings.hpp
@@ -33,6 +33,8 @@
     std::size_t max_descriptors = 4096;
     // Memory that the process may use.
     std::size_t memory_bytes = 256U << 20U;
+    // Disk space that the process may use; 0: not limited.
+    std::size_t disk_bytes = 0;
     // Time between the signal to stop and the kill.
     milliseconds stop_grace{6000};
     worker_fleet_options workers;
--- a/src/state/fleet_snapshot.cpp
+++ b/src/state/fleet_snapshot.cpp
@@ -1,8 +1,12 @@
 // Writes the fleet's replicated state to a snapshot and reads it back.
 #include "state/fleet_state.hpp"
 
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/wire_format_lite.h>
+
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -129,108 +133,180 @@
     }
 }
 
+void save_job(const job_state& job, job_snapshot& saved)
+{
+    *saved.mutable_job() = job.job;
+    saved.set_cancelled(job.cancelled);
+    saved.set_failed(job.failed);
+    saved.set_complete(job.complete);
+    saved.set_started(job.started);
+    saved.set_finished_ms(job.finished_ms);
+    saved.set_failure_reason(job.failure_reason);
+    for (const auto& [number, occurrence] : job.occurrences)
+    {
+        auto& saved_occurrence = *saved.add_occurrences();
+        saved_occurrence.set_occurrence(number);
+        saved_occurrence.set_done(occurrence.done);
+        for (const auto& step : occurrence.steps)
+        {
+            save_step(step, *saved_occurrence.add_steps());
+        }
+    }
+    save_ranges(job.ended_occurrences, *saved.mutable_ended_occurrences());
+}
+
+// Calls `load` with each job of a serialized `fleet_snapshot`, and appends the
+// other fields to `others` in their serialized form. Returns false when `data`
+// can not be read.
+template <typename Load>
+bool for_each_job(const std::string& data, std::string& others,
+                  const Load& load)
+{
+    using google::protobuf::internal::WireFormatLite;
+    constexpr auto jobs_tag =
+        WireFormatLite::MakeTag(fleet_snapshot::kJobsFieldNumber,
+                                WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
+    google::protobuf::io::CodedInputStream in(
+        reinterpret_cast<const std::uint8_t*>(data.data()),
+        static_cast<int>(data.size()));
+    for (;;)
+    {
+        const auto begin = static_cast<std::size_t>(in.CurrentPosition());
+        const auto tag = in.ReadTag();
+        if (tag == 0)
+        {
+            return begin == data.size();
+        }
+        if (tag != jobs_tag)
+        {
+            if (!WireFormatLite::SkipField(&in, tag))
+            {
+                return false;
+            }
+            others.append(data, begin,
+                          static_cast<std::size_t>(in.CurrentPosition()) -
+                              begin);
+            continue;
+        }
+        job_snapshot job;
+        int size = 0;
+        if (!in.ReadVarintSizeAsInt(&size) ||
+            static_cast<std::size_t>(size) >
+                data.size() - static_cast<std::size_t>(in.CurrentPosition()) ||
+            !job.ParseFromArray(data.data() + in.CurrentPosition(), size) ||
+            !in.Skip(size))
+        {
+            return false;
+        }
+        load(job);
+    }
+}
+
+// Beside the accepted job itself; an estimate that saves reallocations.
+constexpr std::size_t reserved_bytes_per_job = 64;
+
 } // namespace
 
+// A snapshot is a serialized `fleet_snapshot`. Serialized messages that follow
+// each other are one message with the elements of all, so that jobs are written
+// and read one by one: the copy of all jobs in one message would take more than
+// the state itself.
 std::string fleet_state::snapshot() const
 {
-    fleet_snapshot out;
-    *out.mutable_document() = document_;
     std::vector<const job_state*> ordered;
+    ordered.reserve(jobs_.size());
+    std::size_t bytes = 0;
     for (const auto& [id, job] : jobs_)
     {
         ordered.push_back(&job);
+        bytes += job.job.ByteSizeLong() + reserved_bytes_per_job;
     }
     std::sort(ordered.begin(), ordered.end(),
               [](const job_state* a, const job_state* b)
               {
                   return a->order < b->order;
               });
-    for (const auto* job : ordered)
-    {
-        auto& saved = *out.add_jobs();
-        *saved.mutable_job() = job->job;
-        saved.set_cancelled(job->cancelled);
-        saved.set_failed(job->failed);
-        saved.set_complete(job->complete);
-        saved.set_started(job->started);
-        saved.set_finished_ms(job->finished_ms);
-        saved.set_failure_reason(job->failure_reason);
-        for (const auto& [number, occurrence] : job->occurrences)
-        {
-            auto& saved_occurrence = *saved.add_occurrences();
-            saved_occurrence.set_occurrence(number);
-            saved_occurrence.set_done(occurrence.done);
-            for (const auto& step : occurrence.steps)
-            {
-                save_step(step, *saved_occurrence.add_steps());
-            }
-        }
-        save_ranges(job->ended_occurrences, *saved.mutable_ended_occurrences());
-    }
+    fleet_snapshot others;
+    *others.mutable_document() = document_;
     for (const auto& [id, worker] : workers_)
     {
-        *out.add_workers() = worker;
+        *others.add_workers() = worker;
     }
     for (const auto& incarnation : gone_workers_)
     {
-        auto& saved = *out.add_gone_workers();
+        auto& saved = *others.add_gone_workers();
         saved.set_id(incarnation.worker);
         saved.set_born_ms(incarnation.born_ms);
         saved.set_gone(true);
     }
     for (const auto& name : evacuated_)
     {
-        out.add_evacuated(name);
+        others.add_evacuated(name);
     }
-    return out.SerializeAsString();
+    std::string out;
+    out.reserve(bytes + others.ByteSizeLong());
+    others.AppendToString(&out);
+    for (const auto* job : ordered)
+    {
+        fleet_snapshot one;
+        save_job(*job, *one.add_jobs());
+        one.AppendToString(&out);
+    }
+    return out;
 }
 
 bool fleet_state::restore(const std::string& data)
 {
+    fleet_state restored;
+    std::string others;
+    const bool valid = for_each_job(data, others,
+                                    [&restored](job_snapshot& saved)
+                                    {
+                                        restored.load_job(saved);
+                                    });
     fleet_snapshot in;
-    if (!in.ParseFromString(data))
+    if (!valid || !in.ParseFromString(others))
     {
         return false;
     }
-    *this = fleet_state();
-    document_ = in.document();
-    for (const auto& saved : in.jobs())
-    {
-        auto& job = jobs_[saved.job().id()];
-        job.job = saved.job();
-        job.order = next_order_++;
-        job.cancelled = saved.cancelled();
-        job.failed = saved.failed();
-        job.complete = saved.complete();
-        job.started = saved.started();
-        job.finished_ms = saved.finished_ms();
-        job.failure_reason = saved.failure_reason();
-        job.ended_occurrences = load_ranges(saved.ended_occurrences());
-        job.done_occurrences = job.ended_occurrences.size();
-        for (const auto& saved_occurrence : saved.occurrences())
-        {
-            auto& steps = occurrence(job, saved_occurrence.occurrence()).steps;
-            const auto count = std::min(
-                steps.size(),
-                static_cast<std::size_t>(saved_occurrence.steps_size()));
-            for (std::size_t s = 0; s < count; ++s)
-            {
-                load_step(saved_occurrence.steps(static_cast<int>(s)),
-                          steps[s]);
-            }
-            record_occurrence_end(job, saved_occurrence.occurrence());
-        }
-    }
+    restored.document_ = std::move(*in.mutable_document());
     for (const auto& worker : in.workers())
     {
-        workers_[worker.id()] = worker;
+        restored.workers_[worker.id()] = worker;
     }
     for (const auto& worker : in.gone_workers())
     {
-        remember_gone({worker.id(), worker.born_ms()});
+        restored.remember_gone({worker.id(), worker.born_ms()});
     }
-    evacuated_.insert(in.evacuated().begin(), in.evacuated().end());
+    restored.evacuated_.insert(in.evacuated().begin(), in.evacuated().end());
+    *this = std::move(restored);
     return true;
 }
 
+void fleet_state::load_job(job_snapshot& saved)
+{
+    auto& job = jobs_[saved.job().id()];
+    add_job(job, std::move(*saved.mutable_job()));
+    job.cancelled = saved.cancelled();
+    job.failed = saved.failed();
+    job.complete = saved.complete();
+    job.started = saved.started();
+    job.finished_ms = saved.finished_ms();
+    job.failure_reason = saved.failure_reason();
+    job.ended_occurrences = load_ranges(saved.ended_occurrences());
+    job.done_occurrences = job.ended_occurrences.size();
+    for (const auto& saved_occurrence : saved.occurrences())
+    {
+        auto& steps = occurrence(job, saved_occurrence.occurrence()).steps;
+        const auto count =
+            std::min(steps.size(),
+                     static_cast<std::size_t>(saved_occurrence.steps_size()));
+        for (std::size_t s = 0; s < count; ++s)
+        {
+            load_step(saved_occurrence.steps(static_cast<int>(s)), steps[s]);
+        }
+        record_occurrence_end(job, saved_occurrence.occurrence());
+    }
+}
+
 } // namespace limpetstack::fleet
--- a/src/state/fleet_state.cpp
+++ b/src/state/fleet_state.cpp
@@ -1,6 +1,9 @@
 #include "state/fleet_state.hpp"
 
+#include "state/job_cost.hpp"
+
 #include <algorithm>
+#include <utility>
 
 namespace limpetstack::fleet
 {
@@ -28,6 +31,12 @@
 
 } // namespace
 
+job_holder holder_of(const accepted_job& job)
+{
+    return job.account().empty() ? job_holder{"", job.queue()}
+                                 : job_holder{job.account(), ""};
+}
+
 std::uint32_t occurrence_count(const job_spec& spec)
 {
     return std::max(spec.repeat_count(), 1U);
@@ -62,9 +71,7 @@
     case fleet_command::kEvacuation:
         return set_evacuated(command.evacuation());
     case fleet_command::kForget:
-        return jobs_.erase(command.forget().job()) > 0
-                   ? apply_result::changed
-                   : apply_result::unchanged;
+        return forget(command.forget().job());
     default:
         return apply_result::refused;
     }
@@ -92,11 +99,44 @@
     {
         return apply_result::unchanged;
     }
-    found->second.job = job;
-    found->second.order = next_order_++;
+    add_job(found->second, job);
     return apply_result::changed;
 }
 
+void fleet_state::add_job(job_state& state, accepted_job job)
+{
+    state.job = std::move(job);
+    state.order = next_order_++;
+    state.cost = job_cost(state.job);
+    jobs_cost_ += state.cost;
+    cost_by_holder_[holder_of(state.job)] += state.cost;
+}
+
+apply_result fleet_state::forget(const std::string& id)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+    {
+        return apply_result::unchanged;
+    }
+    const auto cost = found->second.cost;
+    jobs_cost_ -= cost;
+    const auto holder = cost_by_holder_.find(holder_of(found->second.job));
+    holder->second -= cost;
+    if (holder->second == 0)
+    {
+        cost_by_holder_.erase(holder);
+    }
+    jobs_.erase(found);
+    return apply_result::changed;
+}
+
+std::size_t fleet_state::jobs_cost(const job_holder& holder) const
+{
+    const auto found = cost_by_holder_.find(holder);
+    return found == cost_by_holder_.end() ? 0 : found->second;
+}
+
 apply_result fleet_state::cancel(const std::string& id)
 {
     const auto found = jobs_.find(id);
--- a/src/state/fleet_state.hpp
+++ b/src/state/fleet_state.hpp
@@ -2,6 +2,7 @@
 
 #include "fleet.pb.h"
 #include "state/index_set.hpp"
+#include "state/job_holder.hpp"
 #include "state/step_state.hpp"
 
 #include <cstddef>
@@ -25,6 +26,7 @@
 {
     accepted_job job;
     std::uint64_t order = 0; // Position in the order of acceptance.
+    std::size_t cost = 0;    // As `job_cost` returns it.
     bool cancelled = false;
     bool failed = false;
     bool complete = false;
@@ -89,6 +91,10 @@
     /// without a start time are never known to be gone.
     bool is_gone(const worker_incarnation& incarnation) const;
 
+    /// Returns the cost of all jobs, and of those of one holder, in bytes.
+    std::size_t jobs_cost() const { return jobs_cost_; }
+    std::size_t jobs_cost(const job_holder& holder) const;
+
     const job_state* find_job(const std::string& id) const;
     const step_state* find_step(const run_ref& run) const;
 
@@ -107,6 +113,9 @@
 private:
     apply_result put_document(const stored_document& document);
     apply_result accept(const accepted_job& job);
+    apply_result forget(const std::string& id);
+    void add_job(job_state& state, accepted_job job);
+    void load_job(job_snapshot& saved);
     apply_result cancel(const std::string& id);
     apply_result place(const placement& placed);
     apply_result end(const ended_run& ended);
@@ -124,6 +133,8 @@
 
     stored_document document_;
     std::map<std::string, job_state> jobs_;
+    std::size_t jobs_cost_ = 0;
+    std::map<job_holder, std::size_t> cost_by_holder_;
     std::map<std::string, worker_record> workers_;
     std::deque<worker_incarnation> gone_workers_; // Oldest first.
     // Start times of the incarnations in `gone_workers_`, by worker.
@@ -132,6 +143,9 @@
     std::uint64_t next_order_ = 1;
 };
 
+/// Returns whose share of the room for accepted jobs the job takes.
+job_holder holder_of(const accepted_job& job);
+
 /// Returns the number of occurrences of a job, at least 1.
 std::uint32_t occurrence_count(const job_spec& spec);
 
--- a/test/fleet_service-test.cpp
+++ b/test/fleet_service-test.cpp
@@ -1,10 +1,13 @@
 #include "coordination/fleet/fleet_service.hpp"
 
+#include "state/job_cost.hpp"
+
 #include "support/fleet_service_fixture.hpp"
 
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <utility>
@@ -198,6 +201,76 @@
     EXPECT_EQ(last_answer->status(), 504U);
 }
 
+constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
+
+// Guards against accepted jobs that take all the room of the leader, and
+// against refusals that leave something behind.
+TEST_F(fleet_service_test, job_without_room_is_refused_at_once)
+{
+    use_document();
+    call_and_complete("POST", job_path, job_text);
+    const auto cost = state.jobs_cost();
+    limit_job_room(cost * 3 - 1);
+    EXPECT_EQ(send(true, "POST", "/q/00000000000000a1", job_text)->status(),
+              503U);
+    EXPECT_GE(last_answer->retry_after_ms(), 1000U);
+    EXPECT_TRUE(proposals.empty());
+    EXPECT_EQ(service.jobs_without_room(), 1U);
+    // A queue without an account has its own share.
+    EXPECT_EQ(
+        call_and_complete("POST", "/q/open/00000000000000a2", job_text, "none"),
+        200U);
+}
+
+// Guards against proposals that are not counted until they are committed.
+TEST_F(fleet_service_test, proposed_jobs_take_room_until_their_outcome)
+{
+    use_document();
+    send(true, "POST", job_path, job_text);
+    ASSERT_EQ(proposals.size(), 1U);
+    limit_job_room(job_cost(proposals.front().first.accept()) * 2);
+    EXPECT_EQ(send(true, "POST", "/q/00000000000000a1", job_text)->status(),
+              503U);
+    complete_requests(proposal_outcome::not_leader);
+    EXPECT_EQ(call_and_complete("POST", "/q/00000000000000a1", job_text), 200U);
+}
+
+// Guards against a refusal of a job that is accepted all the same.
+TEST_F(fleet_service_test, repeated_submission_needs_no_room)
+{
+    use_document();
+    send(true, "POST", job_path, job_text);
+    limit_job_room(1);
+    EXPECT_FALSE(send(true, "POST", job_path, job_text).has_value());
+    complete_requests();
+    EXPECT_EQ(last_answer->status(), 200U);
+    EXPECT_EQ(call_and_complete("POST", job_path, job_text), 200U);
+    EXPECT_EQ(call_and_complete("GET", job_path), 200U);
+    EXPECT_EQ(call_and_complete("DELETE", job_path), 200U);
+    EXPECT_EQ(state.jobs().size(), 1U);
+}
+
+// Guards against a `Retry-After` before there can be room.
+TEST_F(fleet_service_test, retry_follows_the_end_of_the_oldest_job)
+{
+    use_document();
+    call_and_complete("POST", job_path, job_text);
+    fleet_command ended;
+    ended.mutable_cancel()->set_job("0123456789abcdef");
+    state.apply(ended);
+    ended.mutable_finish()->set_job("0123456789abcdef");
+    ended.mutable_finish()->set_at_ms(1700000000000 - 20000);
+    state.apply(ended);
+    limit_job_room(1);
+    send(true, "POST", "/q/00000000000000a1", job_text);
+    EXPECT_EQ(last_answer->retry_after_ms(), 110000U);
+    ended.mutable_forget()->set_job("0123456789abcdef");
+    state.apply(ended);
+    EXPECT_EQ(state.jobs_cost(), 0U);
+    limit_job_room(unlimited);
+    EXPECT_EQ(call_and_complete("POST", "/q/00000000000000a1", job_text), 200U);
+}
+
 // Guards against a queue with a shorter prefix that receives the jobs of the
 // queue with the longest matching prefix.
 TEST_F(fleet_service_test, longest_prefix_selects_the_queue)
--- a/test/fleet_state-test.cpp
+++ b/test/fleet_state-test.cpp
@@ -1,4 +1,5 @@
 #include "state/fleet_state.hpp"
+#include "state/job_cost.hpp"
 
 #include "support/fleet_fixture.hpp"
 
@@ -146,6 +147,36 @@
     EXPECT_FALSE(restored.restore("no snapshot"));
 }
 
+// Guards against costs that drift from the jobs that are kept, which would
+// refuse jobs for ever or none at all.
+TEST(fleet_state, costs_follow_the_jobs_that_are_kept)
+{
+    fleet_fixture fixture;
+    EXPECT_EQ(fixture.state.jobs_cost(), 0U);
+    fixture.submit("first", make_step(3, 1));
+    fixture.submit("second", make_step(1, 1));
+    const auto& first = *fixture.state.find_job("first");
+    const auto& second = *fixture.state.find_job("second");
+    EXPECT_EQ(first.cost, job_cost(first.job));
+    EXPECT_EQ(fixture.state.jobs_cost(), first.cost + second.cost);
+    EXPECT_EQ(fixture.state.jobs_cost(holder_of(first.job)),
+              fixture.state.jobs_cost());
+    fixture.submit("first", make_step(3, 1));
+    fleet_state restored;
+    ASSERT_TRUE(restored.restore(fixture.state.snapshot()));
+    EXPECT_EQ(restored.jobs_cost(), first.cost + second.cost);
+    const auto left = second.cost;
+    fleet_command forget;
+    forget.mutable_forget()->set_job("first");
+    EXPECT_EQ(restored.apply(forget), apply_result::changed);
+    EXPECT_EQ(restored.apply(forget), apply_result::unchanged);
+    EXPECT_EQ(restored.jobs_cost(), left);
+    forget.mutable_forget()->set_job("second");
+    restored.apply(forget);
+    EXPECT_EQ(restored.jobs_cost(), 0U);
+    EXPECT_EQ(restored.jobs_cost(holder_of(first.job)), 0U);
+}
+
 // Guards against a host that can not read the snapshot of an earlier version,
 // which holds all subtasks of a step in order.
 TEST(fleet_state, snapshot_of_an_earlier_version_is_restored)
--- a/test/support/fleet_service_fixture.hpp
+++ b/test/support/fleet_service_fixture.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <utility>
@@ -42,6 +43,9 @@
     {
     }
 
+    // What accepted jobs may cost from now on.
+    void limit_job_room(std::size_t bytes) { job_room_bytes = bytes; }
+
     fleet_service_dependencies dependencies()
     {
         fleet_service_dependencies out;
@@ -76,6 +80,10 @@
         {
             return std::int64_t{1700000000000};
         };
+        out.job_room_limit = [this]
+        {
+            return job_room_bytes;
+        };
         out.report_address = "10.0.0.9:1";
         return out;
     }
@@ -183,6 +191,7 @@
         departures;
     std::optional<forwarded_answer> last_answer;
     bool group_applies_evacuations = true;
+    std::size_t job_room_bytes = std::numeric_limits<std::size_t>::max();
     std::uint64_t term = 3;
     std::uint64_t sent_to_term = 0; // Of the calls that are sent next.
     std::uint64_t origin = 0;       // Of the calls that are sent next.
