--- a/src/coordination/fleet/consensus_runner.cpp
+++ b/src/coordination/fleet/consensus_runner.cpp
@@ -17,14 +17,15 @@
 constexpr std::size_t max_group_bytes = 512U << 10U;
 constexpr std::size_t max_group_commands = 2000;
 
-// A snapshot is taken after this many entries or bytes. The snapshot and these
-// limits bound the use of disk space and the time of a restart.
+// A snapshot is taken after this many entries, or the bytes in `log_bounds`.
+// The snapshot and these limits bound the use of disk space and the time of a
+// restart.
 constexpr std::uint64_t entries_per_snapshot = 4000;
-constexpr std::size_t bytes_per_snapshot = 8U << 20U;
 
-// This many entries before a snapshot are retained, so that replicas that lag
-// only slightly catch up from the log, without a snapshot transfer.
-constexpr std::uint64_t retained_entries = 1000;
+// This many entries before a snapshot, or the bytes in `log_bounds`, are
+// retained, so that replicas that lag only slightly catch up from the log,
+// without a snapshot transfer.
+constexpr std::uint64_t max_retained_entries = 1000;
 
 } // namespace
 
@@ -32,12 +33,13 @@
                                    const stored_log& stored,
                                    log_storage& storage, disk_queue& disk,
                                    fleet_state& state, callbacks handlers,
-                                   time_point now)
+                                   time_point now, const log_bounds& bounds)
     : consensus_(options, stored, now)
     , storage_(storage)
     , disk_(disk)
     , state_(state)
     , callbacks_(std::move(handlers))
+    , bounds_(bounds)
     , applied_index_(stored.snapshot.index)
     , snapshot_index_(stored.snapshot.index)
 {
@@ -372,18 +374,36 @@
     }
 }
 
+std::uint64_t consensus_runner::retained_entries() const
+{
+    const auto& log = consensus_.log();
+    std::uint64_t retained = 0;
+    std::size_t bytes = 0;
+    while (retained < max_retained_entries &&
+           applied_index_ - retained > log.base_index())
+    {
+        bytes += log.at(applied_index_ - retained).payload().size();
+        if (bytes > bounds_.retained_bytes)
+        {
+            break;
+        }
+        ++retained;
+    }
+    return retained;
+}
+
 void consensus_runner::compact_if_due()
 {
     if (writing_ || failed_ ||
         (applied_index_ - snapshot_index_ < entries_per_snapshot &&
-         bytes_since_snapshot_ < bytes_per_snapshot))
+         bytes_since_snapshot_ < bounds_.bytes_per_snapshot))
     {
         return;
     }
     snapshot_index_ = applied_index_;
     bytes_since_snapshot_ = 0;
     const auto snapshot = std::make_shared<log_snapshot>(consensus_.compact(
-        applied_index_, state_.snapshot(), retained_entries));
+        applied_index_, state_.snapshot(), retained_entries()));
     const auto first_retained = consensus_.log().base_index() + 1;
     writing_ = true;
     disk_.run(
--- a/src/coordination/fleet/consensus_runner.hpp
+++ b/src/coordination/fleet/consensus_runner.hpp
@@ -28,6 +28,13 @@
                      std::function<void(absl::Status)> done) = 0;
 };
 
+/// Bounds on the log that a replica keeps in memory and on its disk.
+struct log_bounds
+{
+    std::size_t bytes_per_snapshot = 8U << 20U;
+    std::size_t retained_bytes = 4U << 20U; // Of entries before a snapshot.
+};
+
 /// The outcome of a proposal.
 enum class proposal_outcome
 {
@@ -67,7 +74,8 @@
 
     consensus_runner(const consensus_options& options, const stored_log& stored,
                      log_storage& storage, disk_queue& disk, fleet_state& state,
-                     callbacks handlers, time_point now);
+                     callbacks handlers, time_point now,
+                     const log_bounds& bounds = {});
 
     /// Advances the clock of the protocol and calls `pump`.
     void tick(time_point now);
@@ -109,6 +117,7 @@
     void apply_committed(std::uint64_t commit);
     void apply_entry(const wire::log_entry& entry);
     void fail_lost_requests();
+    std::uint64_t retained_entries() const;
     void compact_if_due();
 
     consensus consensus_;
@@ -116,6 +125,7 @@
     disk_queue& disk_;
     fleet_state& state_;
     callbacks callbacks_;
+    const log_bounds bounds_;
     bool writing_ = false; // A disk job is running.
     bool failed_ = false;  // The disk or a snapshot failed.
     bool pumping_ = false; // Prevents `pump` from calling itself.
--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -30,6 +31,20 @@
 
 constexpr std::uint32_t max_control_body_bytes = 8U << 20U;
 
+// The log on the disk is read and written as a whole when a snapshot is taken,
+// which takes several times its size.
+constexpr std::size_t log_memory_divisor = 32;
+constexpr std::size_t retained_log_divisor = 2;
+
+log_bounds make_log_bounds(const node_settings& settings)
+{
+    log_bounds bounds;
+    bounds.bytes_per_snapshot = std::min(
+        bounds.bytes_per_snapshot, settings.memory_bytes / log_memory_divisor);
+    bounds.retained_bytes = bounds.bytes_per_snapshot / retained_log_divisor;
+    return bounds;
+}
+
 consensus_options make_consensus_options(const node_settings& settings,
                                          std::uint64_t id,
                                          milliseconds election_timeout)
@@ -122,7 +137,7 @@
     runner_ = std::make_unique<consensus_runner>(
         make_consensus_options(settings_, storage_.id, election_timeout),
         storage_.content, *storage_.log, disk_, state_, std::move(callbacks),
-        boot_now());
+        boot_now(), make_log_bounds(settings_));
     storage_.content = {};
     use_document();
     report_evacuations();
