--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -45,9 +45,17 @@
 }
 
 std::uint32_t crc32c(std::string_view data)
+{
+    return crc32c({data});
+}
+
+std::uint32_t crc32c(std::initializer_list<std::string_view> pieces)
 {
     boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true> crc;
-    crc.process_bytes(data.data(), data.size());
+    for (const auto piece : pieces)
+    {
+        crc.process_bytes(piece.data(), piece.size());
+    }
     return crc.checksum();
 }
 
--- a/src/coordination/consensus_leader.cpp
+++ b/src/coordination/consensus_leader.cpp
@@ -321,7 +321,7 @@
     body.set_last_index(snapshot.index);
     body.set_last_term(snapshot.term);
     *body.mutable_members() = snapshot.members;
-    body.set_state(snapshot.state);
+    body.set_state(snapshot.state.str());
     body.set_round(round_);
     messages_.push_back(std::move(message));
 }
--- a/src/state/data_folder.cpp
+++ b/src/state/data_folder.cpp
@@ -100,10 +100,10 @@
     return false;
 }
 
-std::string checksum(std::string_view content)
+std::string checksum(std::initializer_list<std::string_view> pieces)
 {
     std::string digits(checksum_digits + 1, '\0');
-    std::snprintf(digits.data(), digits.size(), "%08x", crc32c(content));
+    std::snprintf(digits.data(), digits.size(), "%08x", crc32c(pieces));
     digits.resize(checksum_digits);
     return digits;
 }
@@ -193,6 +193,13 @@
 
 absl::Status data_folder::replace_file(const std::string& name,
                                        std::string_view content) const
+{
+    return replace_pieces(name, "", {content});
+}
+
+absl::Status data_folder::replace_pieces(
+    const std::string& name, std::string_view begin,
+    std::initializer_list<std::string_view> pieces) const
 {
     const auto path = file_path(name);
     const auto temporary = absl::StrCat(path, temporary_suffix);
@@ -201,10 +208,17 @@
     {
         return file.status();
     }
-    if (auto status = write_all(*file, content, temporary); !status.ok())
+    if (auto status = write_all(*file, begin, temporary); !status.ok())
     {
         return status;
     }
+    for (const auto piece : pieces)
+    {
+        if (auto status = write_all(*file, piece, temporary); !status.ok())
+        {
+            return status;
+        }
+    }
     if (auto status = sync_file(*file, temporary); !status.ok())
     {
         return status;
@@ -225,7 +239,14 @@
 absl::Status data_folder::replace_checked_file(const std::string& name,
                                                std::string_view content) const
 {
-    return replace_file(name, checksum(content).append(content));
+    return replace_checked_file(name, {content});
+}
+
+absl::Status data_folder::replace_checked_file(
+    const std::string& name,
+    std::initializer_list<std::string_view> pieces) const
+{
+    return replace_pieces(name, checksum(pieces), pieces);
 }
 
 absl::StatusOr<std::string>
@@ -236,18 +257,16 @@
     {
         return content;
     }
-    const auto stored = std::string_view(*content).substr(0, checksum_digits);
-    auto rest = content->size() < checksum_digits
-                    ? std::string()
-                    : content->substr(checksum_digits);
-    if (stored != checksum(rest))
+    const auto stored = content->substr(0, checksum_digits);
+    content->erase(0, checksum_digits);
+    if (stored != checksum({*content}))
     {
         return absl::DataLossError(
             absl::StrCat(file_path(name), " is damaged: its checksum does not "
                                           "match; restore it or erase the data "
                                           "folder"));
     }
-    return rest;
+    return content;
 }
 
 } // namespace limpetstack
--- a/src/state/data_folder.hpp
+++ b/src/state/data_folder.hpp
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <initializer_list>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -45,6 +46,10 @@
     /// As `replace_file`, with a checksum before the content.
     absl::Status replace_checked_file(const std::string& name,
                                       std::string_view content) const;
+    /// The content is the pieces, one behind the other.
+    absl::Status
+    replace_checked_file(const std::string& name,
+                         std::initializer_list<std::string_view> pieces) const;
 
     /// Reads a file from `replace_checked_file`; `kDataLoss` when the checksum
     /// does not match.
@@ -54,6 +59,9 @@
 private:
     data_folder(std::string path, file_handle lock);
     absl::Status load_identity();
+    absl::Status
+    replace_pieces(const std::string& name, std::string_view begin,
+                   std::initializer_list<std::string_view> pieces) const;
 
     std::string path_;
     file_handle lock_;
--- a/src/state/log_store.cpp
+++ b/src/state/log_store.cpp
@@ -7,6 +7,10 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/wire_format_lite.h>
+
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -22,6 +26,20 @@
 constexpr char hard_state_name[] = "control-hard-state";
 constexpr char snapshot_name[] = "control-snapshot";
 
+// Appends the tag and the length that precede the state in a serialized
+// `install_snapshot`.
+void append_state_header(std::size_t size, std::string& out)
+{
+    using google::protobuf::internal::WireFormatLite;
+    constexpr auto tag =
+        WireFormatLite::MakeTag(wire::install_snapshot::kStateFieldNumber,
+                                WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
+    google::protobuf::io::StringOutputStream bytes(&out);
+    google::protobuf::io::CodedOutputStream coded(&bytes);
+    coded.WriteVarint32(tag);
+    coded.WriteVarint32(static_cast<std::uint32_t>(size));
+}
+
 // A record holds an append request: the position it follows and the entries.
 std::string encode_entries(std::uint64_t previous_index,
                            std::uint64_t previous_term,
@@ -85,20 +103,22 @@
 
 absl::Status read_snapshot(const data_folder& folder, log_snapshot& snapshot)
 {
-    const auto content = folder.read_checked_file(snapshot_name);
-    if (!content.ok())
-    {
-        return absl::IsNotFound(content.status()) ? absl::OkStatus()
-                                                  : content.status();
-    }
     wire::install_snapshot stored;
-    if (!stored.ParseFromString(*content))
     {
-        return absl::DataLossError(
-            absl::StrCat(folder.file_path(snapshot_name), " can not be read"));
+        const auto content = folder.read_checked_file(snapshot_name);
+        if (!content.ok())
+        {
+            return absl::IsNotFound(content.status()) ? absl::OkStatus()
+                                                      : content.status();
+        }
+        if (!stored.ParseFromString(*content))
+        {
+            return absl::DataLossError(absl::StrCat(
+                folder.file_path(snapshot_name), " can not be read"));
+        }
     }
     snapshot = {stored.last_index(), stored.last_term(), stored.members(),
-                stored.state()};
+                std::move(*stored.mutable_state())};
     return absl::OkStatus();
 }
 
@@ -351,9 +371,12 @@
     stored.set_last_index(snapshot.index);
     stored.set_last_term(snapshot.term);
     *stored.mutable_members() = snapshot.members;
-    stored.set_state(snapshot.state);
+    // The state follows in pieces: a copy of it in the message and another one
+    // in its serialized form would take twice its size.
+    auto begin = stored.SerializeAsString();
+    append_state_header(snapshot.state.size(), begin);
     return folder_.replace_checked_file(snapshot_name,
-                                        stored.SerializeAsString());
+                                        {begin, snapshot.state.str()});
 }
 
 absl::Status log_store::install(const log_snapshot& snapshot)
--- a/src/state/stored_log.hpp
+++ b/src/state/stored_log.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "peer.pb.h"
+#include "state/shared_bytes.hpp"
 
 #include <cstdint>
-#include <string>
 #include <tuple>
 #include <vector>
 
@@ -35,7 +35,7 @@
     std::uint64_t index = 0;
     std::uint64_t term = 0;
     wire::membership members;
-    std::string state;
+    shared_bytes state;
 };
 
 /// The durable state of a replica. `entries` begin after `base_index`, which is
