Name only known methods in the labels of metrics

10,000 requests with methods that a client invented, of 8 kB each, left 95 MB in an entry process of 64 MB: call_ms had a series for each method, for ever. All methods but GET, POST and DELETE now count as 'other'.

--- a/src/coordination/fleet/call_forwarder.cpp
+++ b/src/coordination/fleet/call_forwarder.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace limpetstack::fleet
@@ -54,6 +55,20 @@
            !answer.covers_all_sendings() && has_unknown_outcome(sendings);
 }
 
+// Returns the method for a metric's label. Callers must not be able to add
+// series without bound.
+const char* method_label(const std::string& method)
+{
+    for (const char* const known : {"GET", "POST", "DELETE"})
+    {
+        if (method == known)
+        {
+            return known;
+        }
+    }
+    return "other";
+}
+
 } // namespace
 
 call_forwarder::call_forwarder(std::uint64_t origin, sender send,
@@ -133,10 +148,10 @@
     const auto item = std::move(found->second);
     calls_.erase(found);
     const auto held = now - item.arrived_at;
-    counters_.observe_latency(absl::StrCat("call_ms{method=\"",
-                                           item.call.method(), "\",status=\"",
-                                           answer.status(), "\"}"),
-                              static_cast<double>(held.count()));
+    counters_.observe_latency(
+        absl::StrCat("call_ms{method=\"", method_label(item.call.method()),
+                     "\",status=\"", answer.status(), "\"}"),
+        static_cast<double>(held.count()));
     const bool refused = is_refusal(answer);
     if (refused && has_unknown_outcome(item.sendings))
     {
