Bound the connections between hosts

Anybody who reached the port between the processes could take all descriptors of a core process with silent connections (1,217 of 1,024), and 440 MB of 64 with 200 frames of 64 MiB that never ended.

The listener now has a quarter of the descriptors, and one connection for each 32 KiB of an eighth of the memory; above that, connections without a valid frame are closed first. Incomplete frames and answers that peers do not read have a quarter of the memory together; above that the connection that keeps the most is closed.

What remains: hosts do not prove who they are.

--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -45,6 +45,24 @@
     return bounds;
 }
 
+// The parts of the memory and of the descriptors that connections of other
+// hosts may take, and what each connection takes with its buffers.
+constexpr std::size_t peer_bytes_divisor = 4;
+constexpr std::size_t peer_connections_memory_divisor = 8;
+constexpr std::size_t peer_descriptors_divisor = 4;
+constexpr std::size_t bytes_per_peer_connection = 32768;
+
+frame_listener_limits peer_limits_for(const node_settings& settings)
+{
+    frame_listener_limits limits;
+    limits.kept_bytes = settings.memory_bytes / peer_bytes_divisor;
+    limits.connections =
+        std::min(settings.memory_bytes / peer_connections_memory_divisor /
+                     bytes_per_peer_connection,
+                 settings.max_descriptors / peer_descriptors_divisor);
+    return limits;
+}
+
 consensus_options make_consensus_options(const node_settings& settings,
                                          std::uint64_t id,
                                          milliseconds election_timeout)
@@ -180,6 +198,7 @@
     control_.set_capacity(
         capacity_for(settings_.memory_bytes, settings_.max_descriptors),
         &counters_);
+    listener_.set_limits(peer_limits_for(settings_), &counters_);
     if (!listener_.listen(settings_.peer_address) ||
         (!settings_.control_address.empty() &&
          !control_.listen(settings_.control_address)))
