Bound the live runs, and what one account has of them

A job of a few kB whose subtasks need nothing of their workers (256 steps of 20,000) was started as fast as the scheduler could, 1,000 subtasks a round: each live run takes some 2 kB on the leader, so that one accepted job could end it and each leader after it. Other accounts' subtasks waited behind it.

Live runs now have a third of the memory, at 2 KiB each (measured: 2,003 bytes with the state), and a holder may have at most four times what is left for all: one that floods leaves a fifth. Gangs start whole or not at all. Steps that wait for it are logged with obstacle=run_limit.

Evidence: run_limit.one_account_leaves_runs_for_others without the limit has 10,000 runs of the flooding account after 10 rounds and none of the other one.

--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -244,6 +244,10 @@
         }
     }
     placements_left_ -= std::min(placements_left_, chosen.size());
+    if (runs_by_holder_)
+    {
+        (*runs_by_holder_)[holder_of(item)] += chosen.size();
+    }
     const auto& speeds = workers_.refreshed_speed_classes(now);
     const auto placed = first_of(indices, chosen.size());
     for (std::size_t i = 0; i < chosen.size(); ++i)
@@ -459,6 +463,13 @@
         request.count = static_cast<std::uint32_t>(
             std::min<std::size_t>(request.count, placements_left_));
     }
+    const auto allowed = allowed_runs(item, request.count);
+    if (allowed == 0 || (request.all_or_nothing && allowed < request.count))
+    {
+        item.obstacle = placement_obstacle::run_limit;
+        return;
+    }
+    request.count = static_cast<std::uint32_t>(allowed);
     const auto candidates = candidates_for(key, item, request);
     auto chosen = choose_workers(candidates, request);
     if (chosen.empty() && last_resort)
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -372,6 +372,7 @@
     refresh_backfill_limits();
     refresh_gang_holds(now);
     placements_left_ = max_placements_per_round;
+    runs_by_holder_.reset();
     auto attempts_left =
         std::max(min_attempts_per_round,
                  max_candidates_per_round /
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -12,8 +12,10 @@
 #include "state/fleet_state.hpp"
 #include "state/index_set.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -31,6 +33,8 @@
     milliseconds reclaim_limit{2900};
     /// Time for which an ended job can still be queried.
     milliseconds ended_job_retention{130000};
+    /// Runs that may be live at the same time.
+    std::size_t max_live_runs = std::numeric_limits<std::size_t>::max() / 8;
 };
 
 /// Returns the delay of the step's start, in milliseconds, with which its job
@@ -96,6 +100,7 @@
         headroom,  // The free capacity is reserved for urgent work.
         backfill,  // It is reserved for waiting work of other queues.
         capacity,  // No choice of workers has enough free capacity.
+        run_limit, // Too many runs are live, of its account or of all.
         policy     // The queue's policy has not allowed enough workers.
     };
 
@@ -279,6 +284,9 @@
                 const std::vector<placement_candidate>& candidates,
                 const std::vector<std::size_t>& chosen, time_point now);
     bool exceeds_service(const pending_step& item);
+    static job_holder holder_of(const pending_step& item);
+    std::size_t allowed_runs(const pending_step& item, std::size_t count);
+    void count_runs_by_holder();
     std::int64_t priority_of(const job_state& job) const;
     bool fits_in_one_rack(const placement_request& request) const;
     bool may_use_last_resort(const pending_step& item,
@@ -347,6 +355,8 @@
     std::map<std::string, gang_hold> gang_holds_; // Keyed by service name.
     policy_tickets tickets_;
     std::size_t placements_left_ = 0; // In this round.
+    // Live runs by holder; counted in a round when it needs them.
+    std::optional<std::map<job_holder, std::size_t>> runs_by_holder_;
     // In this round: few workers have been lost lately.
     bool losses_rare_ = false;
     // Request shapes that did not fit in this round.
--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -223,6 +223,8 @@
             return "backfill";
         case placement_obstacle::capacity:
             return "capacity";
+        case placement_obstacle::run_limit:
+            return "run_limit";
         case placement_obstacle::policy:
             return "policy";
         case placement_obstacle::not_tried:
--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -31,6 +31,11 @@
 
 constexpr std::uint32_t max_control_body_bytes = 8U << 20U;
 
+// The part of the memory that live runs may take on the leader, and what each
+// takes with its part of the replicated state.
+constexpr std::size_t runs_memory_divisor = 3;
+constexpr std::size_t bytes_per_run = 2048;
+
 // The log on the disk is read and written as a whole when a snapshot is taken,
 // which takes several times its size.
 constexpr std::size_t log_memory_divisor = 32;
@@ -104,6 +109,8 @@
 {
     settings_.workers.leadership_overlap =
         max_leadership_overlap(election_timeout);
+    settings_.scheduler.max_live_runs =
+        settings_.memory_bytes / runs_memory_divisor / bytes_per_run;
     consensus_runner::callbacks callbacks;
     callbacks.send = [this](const wire::consensus_message& message)
     {
--- a/test/support/fleet_fixture.cpp
+++ b/test/support/fleet_fixture.cpp
@@ -60,7 +60,7 @@
         },
         epoch, counters);
     scheduler = std::make_unique<fleet_scheduler>(
-        fleet_scheduler_options(), state, *workers, policy,
+        scheduler_options, state, *workers, policy,
         [this]
         {
             return now;
--- a/test/support/fleet_fixture.hpp
+++ b/test/support/fleet_fixture.hpp
@@ -82,6 +82,7 @@
     std::int64_t wall_ms = 1700000000000;
     fleet_document document;
     metrics counters;
+    fleet_scheduler_options scheduler_options; // Of the next leader.
     std::unique_ptr<worker_fleet> workers;
     std::unique_ptr<fleet_scheduler> scheduler;
     std::uint64_t epoch = 0;
