Bound what is kept of workers that report

Anybody who reaches the control listener could report workers that do not exist.

The leader now counts what workers cost, four times their record and 4 kB, and answers 503 to a new worker for which an eighth of the memory has no room. A 256 MB host has room for twice the 2,400 workers of the target size. Known workers may always send small records, so that they can drain.

--- a/src/coordination/fleet/fleet_control.cpp
+++ b/src/coordination/fleet/fleet_control.cpp
@@ -2,11 +2,14 @@
 // operators.
 #include "coordination/fleet/fleet_answers.hpp"
 #include "coordination/fleet/fleet_service.hpp"
+#include "coordination/fleet/worker_room.hpp"
+#include "state/worker_cost.hpp"
 
 #include "base/log.hpp"
 
 #include <absl/strings/str_cat.h>
 
+#include <cstdlib>
 #include <utility>
 
 namespace limpetstack::fleet
@@ -125,6 +128,19 @@
             }
         }
     }
+    const auto cost = worker_cost(record);
+    const auto known = current == state_.workers().end()
+                           ? std::size_t{0}
+                           : worker_cost(current->second);
+    const worker_room room{dependencies_.worker_room_limit(),
+                           state_.workers_cost() + proposed_workers_cost_,
+                           known};
+    if (!has_room(room, cost))
+    {
+        log_worker_refusal(record, cost);
+        done(retry_later_answer());
+        return;
+    }
     log_event(log_level::info, "worker_reported",
               {{"worker", id},
                {"born_ms", absl::StrCat(record.born_ms())},
@@ -133,12 +149,39 @@
                {"sequence", absl::StrCat(report->sequence)}});
     fleet_command command;
     *command.mutable_worker() = record;
-    propose(std::move(command), done,
-            [this, report = *report, accepted](apply_result) -> forwarded_answer
-            {
-                dependencies_.record_report(report);
-                return accepted;
-            });
+    proposed_workers_cost_ += cost;
+    propose(
+        std::move(command),
+        [this, cost, done](const forwarded_answer& answer)
+        {
+            proposed_workers_cost_ -= cost;
+            done(answer);
+        },
+        [this, report = *report, accepted](apply_result) -> forwarded_answer
+        {
+            dependencies_.record_report(report);
+            return accepted;
+        });
+}
+
+void fleet_service::log_worker_refusal(const worker_record& worker,
+                                       std::size_t cost)
+{
+    ++workers_without_room_;
+    const auto now = dependencies_.wall_ms();
+    if (std::abs(now - worker_refusal_logged_ms_) <
+        refusal_log_interval.count())
+    {
+        return;
+    }
+    worker_refusal_logged_ms_ = now;
+    log_event(log_level::warning, "worker_room_exhausted",
+              {{"worker", worker.id()},
+               {"address", worker.address()},
+               {"cost_bytes", absl::StrCat(cost)},
+               {"kept_bytes", absl::StrCat(state_.workers_cost())},
+               {"limit_bytes", absl::StrCat(dependencies_.worker_room_limit())},
+               {"refused", absl::StrCat(workers_without_room_)}});
 }
 
 void fleet_service::remove_worker(const forwarded_call&, const std::string& id,
--- a/src/coordination/fleet/fleet_service.cpp
+++ b/src/coordination/fleet/fleet_service.cpp
@@ -17,9 +17,6 @@
 namespace
 {
 
-// Clients must not be able to fill the log.
-constexpr milliseconds refusal_log_interval{1000};
-
 // To find when a job is forgotten, all jobs are searched at most this often for
 // each holder.
 constexpr milliseconds expected_room_age{1000};
--- a/src/coordination/fleet/fleet_service.hpp
+++ b/src/coordination/fleet/fleet_service.hpp
@@ -41,11 +41,18 @@
     // Returns what accepted jobs may cost together, in bytes as `job_cost`
     // counts them.
     std::function<std::size_t()> job_room_limit;
+    // Returns what workers may cost together, in bytes as `worker_cost` counts
+    // them.
+    std::function<std::size_t()> worker_room_limit;
     // Time for which an ended job is kept.
     milliseconds ended_job_retention{130000};
     std::string report_address; // Address that workers report to from now on.
 };
 
+/// Refusals for lack of room are logged at most this often, so that clients can
+/// not fill the log.
+constexpr milliseconds refusal_log_interval{1000};
+
 using answer_handler = std::function<void(const forwarded_answer&)>;
 
 /// Answers calls of callers, workers and operators on the leader. It answers
@@ -68,6 +75,9 @@
     /// Returns the number of jobs that were refused for lack of room.
     std::uint64_t jobs_without_room() const { return jobs_without_room_; }
 
+    /// Returns the number of reports that were refused for lack of room.
+    std::uint64_t workers_without_room() const { return workers_without_room_; }
+
 private:
     struct selected_queue
     {
@@ -110,6 +120,7 @@
     void handle_control(const forwarded_call& call, const answer_handler& done);
     void report_worker(const forwarded_call& call, const std::string& id,
                        const answer_handler& done);
+    void log_worker_refusal(const worker_record& worker, std::size_t cost);
     void remove_worker(const forwarded_call& call, const std::string& id,
                        const answer_handler& done);
     void propose_removal(const worker_incarnation& worker,
@@ -136,6 +147,9 @@
     };
     std::map<job_holder, expected_room> expected_room_;
     std::int64_t refusal_logged_ms_ = 0;
+    std::size_t proposed_workers_cost_ = 0;
+    std::uint64_t workers_without_room_ = 0;
+    std::int64_t worker_refusal_logged_ms_ = 0;
 };
 
 /// Returns the phase of the job that callers are shown.
--- a/src/daemon/fleet/core_calls.cpp
+++ b/src/daemon/fleet/core_calls.cpp
@@ -4,6 +4,7 @@
 
 #include "base/log.hpp"
 #include "coordination/fleet/fleet_answers.hpp"
+#include "coordination/fleet/worker_room.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -84,6 +85,10 @@
     {
         return job_room_limit(settings_.memory_bytes, settings_.disk_bytes);
     };
+    dependencies.worker_room_limit = [this]
+    {
+        return worker_room_limit(settings_.memory_bytes);
+    };
     dependencies.ended_job_retention = settings_.scheduler.ended_job_retention;
     dependencies.report_address = settings_.control_address;
     return dependencies;
@@ -124,6 +129,8 @@
     if (!call.from_caller())
     {
         service_.handle(call, done);
+        counters_.set("workers_without_room",
+                      static_cast<double>(service_.workers_without_room()));
     }
     else
     {
--- a/src/state/fleet_snapshot.cpp
+++ b/src/state/fleet_snapshot.cpp
@@ -1,5 +1,6 @@
 // Writes the fleet's replicated state to a snapshot and reads it back.
 #include "state/fleet_state.hpp"
+#include "state/worker_cost.hpp"
 
 #include <google/protobuf/io/coded_stream.h>
 #include <google/protobuf/wire_format_lite.h>
@@ -273,6 +274,7 @@
     for (const auto& worker : in.workers())
     {
         restored.workers_[worker.id()] = worker;
+        restored.workers_cost_ += worker_cost(worker);
     }
     for (const auto& worker : in.gone_workers())
     {
--- a/src/state/fleet_state.hpp
+++ b/src/state/fleet_state.hpp
@@ -95,6 +95,9 @@
     std::size_t jobs_cost() const { return jobs_cost_; }
     std::size_t jobs_cost(const job_holder& holder) const;
 
+    /// Returns the cost of all workers, in bytes as `worker_cost` counts them.
+    std::size_t workers_cost() const { return workers_cost_; }
+
     const job_state* find_job(const std::string& id) const;
     const step_state* find_step(const run_ref& run) const;
 
@@ -136,6 +139,7 @@
     std::size_t jobs_cost_ = 0;
     std::map<job_holder, std::size_t> cost_by_holder_;
     std::map<std::string, worker_record> workers_;
+    std::size_t workers_cost_ = 0;
     std::deque<worker_incarnation> gone_workers_; // Oldest first.
     // Start times of the incarnations in `gone_workers_`, by worker.
     std::map<std::string, std::int64_t> gone_born_ms_;
--- a/src/state/fleet_workers.cpp
+++ b/src/state/fleet_workers.cpp
@@ -1,6 +1,7 @@
 // Implements the part of `fleet_state` that holds the workers and the evacuated
 // data centres.
 #include "state/fleet_state.hpp"
+#include "state/worker_cost.hpp"
 
 #include <algorithm>
 
@@ -54,6 +55,7 @@
     if (found == workers_.end())
     {
         workers_.emplace(worker.id(), worker);
+        workers_cost_ += worker_cost(worker);
         return apply_result::changed;
     }
     // A report of an earlier incarnation may arrive late, after the first
@@ -62,6 +64,8 @@
     {
         return apply_result::refused;
     }
+    workers_cost_ += worker_cost(worker);
+    workers_cost_ -= worker_cost(found->second);
     found->second = worker;
     return apply_result::changed;
 }
@@ -73,6 +77,7 @@
     {
         return apply_result::unchanged;
     }
+    workers_cost_ -= worker_cost(found->second);
     workers_.erase(found);
     if (worker.gone())
     {
--- a/test/fleet_service-test.cpp
+++ b/test/fleet_service-test.cpp
@@ -354,6 +354,31 @@
     EXPECT_TRUE(state.workers().empty());
 }
 
+// Guards against invented workers that are kept without a bound, and against
+// known ones that are refused with them.
+TEST_F(fleet_service_test, report_without_room_is_refused)
+{
+    use_document();
+    const auto path = "/-/instances/w1";
+    ASSERT_EQ(control_and_complete("PUT", path, report_text("ready", 5)), 200U);
+    worker_room_bytes = state.workers_cost();
+    EXPECT_EQ(
+        control_and_complete("PUT", "/-/instances/w2", report_text("ready", 5)),
+        503U);
+    EXPECT_GT(last_answer->retry_after_ms(), 0U);
+    EXPECT_EQ(service.workers_without_room(), 1U);
+    EXPECT_EQ(control_and_complete("PUT", path, report_text("draining", 5)),
+              200U);
+    EXPECT_TRUE(state.workers().at("w1").draining());
+    send(false, "DELETE", path);
+    finish_departures(true);
+    complete_requests();
+    EXPECT_EQ(state.workers_cost(), 0U);
+    EXPECT_EQ(
+        control_and_complete("PUT", "/-/instances/w2", report_text("ready", 5)),
+        200U);
+}
+
 // Guards against a worker that leaves before its runs have been stopped, and
 // against a departure that is called twice and answered once.
 TEST_F(fleet_service_test, departure_is_answered_when_the_removal_is_committed)
--- a/test/support/call_model.cpp
+++ b/test/support/call_model.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace limpetstack::fleet
 {
@@ -110,6 +111,11 @@
     {
         return host.term;
     };
+    out.job_room_limit = []
+    {
+        return std::numeric_limits<std::size_t>::max();
+    };
+    out.worker_room_limit = out.job_room_limit;
     out.wall_ms = []
     {
         return std::int64_t{1700000000000};
--- a/test/support/fleet_service_fixture.hpp
+++ b/test/support/fleet_service_fixture.hpp
@@ -84,6 +84,10 @@
         {
             return job_room_bytes;
         };
+        out.worker_room_limit = [this]
+        {
+            return worker_room_bytes;
+        };
         out.report_address = "10.0.0.9:1";
         return out;
     }
@@ -191,6 +195,7 @@
         departures;
     std::optional<forwarded_answer> last_answer;
     bool group_applies_evacuations = true;
+    std::size_t worker_room_bytes = std::numeric_limits<std::size_t>::max();
     std::size_t job_room_bytes = std::numeric_limits<std::size_t>::max();
     std::uint64_t term = 3;
     std::uint64_t sent_to_term = 0; // Of the calls that are sent next.
