Remember a limited number of introduced hosts

Whoever reached the port between the processes could introduce core hosts that do not exist. Connections that had sent a ping stayed listed after they were closed, until the next change of leader.

At most 64 hosts are now remembered beside the members of the group. Hosts that have been silent for 60 s make room for others, names have at most 255 bytes, and closed connections leave the list when another one joins it.

--- a/src/daemon/fleet/core_node.hpp
+++ b/src/daemon/fleet/core_node.hpp
@@ -79,6 +79,9 @@
     void on_consensus(const wire::consensus_message& message);
     void send_message(const wire::consensus_message& message);
     void record_observed_host(const hello& from);
+    bool learn_host(std::uint64_t replica, const std::string& address);
+    void forget_silent_hosts(time_point now);
+    void drop_closed_subscribers();
     void update_leadership();
     bool may_act_as_leader(std::uint64_t term) const;
     void confirm_after_gap(time_point now);
@@ -126,8 +129,9 @@
     std::map<std::uint64_t, observed_host> observed_hosts_;
     std::map<std::uint64_t, std::string>
         replica_addresses_; // By replica identity.
-    // Peer addresses learned from pings and consensus messages.
-    std::set<std::string> learned_addresses_;
+    // Peer addresses learned from pings and consensus messages, and when they
+    // were last heard of.
+    std::map<std::string, time_point> learned_addresses_;
     // Connections that have sent a ping; they receive changes of the status.
     std::vector<std::weak_ptr<frame_connection>> status_subscribers_;
     // A control call that was forwarded to the leader.
--- a/src/daemon/fleet/core_peers.cpp
+++ b/src/daemon/fleet/core_peers.cpp
@@ -3,8 +3,10 @@
 #include "daemon/fleet/core_node.hpp"
 
 #include "coordination/member_rules.hpp"
+#include "transport/address.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace limpetstack::fleet
@@ -14,6 +16,16 @@
 
 constexpr std::uint32_t retry_after_ms = 1000;
 
+// Core hosts that are remembered, which are called as well. A group has at most
+// 7 voters; others are learners and successors.
+constexpr std::size_t max_learned_hosts = 64;
+
+// A host that has been silent for this long may be forgotten.
+constexpr milliseconds host_memory{60000};
+
+// Names and addresses in an introduction are shorter.
+constexpr std::size_t max_hello_text_bytes = 255;
+
 http_server_answer to_http(const forwarded_answer& answer)
 {
     http_server_answer out;
@@ -35,7 +47,10 @@
         targets.insert(member.peer_address());
         replica_addresses_[member.id()] = member.peer_address();
     }
-    targets.insert(learned_addresses_.begin(), learned_addresses_.end());
+    for (const auto& [address, heard_at] : learned_addresses_)
+    {
+        targets.insert(address);
+    }
     targets.erase(settings_.peer_address);
     links_->set_targets(targets);
 }
@@ -57,31 +72,78 @@
 {
     if (!message.from_address().empty())
     {
-        replica_addresses_[message.from()] = message.from_address();
-        if (learned_addresses_.insert(message.from_address()).second)
-        {
-            update_targets();
-        }
+        learn_host(message.from(), message.from_address());
     }
     runner_->receive(message, boot_now());
     update_leadership();
     run_due_work();
 }
 
+// Remembers where a core host is. Anybody can introduce hosts, and each is
+// called, so that only a limited number is remembered beside the members of the
+// group. Returns false when there are too many.
+bool core_node::learn_host(std::uint64_t replica, const std::string& address)
+{
+    if (address.size() > max_hello_text_bytes || !parse_endpoint(address))
+    {
+        return false;
+    }
+    const auto now = boot_now();
+    const bool known = learned_addresses_.count(address) > 0 &&
+                       replica_addresses_.count(replica) > 0;
+    if (!known)
+    {
+        forget_silent_hosts(now);
+        if (learned_addresses_.size() >= max_learned_hosts ||
+            replica_addresses_.size() >= max_learned_hosts + max_voters)
+        {
+            counters_.add("hosts_ignored_total");
+            return false;
+        }
+    }
+    replica_addresses_[replica] = address;
+    const bool added = learned_addresses_.count(address) == 0;
+    learned_addresses_[address] = now;
+    if (added)
+    {
+        update_targets();
+    }
+    return true;
+}
+
+void core_node::forget_silent_hosts(time_point now)
+{
+    for (auto at = learned_addresses_.begin(); at != learned_addresses_.end();)
+    {
+        at = now - at->second > host_memory ? learned_addresses_.erase(at)
+                                            : std::next(at);
+    }
+    const auto& members = runner_->replica().log().members();
+    for (auto at = replica_addresses_.begin(); at != replica_addresses_.end();)
+    {
+        const bool needed = find_member(members, at->first) != nullptr ||
+                            learned_addresses_.count(at->second) > 0;
+        at = needed ? std::next(at) : replica_addresses_.erase(at);
+    }
+    for (auto at = observed_hosts_.begin(); at != observed_hosts_.end();)
+    {
+        at = now - at->second.last_ping > host_memory
+                 ? observed_hosts_.erase(at)
+                 : std::next(at);
+    }
+}
+
 void core_node::record_observed_host(const hello& from)
 {
-    if (!from.core())
+    if (!from.core() || from.name().size() > max_hello_text_bytes ||
+        from.data_centre().size() > max_hello_text_bytes ||
+        !learn_host(from.replica(), from.peer_address()))
     {
         return;
     }
     observed_hosts_[from.replica()] = {
         from.replica(),     from.name(), from.peer_address(),
         from.data_centre(), boot_now(),  from.applies_evacuations()};
-    replica_addresses_[from.replica()] = from.peer_address();
-    if (learned_addresses_.insert(from.peer_address()).second)
-    {
-        update_targets();
-    }
 }
 
 void core_node::on_peer_frame(const std::shared_ptr<frame_connection>& from,
@@ -100,6 +162,7 @@
                         });
         if (!known)
         {
+            drop_closed_subscribers();
             status_subscribers_.push_back(from);
         }
         peer_frame answer;
@@ -184,10 +247,8 @@
     return out;
 }
 
-void core_node::push_status()
+void core_node::drop_closed_subscribers()
 {
-    peer_frame frame;
-    *frame.mutable_status() = status();
     auto& list = status_subscribers_;
     list.erase(std::remove_if(list.begin(), list.end(),
                               [](const auto& item)
@@ -196,7 +257,14 @@
                                   return !open || !open->is_open();
                               }),
                list.end());
-    for (const auto& item : list)
+}
+
+void core_node::push_status()
+{
+    peer_frame frame;
+    *frame.mutable_status() = status();
+    drop_closed_subscribers();
+    for (const auto& item : status_subscribers_)
     {
         if (const auto to = item.lock())
         {
--- a/test/process/untrusted_peers-test.cpp
+++ b/test/process/untrusted_peers-test.cpp
@@ -7,9 +7,11 @@
 #include "support/client_crowd.hpp"
 #include "support/fleet_hosts.hpp"
 
+#include <fleet.pb.h>
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <cstdint>
 #include <cstdio>
 #include <string>
 
@@ -99,5 +101,31 @@
     check();
 }
 
+// Guards against introductions of hosts that do not exist, which are all kept
+// and called.
+TEST_F(untrusted_peers, invented_hosts)
+{
+    start();
+    std::string pings;
+    for (std::uint64_t number = 1; number <= 300; ++number)
+    {
+        fleet::peer_frame frame;
+        auto& from = *frame.mutable_ping()->mutable_from();
+        from.set_core(true);
+        from.set_replica(number);
+        from.set_name(std::string(number == 1 ? 1 : mebibyte, 'x'));
+        from.set_peer_address("127.0.0.1:" + std::to_string(number));
+        const auto size = static_cast<std::uint32_t>(frame.ByteSizeLong());
+        for (int shift = 24; shift >= 0; shift -= 8)
+        {
+            pings.push_back(static_cast<char>((size >> shift) & 0xFFU));
+        }
+        frame.AppendToString(&pings);
+    }
+    client_crowd crowd(address(), 1, {pings, "", 0});
+    attack(crowd);
+    check();
+}
+
 } // namespace
 } // namespace limpetstack::test
