--- a/test/run_limit-test.cpp
+++ b/test/run_limit-test.cpp
@@ -89,7 +89,8 @@
     fixture.submit("gang", step_without_needs(50, true), "normal", "ordinary");
     schedule_often();
     EXPECT_EQ(runs_of("gang"), 0U);
-    fixture.submit("fitting", step_without_needs(20, true), "normal", "ordinary");
+    fixture.submit("fitting", step_without_needs(20, true), "normal",
+                   "ordinary");
     schedule_often();
     EXPECT_EQ(runs_of("fitting"), 20U);
 }
