Keep no body of a call whose refusal is confirmed

While a majority confirmed that a call was refused (no key, no such queue), the leader kept the whole call, and three times as much for one that was sent again: bodies of up to 256 kB that anybody can send, for as long as the majority does not answer. It now keeps the call without its body.

--- a/src/coordination/fleet/fleet_answers.hpp
+++ b/src/coordination/fleet/fleet_answers.hpp
@@ -18,6 +18,20 @@
 /// The status of a call about a job that does not exist.
 constexpr unsigned gone_status = 410;
 
+/// Returns the call without its body, to be kept while a majority confirms the
+/// answer: the body may be large, and anybody can send it.
+inline forwarded_call without_body(const forwarded_call& call)
+{
+    forwarded_call out;
+    out.set_id(call.id());
+    out.set_method(call.method());
+    out.set_host(call.host());
+    out.set_target(call.target());
+    out.set_authorization(call.authorization());
+    out.set_origin(call.origin());
+    return out;
+}
+
 /// Returns an answer with the HTTP status and a JSON body.
 inline forwarded_answer json_answer(unsigned status, std::string body = "{}")
 {
--- a/src/coordination/fleet/fleet_repeated_calls.cpp
+++ b/src/coordination/fleet/fleet_repeated_calls.cpp
@@ -66,18 +66,19 @@
 void fleet_service::handle_repeated(const forwarded_call& call,
                                     const answer_handler& done)
 {
-    handle_caller(call,
-                  [this, call, done](const forwarded_answer& answer)
-                  {
-                      if (is_refusal(answer))
-                      {
-                          confirm_refusal(call, answer, done);
-                      }
-                      else
-                      {
-                          done(answer);
-                      }
-                  });
+    handle_caller(
+        call,
+        [this, call = without_body(call), done](const forwarded_answer& answer)
+        {
+            if (is_refusal(answer))
+            {
+                confirm_refusal(call, answer, done);
+            }
+            else
+            {
+                done(answer);
+            }
+        });
 }
 
 // A refusal says that this sending of the call had no effect. Once a barrier is
--- a/src/coordination/fleet/fleet_service.cpp
+++ b/src/coordination/fleet/fleet_service.cpp
@@ -174,7 +174,7 @@
                                      const answer_handler& done)
 {
     dependencies_.read(
-        [this, call, done](bool confirmed)
+        [this, call = without_body(call), done](bool confirmed)
         {
             if (!confirmed)
             {
--- a/test/job_size-test.cpp
+++ b/test/job_size-test.cpp
@@ -3,6 +3,7 @@
 // counted in allocations and allocated bytes, which do not depend on the
 // machine's speed.
 #include "support/fleet_fixture.hpp"
+#include "support/fleet_service_fixture.hpp"
 
 #include <gtest/gtest.h>
 
@@ -329,5 +330,30 @@
     }
 }
 
+// Guards against bodies that the leader keeps while a majority confirms a
+// refusal; anybody can send them.
+TEST_F(fleet_service_test, refused_call_keeps_no_body)
+{
+    use_document();
+    forwarded_call call;
+    call.set_from_caller(true);
+    call.set_method("POST");
+    call.set_host("a.example");
+    call.set_target(job_path);
+    call.set_authorization("Bearer unknown");
+    call.set_body(std::string(262144, 'x'));
+    for (const bool repeated : {false, true})
+    {
+        call.set_repeated(repeated);
+        const auto done = work_of(
+            [&]
+            {
+                service.handle(call, [](const forwarded_answer&) {});
+            });
+        EXPECT_LE(done.bytes, 16384U) << repeated;
+    }
+    EXPECT_EQ(reads.size(), 2U);
+}
+
 } // namespace
 } // namespace limpetstack::fleet
