Close silent connections to the peers' listener after 3 s

600 connections to limpetstackd's gRPC listener that sent nothing took all but two of 400 descriptors for 120 s, gRPC's default time for a handshake. Callers got no answer meanwhile: no descriptor was left for connections to upstreams.

The time for the handshake is now 3 s. What remains: gRPC has no limit on the number of connections, so that a crowd which connects again every 3 s still takes the descriptors.

--- a/experiment/deployment.cpp
+++ b/experiment/deployment.cpp
@@ -203,6 +203,11 @@
     return stand_ins_.at(id)->address;
 }
 
+std::string deployment::peers(const std::string& host) const
+{
+    return daemons_.at(host)->peers;
+}
+
 std::string deployment::callers(const std::string& host) const
 {
     return daemons_.at(host)->callers;
--- a/experiment/deployment.hpp
+++ b/experiment/deployment.hpp
@@ -56,6 +56,7 @@
 
     std::string callers(const std::string& host) const;
     std::string operators(const std::string& host) const;
+    std::string peers(const std::string& host) const;
     std::vector<std::string> hosts() const;
 
     /// Sets the state of the link on which `from` calls `to`.
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -19,6 +19,10 @@
 // Must not be above the peers' keepalive time, or they are disconnected.
 constexpr int ping_interval_ms = 1000;
 
+// A connection that has not begun to speak HTTP/2 by then is closed. Anybody
+// can open one, and each takes a descriptor.
+constexpr int handshake_timeout_ms = 3000;
+
 template <class Handler, class Request, class Response>
 grpc::Status answer(const Handler& handler, const Request& request,
                     Response* response)
@@ -217,6 +221,8 @@
         GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
         ping_interval_ms);
     builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+    builder.AddChannelArgument(GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS,
+                               handshake_timeout_ms);
     builder.SetMaxReceiveMessageSize(message_limit_bytes);
     builder.SetMaxSendMessageSize(message_limit_bytes);
     grpc::ResourceQuota quota;
--- a/test/process/untrusted_listener_clients-test.cpp
+++ b/test/process/untrusted_listener_clients-test.cpp
@@ -7,12 +7,11 @@
 #include "experiment/deployment.hpp"
 #include "experiment/http.hpp"
 #include "support/client_crowd.hpp"
+#include "support/descriptor_limit.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <cstdio>
 #include <filesystem>
@@ -157,25 +156,6 @@
     process_usage usage_;
 };
 
-// Lowers the soft limit of descriptors until it is destroyed, so that a process
-// that is started meanwhile inherits it.
-class descriptor_limit
-{
-public:
-    explicit descriptor_limit(rlim_t count)
-    {
-        ::getrlimit(RLIMIT_NOFILE, &previous_);
-        const rlimit lowered{count, previous_.rlim_max};
-        ::setrlimit(RLIMIT_NOFILE, &lowered);
-    }
-    ~descriptor_limit() { ::setrlimit(RLIMIT_NOFILE, &previous_); }
-    descriptor_limit(const descriptor_limit&) = delete;
-    descriptor_limit& operator=(const descriptor_limit&) = delete;
-
-private:
-    rlimit previous_{};
-};
-
 // Guards against a request line that is buffered without a bound.
 TEST_P(untrusted_listener_clients, endless_request_line)
 {
