Serve the newest waiting connection first

Beside 1,300 connections to limpetstackd's operators' listener that sent 'GET ' and nothing more, an ordinary request waited for 56 s, and beside 400 that pipelined reads and took no answer for 45 s: all threads serve the crowd, each connection for a second or more, and an ordinary client waited behind all that came before it.

Connections that wait for a thread are now taken newest first. Without a crowd none waits, so that the order changes only under overload, where the oldest connections are also the first to be closed.

No process test checks times; newest_first_pool checks the order. What remains: a crowd that connects again all the time.

--- a/src/transport/bounded_http_server.cpp
+++ b/src/transport/bounded_http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "base/metrics.hpp"
+#include "transport/newest_first_pool.hpp"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -75,7 +76,7 @@
     connection_budget& budget_;
     const std::uint32_t threads_;
     const std::uint32_t max_waiting_;
-    httplib::ThreadPool pool_;
+    newest_first_pool pool_;
 };
 
 } // namespace
