--- a/src/coordination/fleet/job_room.cpp
+++ b/src/coordination/fleet/job_room.cpp
@@ -7,11 +7,11 @@
 namespace
 {
 
-constexpr std::size_t memory_divisor = 4;
+constexpr double memory_share = 0.375;
 
 // The files hold a quarter of what is counted, once in the last snapshot and
-// once in the next one.
-constexpr std::size_t disk_divisor = 2;
+// once in the next one, beside the log.
+constexpr double disk_share = 0.75;
 
 // A snapshot, a quarter of this at most, is sent to another host in one frame
 // of at most 48 MiB, together with the document.
@@ -28,8 +28,14 @@
 
 std::size_t job_room_limit(std::size_t memory_bytes, std::size_t disk_bytes)
 {
-    const auto limit = std::min(memory_bytes / memory_divisor, max_room_bytes);
-    return disk_bytes == 0 ? limit : std::min(limit, disk_bytes / disk_divisor);
+    const auto part_of = [](std::size_t bytes, double share)
+    {
+        return static_cast<std::size_t>(static_cast<double>(bytes) * share);
+    };
+    const auto limit =
+        std::min(part_of(memory_bytes, memory_share), max_room_bytes);
+    return disk_bytes == 0 ? limit
+                           : std::min(limit, part_of(disk_bytes, disk_share));
 }
 
 } // namespace limpetstack::fleet
--- a/test/process/untrusted_jobs-test.cpp
+++ b/test/process/untrusted_jobs-test.cpp
@@ -183,6 +183,15 @@
     check();
 }
 
+// Guards against shares that are each within the memory and together are not.
+TEST_F(untrusted_jobs, large_jobs_of_several_holders)
+{
+    start();
+    send({300, "/q/", "flooding", large_job()});
+    send({300, "/open/", "", large_job()});
+    check();
+}
+
 // Guards against many jobs of which each costs several times what was sent.
 TEST_F(untrusted_jobs, jobs_with_a_spec)
 {
