--- a/src/coordination/fleet/fleet_service.cpp
+++ b/src/coordination/fleet/fleet_service.cpp
@@ -323,7 +323,8 @@
     ++jobs_without_room_;
     const auto holder = holder_of(job);
     auto answer = json_answer(
-        503, protocol_.encode_error("too many jobs are kept for this account"));
+        503, protocol_.encode_error(
+                 "too many jobs are kept for this account or queue"));
     answer.set_retry_after_ms(
         static_cast<std::uint32_t>(time_until_room(holder).count()));
     const auto now = dependencies_.wall_ms();
--- a/src/coordination/fleet/job_room.cpp
+++ b/src/coordination/fleet/job_room.cpp
@@ -13,9 +13,9 @@
 // once in the next one, beside the log.
 constexpr double disk_share = 0.75;
 
-// A snapshot, a quarter of this at most, is sent to another host in one frame
-// of at most 48 MiB, together with the document.
-constexpr std::size_t max_room_bytes = 128U << 20U;
+// A snapshot is sent to another host in one frame of at most 48 MiB. It holds a
+// quarter of this for jobs, 12 MiB for workers, and a document of up to 8 MiB.
+constexpr std::size_t max_room_bytes = 96U << 20U;
 
 } // namespace
 
--- a/test/job_room-test.cpp
+++ b/test/job_room-test.cpp
@@ -46,7 +46,7 @@
     EXPECT_EQ(job_room_limit(256 * mebibyte, 128 * mebibyte), 96 * mebibyte);
     EXPECT_EQ(job_room_limit(256 * mebibyte, 64 * mebibyte), 48 * mebibyte);
     EXPECT_EQ(job_room_limit(256 * mebibyte, 0), 96 * mebibyte);
-    EXPECT_EQ(job_room_limit(4096 * mebibyte, 0), 128 * mebibyte);
+    EXPECT_EQ(job_room_limit(4096 * mebibyte, 0), 96 * mebibyte);
 }
 
 } // namespace
