--- a/test/process/untrusted_jobs-test.cpp
+++ b/test/process/untrusted_jobs-test.cpp
@@ -84,6 +84,7 @@
         std::atomic<int> accepted{0};
         std::atomic<int> running{connections};
         std::vector<std::thread> clients;
+        clients.reserve(connections);
         for (int c = 0; c < connections; ++c)
         {
             clients.emplace_back(
