--- a/experiment/deployment.cpp
+++ b/experiment/deployment.cpp
@@ -136,6 +136,17 @@
     }
 }
 
+bool deployment::start_with(const std::string& document)
+{
+    start();
+    return wait_until(
+        [&]
+        {
+            return apply(plans_.front().host, 0, document, "first")
+                       .value("code", "") == "accepted";
+        });
+}
+
 void deployment::restart(const std::string& host)
 {
     launch(host, false);
--- a/experiment/deployment.hpp
+++ b/experiment/deployment.hpp
@@ -38,6 +38,10 @@
     /// Starts all daemons; the first voter founds the control group.
     void start();
 
+    /// Starts all daemons and applies the first document on the first host.
+    /// Returns false when it is not accepted in time.
+    bool start_with(const std::string& document);
+
     /// Starts one daemon again, on the same addresses.
     void restart(const std::string& host);
 
--- a/src/coordination/fleet/fleet_pending_steps.cpp
+++ b/src/coordination/fleet/fleet_pending_steps.cpp
@@ -50,10 +50,6 @@
                        : most_failures(step) >= queue.attempts;
 }
 
-// Subtasks under which workers have crashed repeatedly wait for at most this
-// time for a lack of other losses.
-constexpr milliseconds longest_wait_for_calm{20000};
-
 // A refresh takes up occurrences of a job until it has looked at this many
 // steps; the others follow when these are done.
 constexpr std::size_t max_steps_per_refresh = 1024;
@@ -358,55 +354,6 @@
     refresh_suspects(item, state);
 }
 
-void fleet_scheduler::refresh_suspects(pending_step& item,
-                                       const step_state* state)
-{
-    item.suspects = {};
-    item.repeated_suspects = {};
-    item.crashed_addresses.clear();
-    if (state == nullptr)
-    {
-        return;
-    }
-    for (const auto index : state->crashed)
-    {
-        if (!item.indices.contains(index))
-        {
-            continue;
-        }
-        const auto& crashes = state->subtasks.at(index).crashes;
-        item.suspects.insert(index);
-        if (must_await_calm(crashes))
-        {
-            item.repeated_suspects.insert(index);
-        }
-        for (const auto& crash : crashes)
-        {
-            item.crashed_addresses.insert(crash.address);
-        }
-    }
-}
-
-// Returns the subtasks of the step that may start now. One under which workers
-// have crashed repeatedly starts only while the cause of another crash would be
-// known, or after a long wait; of a gang, all members wait for that.
-index_set fleet_scheduler::startable_indices(const pending_step& item,
-                                             time_point now) const
-{
-    if (item.repeated_suspects.empty() || losses_rare_ ||
-        now - item.since >= longest_wait_for_calm)
-    {
-        return item.indices;
-    }
-    if (item.all_or_nothing())
-    {
-        return {};
-    }
-    auto indices = item.indices;
-    indices.erase(item.repeated_suspects);
-    return indices;
-}
-
 double allowed_delay_ms(const queue_config& queue, const step_spec& step)
 {
     return (queue.stretch - 1) * static_cast<double>(step.estimate_ms()) +
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -32,16 +32,6 @@
         request.verified_only, "/", last_resort);
 }
 
-// Returns the indices that are in both sets.
-index_set intersection(const index_set& a, const index_set& b)
-{
-    auto only_in_a = a;
-    only_in_a.erase(b);
-    auto in_both = a;
-    in_both.erase(only_in_a);
-    return in_both;
-}
-
 // Returns the lowest `count` indices of the set.
 std::vector<std::uint32_t> first_of(const index_set& indices, std::size_t count)
 {
@@ -384,54 +374,6 @@
     return item.indices.empty();
 }
 
-// Places a gang, or one of the subtasks, on workers that can take it alone. If
-// none can, and it has waited for as long as for other preferences, it starts
-// beside other starts. Suspects of several crashes always start on workers that
-// have not just restarted.
-void fleet_scheduler::place_suspects(const pending_step_key& key,
-                                     pending_step& item,
-                                     const index_set& suspects,
-                                     placement_request request, time_point now)
-{
-    if (suspects.empty())
-    {
-        return;
-    }
-    request.steady_only =
-        !intersection(item.repeated_suspects, suspects).empty();
-    if (request.steady_only && !item.calm_since)
-    {
-        item.calm_since = now;
-    }
-    const auto waiting_since =
-        request.steady_only ? *item.calm_since : item.since;
-    auto alone = request;
-    alone.isolated = true;
-    alone.count = item.all_or_nothing() ? suspects.size() : 1;
-    const auto waiting = item.indices.size();
-    place_subtasks(key, item, suspects, std::move(alone), now);
-    if (item.indices.size() == waiting && request.preferences_expired &&
-        now - waiting_since >= preference_wait_limit)
-    {
-        request.count = suspects.size();
-        place_subtasks(key, item, suspects, std::move(request), now);
-    }
-}
-
-// Keeps other starts away from workers that run a suspect.
-void fleet_scheduler::begin_trials(const std::vector<std::string>& workers,
-                                   time_point now)
-{
-    for (const auto& id : workers)
-    {
-        workers_.begin_trial(id, now);
-        if (auto* const candidate = find_candidate(candidates_, id))
-        {
-            candidate->in_trial = true;
-        }
-    }
-}
-
 // Places as many subtasks of the request as fit, the lowest of `indices` first.
 void fleet_scheduler::place_subtasks(const pending_step_key& key,
                                      pending_step& item,
--- a/src/daemon/fleet/core_calls.cpp
+++ b/src/daemon/fleet/core_calls.cpp
@@ -4,7 +4,6 @@
 
 #include "base/log.hpp"
 #include "coordination/fleet/fleet_answers.hpp"
-#include "coordination/fleet/worker_room.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -83,11 +82,11 @@
     dependencies.wall_ms = wall_clock_ms;
     dependencies.job_room_limit = [this]
     {
-        return job_room_limit(settings_.memory_bytes, settings_.disk_bytes);
+        return limits_.job_room;
     };
     dependencies.worker_room_limit = [this]
     {
-        return worker_room_limit(settings_.memory_bytes);
+        return limits_.worker_room;
     };
     dependencies.ended_job_retention = settings_.scheduler.ended_job_retention;
     dependencies.report_address = settings_.control_address;
--- a/src/daemon/fleet/core_node.cpp
+++ b/src/daemon/fleet/core_node.cpp
@@ -4,7 +4,6 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -31,43 +30,6 @@
 
 constexpr std::uint32_t max_control_body_bytes = 8U << 20U;
 
-// The part of the memory that live runs may take on the leader, and what each
-// takes with its part of the replicated state.
-constexpr std::size_t runs_memory_divisor = 3;
-constexpr std::size_t bytes_per_run = 2048;
-
-// The log on the disk is read and written as a whole when a snapshot is taken,
-// which takes several times its size.
-constexpr std::size_t log_memory_divisor = 32;
-constexpr std::size_t retained_log_divisor = 2;
-
-log_bounds make_log_bounds(const node_settings& settings)
-{
-    log_bounds bounds;
-    bounds.bytes_per_snapshot = std::min(
-        bounds.bytes_per_snapshot, settings.memory_bytes / log_memory_divisor);
-    bounds.retained_bytes = bounds.bytes_per_snapshot / retained_log_divisor;
-    return bounds;
-}
-
-// The parts of the memory and of the descriptors that connections of other
-// hosts may take, and what each connection takes with its buffers.
-constexpr std::size_t peer_bytes_divisor = 4;
-constexpr std::size_t peer_connections_memory_divisor = 8;
-constexpr std::size_t peer_descriptors_divisor = 4;
-constexpr std::size_t bytes_per_peer_connection = 32768;
-
-frame_listener_limits peer_limits_for(const node_settings& settings)
-{
-    frame_listener_limits limits;
-    limits.kept_bytes = settings.memory_bytes / peer_bytes_divisor;
-    limits.connections =
-        std::min(settings.memory_bytes / peer_connections_memory_divisor /
-                     bytes_per_peer_connection,
-                 settings.max_descriptors / peer_descriptors_divisor);
-    return limits;
-}
-
 consensus_options make_consensus_options(const node_settings& settings,
                                          std::uint64_t id,
                                          milliseconds election_timeout)
@@ -88,6 +50,7 @@
                      metrics& counters)
     : io_(io)
     , settings_(settings)
+    , limits_(limits_of(settings))
     , counters_(counters)
     , protocol_(protocol)
     , storage_(std::move(storage))
@@ -109,8 +72,7 @@
 {
     settings_.workers.leadership_overlap =
         max_leadership_overlap(election_timeout);
-    settings_.scheduler.max_live_runs =
-        settings_.memory_bytes / runs_memory_divisor / bytes_per_run;
+    settings_.scheduler.max_live_runs = limits_.live_runs;
     consensus_runner::callbacks callbacks;
     callbacks.send = [this](const wire::consensus_message& message)
     {
@@ -162,7 +124,7 @@
     runner_ = std::make_unique<consensus_runner>(
         make_consensus_options(settings_, storage_.id, election_timeout),
         storage_.content, *storage_.log, disk_, state_, std::move(callbacks),
-        boot_now(), make_log_bounds(settings_));
+        boot_now(), limits_.log);
     storage_.content = {};
     use_document();
     report_evacuations();
@@ -205,7 +167,7 @@
     control_.set_capacity(
         capacity_for(settings_.memory_bytes, settings_.max_descriptors),
         &counters_);
-    listener_.set_limits(peer_limits_for(settings_), &counters_);
+    listener_.set_limits(limits_.peers, &counters_);
     if (!listener_.listen(settings_.peer_address) ||
         (!settings_.control_address.empty() &&
          !control_.listen(settings_.control_address)))
@@ -213,8 +175,7 @@
         return false;
     }
     counters_.set("job_room_limit_bytes",
-                  static_cast<double>(job_room_limit(settings_.memory_bytes,
-                                                     settings_.disk_bytes)));
+                  static_cast<double>(limits_.job_room));
     schedule_tick();
     return true;
 }
--- a/src/daemon/fleet/core_node.hpp
+++ b/src/daemon/fleet/core_node.hpp
@@ -8,6 +8,7 @@
 #include "coordination/fleet/leader_permission.hpp"
 #include "coordination/fleet/member_policy.hpp"
 #include "coordination/fleet/worker_fleet.hpp"
+#include "daemon/fleet/core_limits.hpp"
 #include "daemon/fleet/disk_thread.hpp"
 #include "daemon/fleet/node_settings.hpp"
 #include "daemon/fleet/replica_identity.hpp"
@@ -111,6 +112,7 @@
 
     boost::asio::io_context& io_;
     node_settings settings_;
+    const core_limits limits_;
     metrics& counters_;
     const external_protocol& protocol_;
     replica_storage storage_;
--- a/src/state/index_set.cpp
+++ b/src/state/index_set.cpp
@@ -81,4 +81,13 @@
     }
 }
 
+index_set intersection(const index_set& a, const index_set& b)
+{
+    auto only_in_a = a;
+    only_in_a.erase(b);
+    auto in_both = a;
+    in_both.erase(only_in_a);
+    return in_both;
+}
+
 } // namespace limpetstack::fleet
--- a/src/state/index_set.hpp
+++ b/src/state/index_set.hpp
@@ -45,6 +45,9 @@
     std::uint32_t size_ = 0;
 };
 
+/// Returns the indices that are in both sets.
+index_set intersection(const index_set& a, const index_set& b);
+
 inline bool operator==(const index_set& a, const index_set& b)
 {
     return a.ranges() == b.ranges();
--- a/test/process/bad_input-test.cpp
+++ b/test/process/bad_input-test.cpp
@@ -92,13 +92,7 @@
 
     void start()
     {
-        system.start();
-        ASSERT_TRUE(wait_until(
-            [&]
-            {
-                return system.apply("a1", 0, sample_document(), "first")
-                           .value("code", "") == "accepted";
-            }));
+        ASSERT_TRUE(system.start_with(sample_document()));
         system.add_upstream("u", "lookup", "north");
         ASSERT_TRUE(wait_until(
             [&]
--- a/test/process/untrusted_jobs-test.cpp
+++ b/test/process/untrusted_jobs-test.cpp
@@ -4,15 +4,12 @@
 // within its settings, also after a restart with the state that the flood left,
 // and that another client account is served.
 
-#include "experiment/deployment.hpp"
 #include "support/caller_connection.hpp"
-#include "support/client_crowd.hpp"
-#include "support/fleet_hosts.hpp"
+#include "support/core_attack.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
@@ -28,8 +25,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t mebibyte = 1U << 20U;
-
 // What the flooding client sends: jobs with bodies of one kind.
 struct flood
 {
@@ -60,23 +55,9 @@
                           {{"count", 1}, {"requires", std::string(3000, 'x')}});
 }
 
-class untrusted_jobs : public testing::Test
+class untrusted_jobs : public core_attack
 {
 protected:
-    untrusted_jobs()
-        : hosts_(std::string("untrusted-jobs-") +
-                 testing::UnitTest::GetInstance()->current_test_info()->name())
-    {
-    }
-
-    void start()
-    {
-        ASSERT_TRUE(hosts_.start(limits_));
-        sample();
-        std::printf("%zu bytes resident before\n", usage_.resident_bytes);
-        ASSERT_LE(usage_.resident_bytes, limits_.memory_mb * mebibyte / 2);
-    }
-
     // Sends the flood over a few connections; each ends with its share.
     void send(const flood& input)
     {
@@ -90,7 +71,7 @@
             clients.emplace_back(
                 [&, c]
                 {
-                    caller_connection connection(hosts_.callers());
+                    caller_connection connection(hosts().callers());
                     for (int job = c; job < input.jobs; job += connections)
                     {
                         accepted += send_job(connection, input, job) ? 1 : 0;
@@ -111,22 +92,6 @@
         EXPECT_GT(accepted, 0);
     }
 
-    // Checks the state that the flood left, and once more after a restart.
-    void check()
-    {
-        check_process();
-        hosts_.restart_core();
-        check_process();
-    }
-
-    fleet_hosts& hosts() { return hosts_; }
-
-    void sample()
-    {
-        usage_.sample(hosts_.core().pid());
-        disk_bytes_ = std::max(disk_bytes_, hosts_.disk_bytes());
-    }
-
 private:
     bool send_job(caller_connection& connection, const flood& input,
                   int job) const
@@ -142,29 +107,6 @@
         }
         return accepted;
     }
-
-    void check_process()
-    {
-        usage_.sample_until_steady(hosts_.core().pid());
-        const bool answered = wait_until(
-            [&]
-            {
-                sample();
-                return hosts_.submit_job("ordinary") == 200;
-            });
-        usage_.sample_until_steady(hosts_.core().pid());
-        std::printf("at most %zu bytes resident and %zu on disk\n",
-                    usage_.resident_bytes, disk_bytes_);
-        EXPECT_TRUE(hosts_.core().running());
-        EXPECT_LE(usage_.resident_bytes, limits_.memory_mb * mebibyte);
-        EXPECT_LE(disk_bytes_, limits_.disk_mb * mebibyte);
-        EXPECT_TRUE(answered);
-    }
-
-    const host_limits limits_;
-    fleet_hosts hosts_;
-    process_usage usage_;
-    std::size_t disk_bytes_ = 0;
 };
 
 // Guards against large accepted jobs whose copies in state, log and snapshot
@@ -173,7 +115,7 @@
 {
     start();
     send({300, "/q/", "flooding", large_job()});
-    check();
+    check_with_restart();
 }
 
 // Guards against callers without a key who take the room of the accounts.
@@ -181,7 +123,7 @@
 {
     start();
     send({300, "/open/", "", large_job()});
-    check();
+    check_with_restart();
 }
 
 // Guards against shares that are each within the memory and together are not.
@@ -190,7 +132,7 @@
     start();
     send({300, "/q/", "flooding", large_job()});
     send({300, "/open/", "", large_job()});
-    check();
+    check_with_restart();
 }
 
 // Guards against many jobs of which each costs several times what was sent.
@@ -200,7 +142,7 @@
     send({6000, "/q/", "flooding",
           json{{"spec", std::string(4000, 'x')}, {"steps", {{{"count", 1}}}}}
               .dump()});
-    check();
+    check_with_restart();
 }
 
 // Guards against steps that take a few bytes in the request and far more once
@@ -209,7 +151,7 @@
 {
     start();
     send({600, "/q/", "flooding", job_with_steps(256, {{"count", 1}})});
-    check();
+    check_with_restart();
 }
 
 // Guards against jobs all of whose occurrences are due at once, each of which
@@ -224,7 +166,7 @@
                {"interval_ms", 1},
                {"steps", {{{"count", 1}}}}}
               .dump()});
-    check();
+    check_with_restart();
 }
 
 // Guards against jobs that were cancelled and are still kept for queries.
@@ -237,7 +179,7 @@
             .dump()};
     input.cancels = true;
     send(input);
-    check();
+    check_with_restart();
 }
 
 // Guards against a limit that refuses what concerns an accepted job: a
@@ -254,7 +196,7 @@
                        fleet_hosts::request("GET", target, "flooding", "")));
     EXPECT_EQ(200, connection.call(
                        fleet_hosts::request("DELETE", target, "flooding", "")));
-    check();
+    check_with_restart();
 }
 
 // Guards against documents that the log retains whatever their size.
@@ -268,7 +210,7 @@
             200, hosts().put_document(fleet_hosts::document(version, padding)));
         sample();
     }
-    check();
+    check_with_restart();
 }
 
 } // namespace
--- a/test/process/untrusted_listener_clients-test.cpp
+++ b/test/process/untrusted_listener_clients-test.cpp
@@ -71,15 +71,8 @@
     // `padding` is the size of a comment in the document.
     void start(std::size_t padding = 0)
     {
-        system_.start();
-        const auto document =
-            sample_document() + "# " + std::string(padding, 'x') + "\n";
-        ASSERT_TRUE(wait_until(
-            [&]
-            {
-                return system_.apply("a1", 0, document, "first")
-                           .value("code", "") == "accepted";
-            }));
+        ASSERT_TRUE(system_.start_with(sample_document() + "# " +
+                                       std::string(padding, 'x') + "\n"));
         system_.add_upstream("u", "lookup", "north");
         ASSERT_TRUE(wait_until(
             [&]
--- a/test/process/untrusted_peer_listener-test.cpp
+++ b/test/process/untrusted_peer_listener-test.cpp
@@ -7,7 +7,6 @@
 #include "support/descriptor_limit.hpp"
 
 #include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
 
 #include <chrono>
 #include <cstdio>
@@ -31,14 +30,8 @@
                       {{"a1", "north", true, true}});
     {
         const descriptor_limit lowered(limit);
-        system.start();
+        ASSERT_TRUE(system.start_with(sample_document()));
     }
-    ASSERT_TRUE(wait_until(
-        [&]
-        {
-            return system.apply("a1", 0, sample_document(), "first")
-                       .value("code", "") == "accepted";
-        }));
     system.add_upstream("u", "lookup", "north");
     const client_crowd crowd(system.peers("a1"), 600, {"", "", 0});
     const auto pid = system.daemon("a1").pid();
--- a/test/process/untrusted_peers-test.cpp
+++ b/test/process/untrusted_peers-test.cpp
@@ -3,16 +3,13 @@
 // that its memory and descriptors stay within its settings, and that an
 // ordinary job is accepted while the crowd is still connected.
 
-#include "experiment/deployment.hpp"
 #include "support/client_crowd.hpp"
-#include "support/fleet_hosts.hpp"
+#include "support/core_attack.hpp"
 
 #include <fleet.pb.h>
 #include <gtest/gtest.h>
 
-#include <chrono>
 #include <cstdint>
-#include <cstdio>
 #include <string>
 
 namespace limpetstack::test
@@ -22,62 +19,10 @@
 
 constexpr std::size_t mebibyte = 1U << 20U;
 
-// Only ends a failed test.
-constexpr std::chrono::seconds answer_limit{60};
-
-class untrusted_peers : public testing::Test
+class untrusted_peers : public core_attack
 {
 protected:
-    untrusted_peers()
-        : hosts_(std::string("untrusted-peers-") +
-                 testing::UnitTest::GetInstance()->current_test_info()->name())
-    {
-    }
-
-    void start()
-    {
-        ASSERT_TRUE(hosts_.start(limits_));
-        sample();
-        ASSERT_LE(usage_.resident_bytes, limits_.memory_mb * mebibyte / 2);
-    }
-
-    std::string address() const { return hosts_.core_peers(); }
-    void sample() { usage_.sample(hosts_.core().pid()); }
-
-    void attack(client_crowd& crowd)
-    {
-        const auto sent = crowd.send(
-            [&]
-            {
-                sample();
-            });
-        std::printf("the crowd sent %zu bytes\n", sent);
-        usage_.sample_until_steady(hosts_.core().pid());
-    }
-
-    // The crowd must still be connected.
-    void check()
-    {
-        const bool answered = wait_until(
-            [&]
-            {
-                sample();
-                return hosts_.submit_job() == 200;
-            },
-            answer_limit);
-        sample();
-        std::printf("at most %zu bytes resident and %zu descriptors\n",
-                    usage_.resident_bytes, usage_.descriptors);
-        EXPECT_TRUE(hosts_.core().running());
-        EXPECT_LE(usage_.resident_bytes, limits_.memory_mb * mebibyte);
-        EXPECT_LE(usage_.descriptors, limits_.max_descriptors);
-        EXPECT_TRUE(answered);
-    }
-
-private:
-    const host_limits limits_;
-    fleet_hosts hosts_;
-    process_usage usage_;
+    std::string address() { return hosts().core_peers(); }
 };
 
 // Guards against a listener that accepts connections until no descriptor is
