--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -342,6 +342,7 @@
     refused_ = true;
     close_after_ = true;
     parser_.reset();
+    request_ = {};
     record_bytes(0);
     if (piece_pending_)
     {
