--- a/review/stand-ins-3/stage.hpp
+++ b/review/stand-ins-3/stage.hpp
@@ -51,6 +51,10 @@
     stage& operator=(const stage&) = delete;
 
     bool start_nodes();
+
+    /// Names the service that the settings call `advice`; before the start.
+    void set_advice(const std::string& address) { advice_ = address; }
+    std::string advice_ip() const { return network_ip(59); }
     void start_core(std::size_t index);
     void start_entry(std::size_t index);
     void kill_core(std::size_t index);
@@ -93,6 +97,7 @@
     const std::size_t cores_;
     const std::size_t entries_;
     std::string network_;
+    std::string advice_;
     std::map<std::string, std::unique_ptr<child>> nodes_;
     std::map<std::string, std::unique_ptr<child>> workers_;
     std::map<std::string, std::string> worker_addresses_;
--- a/review/stand-ins-3/worker.cpp
+++ b/review/stand-ins-3/worker.cpp
@@ -267,13 +267,21 @@
         status = 409;
         return {{"reason", "old"}};
     }
+    if (settings_.value("tickets", false) && order.value("ticket", "").empty())
+    {
+        status = 409;
+        return {{"reason", "ticket"}};
+    }
     const auto spec = order.value("spec", "");
     const bool timed =
         !spec.empty() && spec.find_first_not_of("0123456789") == spec.npos;
     runs_.push_back(
         {task, number,
          steady_ms() + (timed ? std::stoll(spec) : setting("run_ms", 1000))});
-    record_.write("begins", {{"task", task}, {"run", number}, {"spec", spec}});
+    record_.write("begins", {{"task", task},
+                             {"run", number},
+                             {"spec", spec},
+                             {"ticket", order.value("ticket", "")}});
     return json::object();
 }
 
