Let fillers and serving subtasks share workers, at a controlled pace

Cause: is_eligible() excluded workers with the other kind of work before any choice, so that neither the end of the preferences, the last resort nor preemption could lift it. step_waiting showed free_slots=0 on eight usable workers with free accelerators and memory.

Change: workers without the other kind come first, and the two share one when no other fits.

--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -65,6 +65,7 @@
             candidates_.push_back(
                 {&worker, worker.capacity - worker.used, 0,
                  worker.filler_runs > 0, worker.serving_runs > 0,
+                 worker_fleet::refuses_fillers(worker, now),
                  availability == worker_availability::avoided,
                  workers_.is_quiet(worker, now),
                  worker_fleet::is_steady(worker, now), now < worker.trial_until,
--- a/src/coordination/fleet/fleet_preferences.cpp
+++ b/src/coordination/fleet/fleet_preferences.cpp
@@ -52,8 +52,12 @@
                        {
                            const auto& worker = item.second;
                            const placement_candidate candidate{
-                               &worker, worker.capacity - worker.used, 0,
-                               worker.filler_runs > 0, worker.serving_runs > 0};
+                               &worker,
+                               worker.capacity - worker.used,
+                               0,
+                               worker.filler_runs > 0,
+                               worker.serving_runs > 0,
+                               worker_fleet::refuses_fillers(worker, now)};
                            if (workers_.is_present(worker, now) &&
                                !workers_.is_evacuated(worker) &&
                                is_eligible(candidate, doubled))
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -362,6 +362,7 @@
     last_round_ = now;
     refresh_jobs(now, wall_ms);
     stop_stalled_runs(now);
+    move_stopped_fillers(now);
     if (pending_.empty())
     {
         report_waits(now);
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -309,6 +309,8 @@
                  time_point now);
     void stop_stalled_runs(time_point now);
     void stop_stalled_run(const live_run& run, time_point now);
+    void move_stopped_fillers(time_point now);
+    bool fits_elsewhere(const live_run& run, time_point now) const;
     static subtask_id id_of(const run_ref& run);
     void record_end(const ended_run& ended, time_point now);
     void forget_failures(const std::string& job);
@@ -375,6 +377,7 @@
     std::map<std::string, failure_history> failure_histories_; // By worker.
     bool changed_ = true; // Something changed since the last round.
     time_point last_round_;
+    time_point next_filler_move_;
     std::map<std::string, milliseconds> longest_waits_; // By queue.
     time_point next_wait_report_;
 };
--- a/src/coordination/fleet/fleet_stalled_runs.cpp
+++ b/src/coordination/fleet/fleet_stalled_runs.cpp
@@ -6,6 +6,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -19,10 +21,14 @@
 // while others fit.
 constexpr milliseconds avoid_after_stall{8000};
 
+// A paced run takes as much longer as its pace is lower.
 run_progress progress_of(const live_run& run)
 {
+    constexpr std::int64_t full_pace = 100;
+    const auto pace =
+        std::max<std::int64_t>(run.pace.accepted.value_or(full_pace), 1);
     return {run.percent, run.started_at, run.progressed_at, run.listed_at,
-            milliseconds(run.estimate_ms)};
+            milliseconds(run.estimate_ms * full_pace / pace)};
 }
 
 // Returns true when the run may be at work, so that a gang with it is judged as
@@ -30,7 +36,7 @@
 bool is_at_work(const live_run& run)
 {
     return run.phase >= run_phase::starting && !run.stop_requested &&
-           !run.lasting;
+           !run.lasting && run.pace.accepted != 0;
 }
 
 } // namespace
--- a/src/coordination/fleet/fleet_waits.cpp
+++ b/src/coordination/fleet/fleet_waits.cpp
@@ -162,15 +162,20 @@
     std::uint64_t slots_quiet = 0;
     std::uint64_t slots_steady = 0;
     std::uint64_t workers_in_trial = 0;
+    std::uint64_t slots_shared = 0; // Where fillers would meet serving runs.
+    std::uint64_t workers_without_fillers = 0;
     std::map<std::string, std::uint64_t> slots_by_rack;
     for (const auto& candidate : candidates_)
     {
         workers_in_trial += candidate.in_trial ? 1 : 0;
+        workers_without_fillers +=
+            request.filler && candidate.refuses_fillers ? 1 : 0;
         if (is_eligible(candidate, request))
         {
             const auto fitting =
                 count_fitting(candidate, candidate.free, request);
             slots += fitting;
+            slots_shared += would_share(candidate, request) ? fitting : 0;
             slots_quiet += candidate.quiet ? fitting : 0;
             slots_steady += candidate.quiet && candidate.steady ? fitting : 0;
             slots_by_rack[candidate.worker->record.rack()] += fitting;
@@ -270,6 +275,8 @@
           absl::StrCat(slots_by_rack[request.preferred_rack])},
          {"free_slots_quiet", absl::StrCat(slots_quiet)},
          {"free_slots_steady", absl::StrCat(slots_steady)},
+         {"free_slots_shared", absl::StrCat(slots_shared)},
+         {"workers_refusing_fillers", absl::StrCat(workers_without_fillers)},
          {"workers_in_trial", absl::StrCat(workers_in_trial)},
          {"losses_rare", workers_.are_losses_rare(now) ? "yes" : "no"},
          {"runs_not_applied", absl::StrCat(states.proposed)},
--- a/src/coordination/fleet/guarded_worker_port.cpp
+++ b/src/coordination/fleet/guarded_worker_port.cpp
@@ -52,6 +52,16 @@
     }
 }
 
+void guarded_worker_port::pace(const worker_record& worker,
+                               const pace_order& order, milliseconds timeout,
+                               std::function<void(const order_answer&)> done)
+{
+    if (!withhold(done))
+    {
+        port_.pace(worker, order, timeout, std::move(done));
+    }
+}
+
 void guarded_worker_port::hold(const worker_record& worker,
                                const hold_order& order,
                                std::function<void(const hold_answer&)> done)
--- a/src/coordination/fleet/guarded_worker_port.hpp
+++ b/src/coordination/fleet/guarded_worker_port.hpp
@@ -29,6 +29,9 @@
     void stop(const worker_record& worker, const run_ref& run,
               std::uint64_t epoch, milliseconds timeout,
               std::function<void(const order_answer&)> done) override;
+    void pace(const worker_record& worker, const pace_order& order,
+              milliseconds timeout,
+              std::function<void(const order_answer&)> done) override;
     void hold(const worker_record& worker, const hold_order& order,
               std::function<void(const hold_answer&)> done) override;
     void request_lists(const worker_record& worker, const hold_order& order,
--- a/src/coordination/fleet/live_run.hpp
+++ b/src/coordination/fleet/live_run.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "coordination/fleet/resource_amounts.hpp"
+#include "coordination/fleet/run_pace.hpp"
 #include "state/fleet_state.hpp"
 
 #include <cstdint>
@@ -49,6 +50,10 @@
     bool lasting = false;
     bool filler = false;
     bool serves_users = false;
+    std::int64_t tail_latency_target_ms = 0; // 0: it does not serve users.
+    // The tail latency in the last lists, if they told it.
+    std::optional<double> tail_ms;
+    run_pace pace; // Of a filler.
     run_phase phase = run_phase::proposed;
     bool stop_requested = false;
     bool stop_sent = false;
--- a/src/coordination/fleet/placement_choice.cpp
+++ b/src/coordination/fleet/placement_choice.cpp
@@ -91,8 +91,9 @@
 
 // Returns the candidates that fit at least one subtask. Candidates of last
 // resort follow all others; within both groups, workers on which the step has
-// failed come last, and those of the preferred class and with the least free
-// capacity first. Isolated subtasks go to the workers with the least work.
+// failed come last, before them those that fillers and serving runs would
+// share, and those of the preferred class and with the least free capacity
+// first. Isolated subtasks go to the workers with the least work.
 candidate_indices
 by_fullness(const std::vector<placement_candidate>& candidates,
             const placement_request& request, const class_ranks& classes)
@@ -112,6 +113,7 @@
         return std::make_tuple(
             candidate.last_resort,
             request.failed_workers.count(candidate.worker->record.id()),
+            would_share(candidate, request),
             request.isolated && request.crashed_addresses.count(
                                     candidate.worker->record.address()) > 0,
             request.isolated && !candidate.steady,
@@ -286,22 +288,26 @@
 {
     const auto& record = candidate.worker->record;
     const auto& labels = record.labels();
-    // Filler work would slow down runs that serve users, so the two never share
-    // a worker.
-    const bool disturbs = (request.filler && candidate.serves_users) ||
-                          (request.serves_users && candidate.has_fillers);
+    const bool refused = request.filler && candidate.refuses_fillers;
     const bool allowed =
         !request.allowed || request.allowed->count(record.id()) > 0;
     return (!candidate.last_resort || request.last_resort_allowed) &&
            !candidate.in_trial && (candidate.quiet || !request.isolated) &&
            (candidate.steady || !request.steady_only) &&
-           (candidate.verified || !request.verified_only) && !disturbs &&
+           (candidate.verified || !request.verified_only) && !refused &&
            allowed && record.service() == request.service &&
            (request.required_label.empty() ||
             std::find(labels.begin(), labels.end(), request.required_label) !=
                 labels.end());
 }
 
+bool would_share(const placement_candidate& candidate,
+                 const placement_request& request)
+{
+    return (request.filler && candidate.serves_users) ||
+           (request.serves_users && candidate.has_fillers);
+}
+
 bool is_limited_to_one_rack(const placement_request& request)
 {
     return !request.other_racks_allowed &&
--- a/src/coordination/fleet/placement_choice.hpp
+++ b/src/coordination/fleet/placement_choice.hpp
@@ -19,6 +19,7 @@
     std::uint32_t runs_of_step = 0; // Runs of the same step on this worker.
     bool has_fillers = false;       // Runs filler work.
     bool serves_users = false;      // Has runs with a tail-latency target.
+    bool refuses_fillers = false;   // Takes no fillers beside these.
     bool last_resort = false;       // Used only when no other worker fits.
     bool quiet = true;              // No run is starting or has just started.
     bool steady = true;             // Has not just started.
@@ -77,6 +78,11 @@
 bool is_eligible(const placement_candidate& candidate,
                  const placement_request& request);
 
+/// Returns true when fillers and runs that serve users would share the worker.
+/// The request prefers other workers.
+bool would_share(const placement_candidate& candidate,
+                 const placement_request& request);
+
 /// Returns true when all subtasks of the request must be in one rack.
 bool is_limited_to_one_rack(const placement_request& request);
 
--- a/src/coordination/fleet/victim_choice.cpp
+++ b/src/coordination/fleet/victim_choice.cpp
@@ -79,11 +79,20 @@
     std::stable_sort(slots.begin(), slots.end(),
                      [&](const freed_slot& a, const freed_slot& b)
                      {
+                         if (a.rank != b.rank)
+                         {
+                             return a.rank < b.rank;
+                         }
+                         const auto& first = candidates[a.candidate];
+                         const auto& second = candidates[b.candidate];
+                         const bool shares = would_share(first, request);
+                         if (shares != would_share(second, request))
+                         {
+                             return !shares;
+                         }
                          // At the same cost, urgent work gets fast workers.
-                         return a.rank < b.rank ||
-                                (a.rank == b.rank && request.urgent &&
-                                 candidates[a.candidate].speed_class >
-                                     candidates[b.candidate].speed_class);
+                         return request.urgent &&
+                                first.speed_class > second.speed_class;
                      });
     victim_plan plan;
     for (std::size_t i = 0; i < request.count; ++i)
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -155,6 +155,11 @@
         live.estimate_ms = step.estimate_ms();
         live.filler = step.filler();
         live.serves_users = step.tail_latency_ms() > 0;
+        live.tail_latency_target_ms = step.tail_latency_ms();
+    }
+    if (phase == run_phase::adopted)
+    {
+        live.pace.accepted.reset(); // An earlier leader may have changed it.
     }
     if (auto* const worker = session_of(incarnation))
     {
@@ -170,6 +175,15 @@
     worker.used = worker.used + run.need;
     worker.filler_runs += run.filler ? 1 : 0;
     worker.serving_runs += run.serves_users ? 1 : 0;
+    if (run.filler || run.serves_users)
+    {
+        due_workers_.insert(worker.record.id()); // Its fillers may be paced.
+    }
+    if (worker.pace && (run.filler || run.serves_users))
+    {
+        set_pace(worker, restarted_pace(worker.pace, run.changed_at),
+                 std::nullopt);
+    }
 }
 
 worker_session* worker_fleet::session_of(const worker_incarnation& incarnation)
@@ -376,6 +390,7 @@
     remove_silent(worker, now);
     remove_displaced(worker, now);
     retry_unknown_stops(worker, now);
+    advance_pace(worker, now);
     if (now >= worker.retry_at && needs_hold(worker, now) &&
         may_confirm(worker))
     {
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "base/metrics.hpp"
 #include "coordination/fleet/answer_loss.hpp"
+#include "coordination/fleet/filler_pace.hpp"
 #include "coordination/fleet/live_run.hpp"
 #include "coordination/fleet/resource_amounts.hpp"
 #include "coordination/fleet/step_run_times.hpp"
@@ -40,6 +41,7 @@
     milliseconds max_stop_time{900};
     // A silent worker without runs is removed after this time.
     milliseconds remove_silent_after{60000};
+    pace_limits pace;
 };
 
 /// Why the leader ended a run, kept for a while after the end.
@@ -147,6 +149,10 @@
     /// then not the repetition of an earlier one.
     static bool is_steady(const worker_session& worker, time_point now);
 
+    /// Returns true when the worker takes no fillers, because one that could
+    /// not be paced has harmed the serving runs there.
+    static bool refuses_fillers(const worker_session& worker, time_point now);
+
     /// Returns true when so few workers were lost near that time, for causes
     /// other than a run that they had just started, that the crash of another
     /// one is evidence against such a run.
@@ -234,6 +240,16 @@
     std::function<void(const order_answer&)>
     answer_handler(const std::string& key, const worker_session& worker,
                    order_handler handler);
+    static bool is_paceable(const live_run& run);
+    void sample_tails(worker_session& worker, time_point sent, time_point now);
+    void set_pace(worker_session& worker, const filler_pace& pace,
+                  std::optional<double> load);
+    void advance_pace(worker_session& worker, time_point now);
+    void send_pace(live_run& run, const worker_session& worker, time_point now);
+    void on_pace_answer(const std::string& key, std::int64_t sent_reading_ms,
+                        const order_answer& answer, time_point now);
+    void stop_unpaced(worker_session& worker,
+                      const std::vector<std::string>& keys, time_point now);
     hold_order make_hold_order(const worker_session& worker) const;
     std::function<void(const hold_answer&)>
     list_handler(const worker_session& worker, bool is_hold, time_point sent);
--- a/src/coordination/fleet/worker_lists.cpp
+++ b/src/coordination/fleet/worker_lists.cpp
@@ -87,7 +87,8 @@
     const milliseconds wait_for_size(
         static_cast<std::int64_t>(workers_.size()) * 1000 /
         idle_holds_per_second);
-    return now < worker.short_holds_until || worker.record.draining()
+    return now < worker.short_holds_until || worker.record.draining() ||
+                   worker.pace
                ? shortest_hold_wait
                : std::clamp(wait_for_size, shortest_hold_wait,
                             options_.max_hold_wait);
@@ -197,6 +198,10 @@
     std::set<std::string> seen;
     process_ended(*worker, answer.lists, seen, now);
     process_running(*worker, answer.lists, seen, sent, now);
+    if (answer.lists.worker_time_ms >= worker->lists_time_ms)
+    {
+        sample_tails(*worker, sent, now);
+    }
     // A full page of ends may be followed by further ends that it does not
     // contain, so a missing run may still be listed later.
     constexpr std::size_t ends_per_page = 500;
@@ -341,6 +346,10 @@
             (lists.born_ms != 0 && lists.born_ms == run.incarnation.born_ms);
         sample_progress(run, item.percent, start_seen, now);
         run.percent = item.percent;
+        if (run.serves_users)
+        {
+            run.tail_ms = item.recent_figure;
+        }
         if (!item.checkpoint.empty())
         {
             run.checkpoint = item.checkpoint;
--- a/src/coordination/fleet/worker_port.hpp
+++ b/src/coordination/fleet/worker_port.hpp
@@ -46,6 +46,12 @@
                       std::uint64_t epoch, milliseconds timeout,
                       std::function<void(const order_answer&)> done) = 0;
 
+    /// Sets the share of its speed at which a run works. The order is
+    /// idempotent.
+    virtual void pace(const worker_record& worker, const pace_order& order,
+                      milliseconds timeout,
+                      std::function<void(const order_answer&)> done) = 0;
+
     /// Requests the lists with a long poll: the worker answers when a run ends
     /// or the order's wait limit is reached. Holds use a connection of their
     /// own.
--- a/src/coordination/fleet/worker_session.hpp
+++ b/src/coordination/fleet/worker_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "coordination/fleet/filler_pace.hpp"
 #include "coordination/fleet/lease_clock.hpp"
 #include "coordination/fleet/resource_amounts.hpp"
 #include "coordination/fleet/unknown_run.hpp"
@@ -44,6 +45,13 @@
     std::size_t filler_runs = 0;
     // Number of live runs with a tail latency target.
     std::size_t serving_runs = 0;
+    // The pace of the fillers, while there are runs of both kinds.
+    std::optional<filler_pace> pace;
+    bool pace_not_supported = false; // It has no order to pace a run.
+    // Until then it takes no fillers beside serving runs: one had to be stopped
+    // because it could not be paced.
+    time_point no_fillers_until;
+    milliseconds filler_pause{0};
     std::uint64_t last_sequence = 0; // Highest number of a report.
     time_point last_report;          // When the last report arrived.
     time_point warm_at; // Until then it is slow after its start, by its report.
--- a/src/protocol/external_protocol.hpp
+++ b/src/protocol/external_protocol.hpp
@@ -92,6 +92,10 @@
     run_ref run;
     std::string checkpoint; // The latest one; empty without one.
     int percent = 0;        // Progress of the run.
+    // A rough figure for the last half second: the tail of the response times
+    // in ms of a run that serves users, the processor use in thousandths of a
+    // core of any other run. Empty when the worker lists none.
+    std::optional<double> recent_figure;
 };
 
 /// A run that a worker lists as ended.
@@ -138,6 +142,8 @@
     // The order may have been sent over a connection that was opened for it:
     // also to a process that began after the last answer.
     bool on_new_connection = false;
+    // The worker has no such order. The result is `unknown` then.
+    bool not_supported = false;
 };
 
 /// An HTTP request to a worker or to the policy service.
@@ -161,6 +167,16 @@
     std::string ticket; // From the policy service; empty without a policy.
 };
 
+/// An order to a worker to let a run work at a share of its speed. A run begins
+/// with 100 percent.
+struct pace_order
+{
+    run_ref run;
+    std::string worker; // Worker id.
+    int percent = 100;
+    std::uint64_t epoch = 0; // Epoch of the leader that sends the order.
+};
+
 /// Asks the policy service which of `workers` may run a step.
 struct policy_question
 {
@@ -265,6 +281,7 @@
                                       const std::string& worker,
                                       std::uint64_t epoch) const = 0;
     virtual outgoing_call encode_hold(const hold_order& order) const = 0;
+    virtual outgoing_call encode_pace(const pace_order& order) const = 0;
     virtual outgoing_call
     encode_question(const policy_question& question) const = 0;
 
--- a/src/transport/http_worker_port.cpp
+++ b/src/transport/http_worker_port.cpp
@@ -172,6 +172,14 @@
                std::move(done));
 }
 
+void http_worker_port::pace(const worker_record& worker,
+                            const pace_order& order, milliseconds timeout,
+                            std::function<void(const order_answer&)> done)
+{
+    send_order(order_channel(worker), protocol_.encode_pace(order), timeout,
+               std::move(done));
+}
+
 void http_worker_port::send_hold(http_channel& channel, const hold_order& order,
                                  std::function<void(const hold_answer&)> done)
 {
--- a/test/platform_protocol-test.cpp
+++ b/test/platform_protocol-test.cpp
@@ -178,6 +178,39 @@
     EXPECT_FALSE(protocol.decode_tickets("{}").ok());
 }
 
+// Guards against fillers that are not paced because the order is wrong, its
+// answer is misread or the workers' figures are lost.
+TEST(platform_protocol, exchanges_paces_and_figures_with_workers)
+{
+    const platform_protocol protocol;
+    fleet::run_ref run;
+    ASSERT_TRUE(parse_subtask_name("5c0e7a21d94b36f8.0.1.17", run));
+    run.set_run(2);
+    const auto call = protocol.encode_pace({run, "i-1", 25, 7});
+    EXPECT_EQ(call.method, "POST");
+    EXPECT_EQ(call.target, "/-/pace");
+    EXPECT_EQ(call.body, R"({"fence":7,"percent":25,"run":2,)"
+                         R"("task":"5c0e7a21d94b36f8.0.1.17"})");
+    EXPECT_EQ(protocol.decode_order(200, R"({"clock_ms":5})").result,
+              fleet::order_result::accepted);
+    EXPECT_FALSE(protocol.decode_order(200, "{}").not_supported);
+    for (const unsigned status : {404U, 405U, 501U})
+    {
+        const auto answer = protocol.decode_order(status, "");
+        EXPECT_TRUE(answer.not_supported) << status;
+        EXPECT_EQ(answer.result, fleet::order_result::unknown) << status;
+    }
+    const auto lists = protocol.decode_lists(
+        R"({"clock_ms":1,"ended":[],"running":[["a.0.0.0",1,"",5,180],)"
+        R"(["a.0.0.1",1,"",5],["a.0.0.2",1,"",5,null],["a.0.0.3",1,"",5,-1]]})");
+    ASSERT_TRUE(lists.ok()) << lists.status();
+    ASSERT_EQ(lists->running.size(), 4U);
+    EXPECT_EQ(lists->running[0].recent_figure, 180);
+    EXPECT_FALSE(lists->running[1].recent_figure);
+    EXPECT_FALSE(lists->running[2].recent_figure);
+    EXPECT_FALSE(lists->running[3].recent_figure);
+}
+
 // Guards against a malformed subtask name that is taken for another subtask.
 TEST(platform_protocol, subtask_names_round_trip)
 {
--- a/test/platform_settings-test.cpp
+++ b/test/platform_settings-test.cpp
@@ -48,5 +48,16 @@
     }
 }
 
+// Guards against bounds on pacing that the deployment sets and nobody reads.
+TEST(platform_settings, limits_of_pacing_are_read)
+{
+    auto text = settings_with("{}");
+    text.insert(1, R"("bounds":{"pacing_ms":250,"impact_ms":9000},)");
+    const auto settings = decode_settings(text);
+    ASSERT_TRUE(settings.ok()) << settings.status();
+    EXPECT_EQ(settings->workers.pace.delay, milliseconds(250));
+    EXPECT_EQ(settings->workers.pace.impact_limit, milliseconds(9000));
+}
+
 } // namespace
 } // namespace limpetstack::platform
--- a/test/support/fake_worker_port.hpp
+++ b/test/support/fake_worker_port.hpp
@@ -30,6 +30,11 @@
         order_callback done;
         milliseconds timeout{0};
     };
+    struct sent_pace
+    {
+        pace_order order;
+        order_callback done;
+    };
     struct sent_hold
     {
         hold_order order;
@@ -46,6 +51,11 @@
     {
         stops.push_back({worker.id(), run, std::move(done), timeout});
     }
+    void pace(const worker_record&, const pace_order& order, milliseconds,
+              order_callback done) override
+    {
+        paces.push_back({order, std::move(done)});
+    }
     void hold(const worker_record&, const hold_order& order,
               hold_callback done) override
     {
@@ -63,6 +73,7 @@
 
     std::deque<sent_start> starts;
     std::deque<sent_stop> stops;
+    std::deque<sent_pace> paces;
     std::deque<sent_hold> holds;
     std::deque<sent_hold> list_requests;
     std::deque<std::string> closed; // Workers whose connections were closed.
