Take tickets when starts are sent, whatever their validity

Cause: a ticket was not used in its last 300 ms, whatever validity the document names, and a placement needed one. Somewhat longer tickets were a race: the ticket was chosen at the placement and carried through the commit and all repeats of the start.

Change: placements follow the policy's decision, which holds for the worker's life. The ticket is looked up when a start is sent or repeated; without a valid one the run waits, asks, and is sent with the answer. The margin is a third of the validity, at most 300 ms, and a ticket that has just arrived is always tried. Refused tickets are asked for again with a growing delay, without a new placement. policy_answered tells answer, validity and usable time; ticket_refused, counters and a latency histogram are new.

--- a/src/coordination/fleet/filler_pace.cpp
+++ b/src/coordination/fleet/filler_pace.cpp
@@ -10,8 +10,8 @@
 constexpr int full_pace = 100;
 
 // Loads at which the pace changes. Figures are rough, so a load a little below
-// 1 may already be over the target: a tail that was over it counts as over until
-// it is listed well below.
+// 1 may already be over the target: a tail that was over it counts as over
+// until it is listed well below.
 constexpr double raise_below = 0.7;
 constexpr double lower_above = 0.85;
 
--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -260,11 +260,7 @@
                    {"speed", speeds.count() > 1
                                  ? absl::StrCat(candidates[chosen[i]].speed)
                                  : std::string()}});
-        const auto* const ticket =
-            tickets_.find({item.job, item.occurrence, item.step},
-                          {worker.record.id(), worker.record.born_ms()}, now);
-        workers_.place(ref, worker, *item.spec, item.queue.priority,
-                       ticket == nullptr ? std::string() : *ticket, now);
+        workers_.place(ref, worker, *item.spec, item.queue.priority, now);
         auto& candidate = candidates_[chosen[i]];
         change_free(candidate, resource_amounts{} - request.need);
         auto& capacity = capacity_of(request.service);
--- a/src/coordination/fleet/fleet_preferences.cpp
+++ b/src/coordination/fleet/fleet_preferences.cpp
@@ -174,8 +174,8 @@
         for (const auto& candidate : candidates_)
         {
             const auto& record = candidate.worker->record;
-            if (tickets_.find({item.job, item.occurrence, item.step},
-                              {record.id(), record.born_ms()}, now) != nullptr)
+            if (tickets_.may_place({item.job, item.occurrence, item.step},
+                                   {record.id(), record.born_ms()}, now))
             {
                 request.allowed->insert(record.id());
             }
--- a/src/coordination/fleet/fleet_scheduler.hpp
+++ b/src/coordination/fleet/fleet_scheduler.hpp
@@ -287,6 +287,11 @@
     static job_holder holder_of(const pending_step& item);
     std::size_t allowed_runs(const pending_step& item, std::size_t count);
     void count_runs_by_holder();
+    const ticket_policy* policy_of(const job_state& job) const;
+    static policy_tickets::step_key step_of(const run_ref& run);
+    std::optional<std::string> ticket_of(const placed_run& run,
+                                         time_point now) const;
+    void renew_tickets(const std::vector<placed_run>& runs, time_point now);
     std::int64_t priority_of(const job_state& job) const;
     bool fits_in_one_rack(const placement_request& request) const;
     bool may_use_last_resort(const pending_step& item,
--- a/src/coordination/fleet/live_run.hpp
+++ b/src/coordination/fleet/live_run.hpp
@@ -63,10 +63,12 @@
     // lease of its start; 0: not yet.
     std::int64_t absent_since_ms = 0;
     bool end_proposed = false;
-    std::string ticket; // From the queue's policy; empty without one.
     // Its start waits for the end of an unknown run of its subtask, or of
-    // another member of its gang.
+    // another member of its gang, or for a ticket.
     bool waits = false;
+    // Since when its start waits for a ticket.
+    std::optional<time_point> ticket_wanted_at;
+    int refused_tickets = 0;
     // The incarnation on which it was placed has listed it.
     bool listed_by_incarnation = false;
     int start_attempts = 0;
--- a/src/coordination/fleet/worker_fleet.cpp
+++ b/src/coordination/fleet/worker_fleet.cpp
@@ -216,14 +216,13 @@
 
 void worker_fleet::place(const run_ref& run, const worker_session& worker,
                          const step_spec& step, std::int64_t priority,
-                         const std::string& ticket, time_point now)
+                         time_point now)
 {
     const worker_incarnation incarnation{worker.record.id(),
                                          worker.record.born_ms()};
     auto& live = add_run(run, incarnation, run_phase::proposed, now);
     live.priority = priority;
     live.gang = step.gang();
-    live.ticket = ticket;
     fleet_command command;
     auto& placed = *command.mutable_place();
     *placed.mutable_run() = run;
@@ -422,9 +421,7 @@
         return;
     }
     scanned_at_ = now;
-    newly_committed_.insert(newly_committed_.end(), waiting_starts_.begin(),
-                            waiting_starts_.end());
-    waiting_starts_.clear();
+    resume_starts(now);
     open_confirmations_ = static_cast<std::size_t>(std::count_if(
         workers_.begin(), workers_.end(),
         [](const auto& entry)
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -6,6 +6,7 @@
 #include "coordination/fleet/filler_pace.hpp"
 #include "coordination/fleet/live_run.hpp"
 #include "coordination/fleet/resource_amounts.hpp"
+#include "coordination/fleet/run_tickets.hpp"
 #include "coordination/fleet/step_run_times.hpp"
 #include "coordination/fleet/worker_availability.hpp"
 #include "coordination/fleet/worker_port.hpp"
@@ -90,11 +91,16 @@
     /// and ends runs whose lease has expired.
     void advance(time_point now);
 
-    /// Proposes a placement; the run starts once the placement is committed.
-    /// `ticket` comes from the queue's policy and is empty without one.
+    /// Sets where starts get the tickets of queues with a policy.
+    void use_tickets(run_tickets tickets);
+
+    /// Sends the starts that have waited for tickets, which have just arrived.
+    void on_tickets(time_point now);
+
+    /// Proposes a placement; the run starts once the placement is committed and
+    /// its queue's policy has given it a ticket.
     void place(const run_ref& run, const worker_session& worker,
-               const step_spec& step, std::int64_t priority,
-               const std::string& ticket, time_point now);
+               const step_spec& step, std::int64_t priority, time_point now);
 
     /// Stops a run. Stopping a member of a gang stops the whole gang.
     void stop(const std::string& key, const char* reason, time_point now);
@@ -214,7 +220,7 @@
     std::set<std::string> unknown_subtasks() const;
     bool must_wait(const live_run& run,
                    const std::set<std::string>& unknown) const;
-    void log_wait(live_run& run) const;
+    void log_wait(live_run& run, const char* reason) const;
     static bool is_overfull(const worker_session& worker);
     void retry_unknown_stops(worker_session& worker, time_point now);
     void release_unknown_run(worker_session& worker, const std::string& key,
@@ -225,7 +231,17 @@
     void start_committed(time_point now);
     bool is_gang_complete(const live_run& run) const;
     void check_gang_placements(time_point now);
-    void send_start(live_run& run, worker_session& worker, time_point now);
+    std::optional<std::string> ticket_for_start(const live_run& run,
+                                                time_point now) const;
+    void wait_for_ticket(live_run& run, std::vector<placed_run>& without_ticket,
+                         time_point now);
+    void send_start(live_run& run, worker_session& worker,
+                    const std::string& ticket, time_point now);
+    void repeat_start(live_run& run, worker_session& worker, time_point now);
+    static void pause_starts(worker_session& worker, time_point now);
+    void give_up_start(const std::string& key, worker_session& worker,
+                       time_point now);
+    void resume_starts(time_point now);
     void on_start_answer(const std::string& key, std::int64_t sent_reading_ms,
                          const order_answer& answer, time_point now);
     void record_attempt_end(live_run& run, const order_answer& answer,
@@ -363,8 +379,13 @@
     std::map<std::string, worker_session> workers_; // By worker id.
     std::map<std::string, live_run> runs_;          // By key.
     std::vector<std::string> newly_committed_;      // Keys of runs to start.
-    // Keys of runs whose start waits for the end of an unknown run.
+    run_tickets tickets_;
+    // Keys of runs whose start waits for the end of an unknown run, or for a
+    // ticket.
     std::vector<std::string> waiting_starts_;
+    // Keys of runs whose unanswered start is to be sent again with a new
+    // ticket.
+    std::set<std::string> repeats_without_ticket_;
     // Ids of workers that `advance` updates without waiting for the next scan.
     std::set<std::string> due_workers_;
     std::set<std::string> stopping_; // Keys of runs with a requested stop.
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -39,6 +39,10 @@
 // end when the lease is over, unless the worker lists their ends.
 constexpr milliseconds leaving_lease{3000};
 
+// A run is placed anew after this many refused tickets. A worker that refuses
+// several new ones may have a wrong clock.
+constexpr int max_refused_tickets = 5;
+
 // A worker that refused a start gets no placement for this time.
 constexpr milliseconds refusal_pause{1000};
 
@@ -158,6 +162,7 @@
     }
     const auto unknown = unknown_subtasks();
     std::map<std::string, bool> started_workers;
+    std::vector<placed_run> without_ticket;
     for (const auto& key : keys)
     {
         const auto found = runs_.find(key);
@@ -192,7 +197,13 @@
         if (must_wait(found->second, unknown))
         {
             waiting_starts_.push_back(key);
-            log_wait(found->second);
+            log_wait(found->second, "unknown_run");
+            continue;
+        }
+        const auto ticket = ticket_for_start(found->second, now);
+        if (!ticket)
+        {
+            wait_for_ticket(found->second, without_ticket, now);
             continue;
         }
         // No start is answered meanwhile, so this is the same for all runs of
@@ -206,12 +217,16 @@
         found->second.start_lease_end_ms =
             worker->clock.worker_time(now) +
             start_lease(has_started->second, now).count();
-        send_start(found->second, *worker, now);
+        send_start(found->second, *worker, *ticket, now);
+    }
+    if (!without_ticket.empty())
+    {
+        tickets_.renew(without_ticket, now);
     }
 }
 
-// Logs the first time that the run waits for the end of an unknown run.
-void worker_fleet::log_wait(live_run& run) const
+// Logs the first time that the start of the run waits.
+void worker_fleet::log_wait(live_run& run, const char* reason) const
 {
     if (!std::exchange(run.waits, true))
     {
@@ -219,13 +234,13 @@
                   {{"job", run.ref.job()},
                    {"run", key_of(run.ref)},
                    {"worker", run.location.worker},
-                   {"reason", "unknown_run"},
+                   {"reason", reason},
                    {"epoch", absl::StrCat(epoch_)}});
     }
 }
 
 void worker_fleet::send_start(live_run& run, worker_session& worker,
-                              time_point now)
+                              const std::string& ticket, time_point now)
 {
     const auto* const job = state_.find_job(run.ref.job());
     const auto* const step = state_.find_step(run.ref);
@@ -249,7 +264,8 @@
     worker.clock.grant(run.start_lease_end_ms);
     order.epoch = epoch_;
     order.checkpoint = run.gang ? step->checkpoint : subtask->checkpoint;
-    order.ticket = run.ticket;
+    order.ticket = ticket;
+    run.ticket_wanted_at.reset();
     const auto key = key_of(run.ref);
     record_start(run, worker, now);
     if (run.start_attempts == 1)
@@ -296,6 +312,12 @@
     }
 }
 
+// Keeps placements off a worker that refused a start or did not answer it.
+void worker_fleet::pause_starts(worker_session& worker, time_point now)
+{
+    worker.refuses_until = std::max(worker.refuses_until, now + refusal_pause);
+}
+
 void worker_fleet::on_start_answer(const std::string& key,
                                    std::int64_t sent_reading_ms,
                                    const order_answer& answer, time_point now)
@@ -366,13 +388,11 @@
         }
         if (may_repeat_start(run, *worker, now))
         {
-            send_start(run, *worker, now);
+            repeat_start(run, *worker, now);
         }
         else
         {
-            worker->refuses_until =
-                std::max(worker->refuses_until, now + refusal_pause);
-            stop(key, "start_unanswered", now);
+            give_up_start(key, *worker, now);
         }
         break;
     case order_result::newer_epoch:
@@ -401,7 +421,18 @@
         refuse("lease_expired", milliseconds(0));
         break;
     case order_result::bad_ticket:
-        refuse("bad_ticket", milliseconds(0));
+        tickets_.refuse({run.ref, run.incarnation}, now);
+        if (run.start_attempts > 1 || run.stop_requested ||
+            ++run.refused_tickets >= max_refused_tickets)
+        {
+            refuse("bad_ticket", refusal_pause);
+            break;
+        }
+        // The worker has not started the run, so the placement still holds.
+        run.phase = run_phase::committed;
+        run.changed_at = now;
+        run.start_attempts = 0;
+        newly_committed_.push_back(key);
         break;
     case order_result::invalid:
         refuse("invalid_order", refusal_pause);
--- a/test/policy_tickets-test.cpp
+++ b/test/policy_tickets-test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdint>
+
 namespace limpetstack::fleet
 {
 namespace
@@ -30,6 +33,7 @@
     time_point now{milliseconds(1000)};
     fake_policy_port port;
     int answers = 0;
+    metrics counters;
     policy_tickets tickets{port,
                            [this]
                            {
@@ -38,7 +42,8 @@
                            [this]
                            {
                                ++answers;
-                           }};
+                           },
+                           counters};
 };
 
 // Guards against tickets for workers that the policy does not allow, and
@@ -99,6 +104,62 @@
     EXPECT_EQ(port.questions.size(), 1U);
 }
 
+// Guards against tickets that are valid for less than a fixed margin and so
+// never used, and against using them for longer than they are valid.
+TEST_F(policy_tickets_test, short_tickets_are_used_when_they_arrive)
+{
+    for (const std::int64_t valid_ms : {0, 1, 20, 300})
+    {
+        const policy_tickets::step_key short_step{
+            "job", 0, static_cast<unsigned>(1 + valid_ms)};
+        tickets.ask(short_step, {20, 2, valid_ms}, {first}, now);
+        now += milliseconds(22);
+        answer(std::vector<policy_ticket>{{"w1", "a"}});
+        EXPECT_NE(tickets.find(short_step, first, now), nullptr) << valid_ms;
+        now += milliseconds(std::max<std::int64_t>(valid_ms, 5));
+        EXPECT_EQ(tickets.find(short_step, first, now), nullptr) << valid_ms;
+        EXPECT_TRUE(tickets.may_place(short_step, first, now)) << valid_ms;
+    }
+}
+
+// Guards against placements that wait for tickets of a service which has fallen
+// silent, and against repeated questions while it answers.
+TEST_F(policy_tickets_test, expired_ticket_is_asked_for_when_it_is_needed)
+{
+    const ticket_policy short_policy{20, 2, 60};
+    tickets.ask(step, short_policy, {first}, now);
+    answer(std::vector<policy_ticket>{{"w1", "a"}});
+    now += milliseconds(1000);
+    tickets.ask(step, short_policy, {first}, now);
+    EXPECT_TRUE(port.questions.empty());
+    tickets.renew(step, short_policy, {first}, now);
+    EXPECT_EQ(port.questions.size(), 1U);
+    answer(std::nullopt);
+    now += milliseconds(1500);
+    EXPECT_FALSE(tickets.may_place(step, first, now));
+    tickets.ask(step, short_policy, {first}, now);
+    EXPECT_EQ(port.questions.size(), 1U);
+}
+
+// Guards against a stream of questions while workers refuse each ticket.
+TEST_F(policy_tickets_test, refused_tickets_delay_the_next_question)
+{
+    int asked = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        tickets.renew(step, policy, {first}, now);
+        asked += static_cast<int>(port.questions.size());
+        if (!port.questions.empty())
+        {
+            answer(std::vector<policy_ticket>{{"w1", "a"}});
+            tickets.refuse(step, "w1", now);
+            EXPECT_EQ(tickets.find(step, first, now), nullptr);
+        }
+        now += milliseconds(10);
+    }
+    EXPECT_LE(asked, 13);
+}
+
 // Guards against a memory leak: decisions that stay stored after their job was
 // forgotten, or that a late answer brings back.
 TEST_F(policy_tickets_test, forgets_the_steps_of_a_job)
