--- a/src/coordination/fleet/fleet_placement.cpp
+++ b/src/coordination/fleet/fleet_placement.cpp
@@ -292,45 +292,6 @@
     }
 }
 
-// Asks the queue's policy about the workers that could take the step: workers
-// in the preferred rack first, then those with the most free capacity, and
-// workers of last resort at the end.
-void fleet_scheduler::ask_policy(const pending_step_key& key,
-                                 const pending_step& item,
-                                 placement_request request, time_point now)
-{
-    request.allowed.reset();
-    std::vector<std::tuple<bool, bool, std::int64_t, const worker_record*>>
-        order;
-    for (const auto& candidate : candidates_)
-    {
-        const auto& record = candidate.worker->record;
-        if (is_eligible(candidate, request) &&
-            count_fitting(candidate, candidate.worker->capacity, request) > 0)
-        {
-            order.emplace_back(candidate.last_resort,
-                               record.rack() != request.preferred_rack,
-                               -static_cast<std::int64_t>(count_fitting(
-                                   candidate, candidate.free, request)),
-                               &record);
-        }
-    }
-    std::stable_sort(
-        order.begin(), order.end(),
-        [](const auto& a, const auto& b)
-        {
-            return std::tie(std::get<0>(a), std::get<1>(a), std::get<2>(a)) <
-                   std::tie(std::get<0>(b), std::get<1>(b), std::get<2>(b));
-        });
-    std::vector<policy_candidate> policy_candidates;
-    policy_candidates.reserve(order.size());
-    for (const auto& [last_resort, other_rack, free_slots, record] : order)
-    {
-        policy_candidates.push_back({record->id(), record->born_ms()});
-    }
-    tickets_.ask(key, *item.queue.policy, policy_candidates, now);
-}
-
 // Places as many subtasks of the step as fit. Returns true when none remains.
 // A subtask under which a worker crashed starts alone on its worker, so that
 // another crash can be put down to it, and one such subtask at a time.
--- a/src/coordination/fleet/fleet_scheduler.cpp
+++ b/src/coordination/fleet/fleet_scheduler.cpp
@@ -120,67 +120,6 @@
     return queue;
 }
 
-// Returns the policy of the job's queue, null when it has none.
-const ticket_policy* fleet_scheduler::policy_of(const job_state& job) const
-{
-    const auto found = queues_.find(job.job.queue());
-    return found != queues_.end() && found->second->policy
-               ? &*found->second->policy
-               : nullptr;
-}
-
-policy_tickets::step_key fleet_scheduler::step_of(const run_ref& run)
-{
-    return {run.job(), run.occurrence(), run.step()};
-}
-
-// Returns the ticket for a start of the run, an empty one without a policy.
-std::optional<std::string> fleet_scheduler::ticket_of(const placed_run& run,
-                                                      time_point now) const
-{
-    const auto* const job = state_.find_job(run.ref.job());
-    if (job == nullptr || policy_of(*job) == nullptr)
-    {
-        return std::string();
-    }
-    const auto* const ticket =
-        tickets_.find(step_of(run.ref),
-                      {run.incarnation.worker, run.incarnation.born_ms}, now);
-    return ticket == nullptr ? std::nullopt
-                             : std::optional<std::string>(*ticket);
-}
-
-// Asks for new tickets, one question for each step.
-void fleet_scheduler::renew_tickets(const std::vector<placed_run>& runs,
-                                    time_point now)
-{
-    std::map<policy_tickets::step_key, std::vector<policy_candidate>> steps;
-    for (const auto& run : runs)
-    {
-        auto& candidates = steps[step_of(run.ref)];
-        const auto& incarnation = run.incarnation;
-        const bool added =
-            std::any_of(candidates.begin(), candidates.end(),
-                        [&](const policy_candidate& candidate)
-                        {
-                            return candidate.worker == incarnation.worker;
-                        });
-        if (!added)
-        {
-            candidates.push_back({incarnation.worker, incarnation.born_ms});
-        }
-    }
-    for (const auto& [step, candidates] : steps)
-    {
-        const auto* const job = state_.find_job(std::get<0>(step));
-        const auto* const policy = job == nullptr ? nullptr : policy_of(*job);
-        if (policy != nullptr)
-        {
-            tickets_.renew(step, *policy, candidates, now);
-        }
-    }
-}
-
 std::int64_t fleet_scheduler::priority_of(const job_state& job) const
 {
     const auto found = queues_.find(job.job.queue());
--- a/src/coordination/fleet/start_tickets.cpp
+++ b/src/coordination/fleet/start_tickets.cpp
@@ -21,6 +21,10 @@
 // short for that, and members wait for each other for some seconds.
 constexpr milliseconds gang_ticket_wait{1500};
 
+// A run is placed anew after this many refused tickets. A worker that refuses
+// several new ones may have a wrong clock.
+constexpr int max_refused_tickets = 5;
+
 placed_run placed(const live_run& run)
 {
     return {run.ref, run.incarnation};
@@ -78,6 +82,19 @@
     }
 }
 
+// Records that the worker refused the ticket of the run. Returns true when the
+// start is sent again with another one: it has not been sent without an answer
+// before, and its queue has a policy that gives tickets.
+bool worker_fleet::may_renew_ticket(live_run& run, time_point now)
+{
+    tickets_.refuse(placed(run), now);
+    ++run.refused_tickets;
+    const auto ticket = tickets_.find(placed(run), now);
+    const bool has_policy = !ticket || !ticket->empty();
+    return has_policy && run.start_attempts == 1 && !run.stop_requested &&
+           run.refused_tickets < max_refused_tickets;
+}
+
 // Sends an unanswered start again, when it has a valid ticket.
 void worker_fleet::repeat_start(live_run& run, worker_session& worker,
                                 time_point now)
--- a/src/coordination/fleet/worker_fleet.hpp
+++ b/src/coordination/fleet/worker_fleet.hpp
@@ -237,6 +237,7 @@
                          time_point now);
     void send_start(live_run& run, worker_session& worker,
                     const std::string& ticket, time_point now);
+    bool may_renew_ticket(live_run& run, time_point now);
     void repeat_start(live_run& run, worker_session& worker, time_point now);
     static void pause_starts(worker_session& worker, time_point now);
     void give_up_start(const std::string& key, worker_session& worker,
--- a/src/coordination/fleet/worker_orders.cpp
+++ b/src/coordination/fleet/worker_orders.cpp
@@ -39,10 +39,6 @@
 // end when the lease is over, unless the worker lists their ends.
 constexpr milliseconds leaving_lease{3000};
 
-// A run is placed anew after this many refused tickets. A worker that refuses
-// several new ones may have a wrong clock.
-constexpr int max_refused_tickets = 5;
-
 // A worker that refused a start gets no placement for this time.
 constexpr milliseconds refusal_pause{1000};
 
@@ -421,18 +417,18 @@
         refuse("lease_expired", milliseconds(0));
         break;
     case order_result::bad_ticket:
-        tickets_.refuse({run.ref, run.incarnation}, now);
-        if (run.start_attempts > 1 || run.stop_requested ||
-            ++run.refused_tickets >= max_refused_tickets)
+        if (may_renew_ticket(run, now))
+        {
+            // The worker has not started the run, so the placement still holds.
+            run.phase = run_phase::committed;
+            run.changed_at = now;
+            run.start_attempts = 0;
+            newly_committed_.push_back(key);
+        }
+        else
         {
             refuse("bad_ticket", refusal_pause);
-            break;
         }
-        // The worker has not started the run, so the placement still holds.
-        run.phase = run_phase::committed;
-        run.changed_at = now;
-        run.start_attempts = 0;
-        newly_committed_.push_back(key);
         break;
     case order_result::invalid:
         refuse("invalid_order", refusal_pause);
--- a/test/guarded_worker_port-test.cpp
+++ b/test/guarded_worker_port-test.cpp
@@ -57,16 +57,18 @@
     };
     port.start({}, {}, order_timeout, order_done);
     port.stop({}, {}, 1, order_timeout, order_done);
+    port.pace({}, {}, order_timeout, order_done);
     port.hold({}, {}, lists_done);
     port.request_lists({}, {}, lists_done);
     EXPECT_EQ(unknown, 0); // The caller may not be ready for an answer yet.
     run_deferred();
-    EXPECT_EQ(unknown, 4);
+    EXPECT_EQ(unknown, 5);
     EXPECT_TRUE(inner.starts.empty());
     EXPECT_TRUE(inner.stops.empty());
+    EXPECT_TRUE(inner.paces.empty());
     EXPECT_TRUE(inner.holds.empty());
     EXPECT_TRUE(inner.list_requests.empty());
-    EXPECT_EQ(counters.counter("orders_withheld_total"), 4U);
+    EXPECT_EQ(counters.counter("orders_withheld_total"), 5U);
 }
 
 // Guards against a leader that sends nothing any more after it was slow once.
@@ -74,10 +76,12 @@
 {
     port.start({}, {}, order_timeout, [](const order_answer&) {});
     port.stop({}, {}, 1, order_timeout, [](const order_answer&) {});
+    port.pace({}, {}, order_timeout, [](const order_answer&) {});
     port.hold({}, {}, [](const hold_answer&) {});
     port.request_lists({}, {}, [](const hold_answer&) {});
     EXPECT_EQ(inner.starts.size(), 1U);
     EXPECT_EQ(inner.stops.size(), 1U);
+    EXPECT_EQ(inner.paces.size(), 1U);
     EXPECT_EQ(inner.holds.size(), 1U);
     EXPECT_EQ(inner.list_requests.size(), 1U);
     EXPECT_TRUE(deferred.empty());
--- a/test/http_worker_port-test.cpp
+++ b/test/http_worker_port-test.cpp
@@ -31,19 +31,20 @@
 protected:
     http_worker_port_test()
         : address(free_address(io))
-        , server(
-              io, "",
-              [this](const http_server_request&, const http_responder& respond)
-              {
-                  ++calls;
-                  if (silent)
-                  {
-                      unanswered.push_back(respond);
-                      return;
-                  }
-                  respond(
-                      {200, R"({"clock_ms":1,"running":[],"ended":[]})", 0});
-              })
+        , server(io, "",
+                 [this](const http_server_request& request,
+                        const http_responder& respond)
+                 {
+                     ++calls;
+                     targets.push_back(request.target);
+                     if (silent)
+                     {
+                         unanswered.push_back(respond);
+                         return;
+                     }
+                     respond({status,
+                              R"({"clock_ms":1,"running":[],"ended":[]})", 0});
+                 })
         , port(io, protocol, max_connections)
     {
         EXPECT_TRUE(server.listen(address));
@@ -84,6 +85,8 @@
     boost::asio::io_context io;
     std::string address;
     int calls = 0;
+    unsigned status = 200;
+    std::vector<std::string> targets;
     int accepted = 0;
     bool silent = false; // Orders get no answer.
     std::vector<http_responder> unanswered;
@@ -132,6 +135,30 @@
     EXPECT_TRUE(missing.on_new_connection);
 }
 
+// Guards against fillers that are never paced because the order does not reach
+// the worker, or that wait for an answer from a worker without that order.
+TEST_F(http_worker_port_test, pace_is_sent_and_its_answer_is_read)
+{
+    std::vector<order_answer> answers;
+    const auto send = [&]
+    {
+        port.pace(worker(0), {{}, "w0", 20, 1}, milliseconds(50),
+                  [&answers](const order_answer& answer)
+                  {
+                      answers.push_back(answer);
+                  });
+        io.run_for(std::chrono::milliseconds(100));
+    };
+    send();
+    status = 404;
+    send();
+    EXPECT_EQ(targets, (std::vector<std::string>{"/-/pace", "/-/pace"}));
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers[0].result, order_result::accepted);
+    EXPECT_FALSE(answers[0].not_supported);
+    EXPECT_TRUE(answers[1].not_supported);
+}
+
 // Guards against a start that counts as sent when its worker refused the
 // connection.
 TEST_F(http_worker_port_test, refused_start_was_on_no_connection)
