--- a/test/shared_workers-test.cpp
+++ b/test/shared_workers-test.cpp
@@ -116,7 +116,7 @@
     std::mt19937 random(GetParam());
     const auto below = [&random](unsigned limit)
     {
-        return random() % limit;
+        return static_cast<int>(random() % limit);
     };
     add_workers(4);
     workers.set_own_load(0.2 + 0.1 * below(7));
